--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+BUNDLE ?= examples/mittelland.jsonc
+SEED ?= 7
+
+.PHONY: install demo test bench capacity format
+
+$(VENV)/.installed: requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $@
+
+install: $(VENV)/.installed
+
+demo: install
+	$(BIN)/python -m cardamomdrift.demo --bundle $(BUNDLE) $(if $(STAY),--stay)
+
+test: install
+	$(BIN)/ruff check cardamomdrift tests bench
+	$(BIN)/ruff format --check cardamomdrift tests bench
+	PYTHONHASHSEED=0 $(BIN)/python -W error::ResourceWarning -m tests.run
+
+bench: install
+	$(BIN)/python -m bench.measures --seed $(SEED)
+
+capacity: install
+	$(BIN)/python -m bench.capacity --seed $(SEED)
+
+format: install
+	$(BIN)/ruff check --fix cardamomdrift tests bench
+	$(BIN)/ruff format cardamomdrift tests bench
--- /dev/null
+++ b/cardamomdrift/errors.py
@@ -0,0 +1,221 @@
+"""
+Errors
+======
+
+Every failure has a type.  `CallerError` subclasses reach the caller as a MySQL error
+packet; their code and SQLSTATE stand in the class.  An error is `NotRun` only if it is
+proven that no effect of the request can remain; otherwise it is `OutcomeUnknown`.
+"""
+
+
+class CardamomdriftError(Exception):
+    """Base of all errors of this package."""
+
+
+class MalformedPosition(CardamomdriftError):
+    """A log position that is not written as ``term:sequence``."""
+
+
+class SettingsError(CardamomdriftError):
+    """A settings file with faults; ``faults`` holds one line for each."""
+
+    def __init__(self, faults):
+        super().__init__("\n".join(faults))
+        self.faults = list(faults)
+
+
+class BundleError(CardamomdriftError):
+    """A bundle with faults; ``faults`` holds one line for each."""
+
+    def __init__(self, faults):
+        super().__init__("\n".join(faults))
+        self.faults = list(faults)
+
+
+class BundleConflict(CardamomdriftError):
+    """Another operator rolled out the same version first."""
+
+    def __init__(self, version, operator, digest):
+        super().__init__(
+            f"version {version} was rolled out by {operator} with digest {digest}"
+        )
+        self.version = version
+        self.operator = operator
+        self.digest = digest
+
+
+class BundleNotSignedOff(CardamomdriftError):
+    """The digest has no sign-off, so it cannot be rolled out."""
+
+
+class PacketTooLarge(CardamomdriftError):
+    """A peer announced a packet above the bound."""
+
+
+class PlatformUnavailable(CardamomdriftError):
+    """The platform did not answer in time; the effect of a write is unknown."""
+
+
+class PlatformRefused(CardamomdriftError):
+    """The platform answered with an error."""
+
+
+class UpstreamError(CardamomdriftError):
+    """Base of the failures of an upstream connection."""
+
+
+class UpstreamUnreachable(UpstreamError):
+    """No connection could be opened; nothing was sent."""
+
+
+class UpstreamBusy(UpstreamError):
+    """The instance refused a connection because it has too many."""
+
+
+class UpstreamLost(UpstreamError):
+    """A connection broke or went silent after bytes may have left."""
+
+
+class StatementRefused(UpstreamError):
+    """The instance answered the statement with an error.
+
+    Attributes
+    ----------
+    code : int
+        MySQL error number of the instance.
+    message : str
+        Error text of the instance.
+    """
+
+    def __init__(self, code, message):
+        super().__init__(f"{code}: {message}")
+        self.code = code
+        self.message = message
+
+
+class CallerError(CardamomdriftError):
+    """Base of the errors that callers see."""
+
+    code = 50000
+    sqlstate = "HY000"
+
+    def __init__(self, reason, retry_after=None):
+        super().__init__(reason)
+        self.reason = reason
+        self.retry_after = retry_after
+
+    def __str__(self):
+        hint = f" retry_after_ms={self.retry_after * 1000:.0f}" if self.retry_after else ""
+        return f"{type(self).__name__}: {self.reason}{hint}"
+
+
+class NotRun(CallerError):
+    """The request had no effect; it may be sent again."""
+
+    code = 50001
+    sqlstate = "40001"
+
+
+class Overloaded(NotRun):
+    """The request was refused before it was sent, because of load."""
+
+    code = 50002
+
+
+class DeadlinePassed(NotRun):
+    """The deadline passed before the request was sent."""
+
+    code = 50003
+
+
+class NoPrimary(NotRun):
+    """The group had no usable primary before the deadline."""
+
+    code = 50004
+
+
+class FloorUnknown(NotRun):
+    """No majority of the group answered, so no safe floor is known for the read."""
+
+    code = 50005
+
+
+class ShuttingDown(NotRun):
+    """The daemon is leaving and takes no new requests."""
+
+    code = 50006
+
+
+class TransactionLost(NotRun):
+    """The upstream connection of an open transaction broke before its commit."""
+
+    code = 50007
+
+
+class OutcomeUnknown(CallerError):
+    """The request may or may not have taken effect; ask again with its key."""
+
+    code = 50010
+    sqlstate = "08007"
+
+
+class AnswerCut(CallerError):
+    """The upstream failed in the middle of a result; the rows sent are not all."""
+
+    code = 50011
+    sqlstate = "08S01"
+
+
+class ReadFailed(CallerError):
+    """A read could not be answered before its deadline; it has no effect."""
+
+    code = 50012
+    sqlstate = "HYT00"
+
+
+class BadRequest(CallerError):
+    """The request's options are not valid; the statement was not run."""
+
+    code = 50020
+    sqlstate = "42000"
+
+
+class UnknownClass(BadRequest):
+    """The request names a class that the bundle does not have."""
+
+    code = 50021
+
+
+class BadToken(BadRequest):
+    """The session token is malformed, forged or ahead of its group."""
+
+    code = 50022
+
+
+class UnknownDatabase(BadRequest):
+    """The database belongs to no group of the bundle."""
+
+    code = 50023
+
+
+class KeyReused(BadRequest):
+    """The idempotency key was used before for another statement."""
+
+    code = 50024
+
+
+class AlreadyDone(BadRequest):
+    """A transaction with this key has been committed before."""
+
+    code = 50025
+
+
+class RefusedByInstance(CallerError):
+    """An upstream's own error, passed on with its number and text."""
+
+    def __init__(self, code, message):
+        super().__init__(message)
+        self.code = code
+
+    def __str__(self):
+        return self.reason
--- /dev/null
+++ b/cardamomdrift/platform/objects.py
@@ -0,0 +1,86 @@
+"""
+Object store
+============
+
+Client of the platform's object store (S3's protocol): objects are named by the digest
+of their content, written once and never changed.
+"""
+
+import asyncio
+import hashlib
+
+from aiohttp import ClientError
+from botocore.auth import S3SigV4Auth
+from botocore.awsrequest import AWSRequest
+from botocore.credentials import Credentials
+
+from cardamomdrift.errors import PlatformRefused, PlatformUnavailable
+
+CALL_TIMEOUT = 3.0  # seconds
+PRECONDITION_FAILED = 412
+NOT_FOUND = 404
+
+
+def digest_of(body):
+    """Return the name under which a body is stored."""
+    return hashlib.sha256(body).hexdigest()
+
+
+class Objects:
+    """The bucket of one deployment."""
+
+    def __init__(self, session, options):
+        self._session = session
+        self._base = f"{options.url}/{options.bucket}"
+        credentials = Credentials(options.access_key, options.secret_key)
+        self._signer = S3SigV4Auth(credentials, "s3", options.region)
+
+    async def put(self, body):
+        """Store a body and return its digest; storing it twice is harmless.
+
+        Raises
+        ------
+        PlatformUnavailable
+        PlatformRefused
+        """
+        digest = digest_of(body)
+        status, _ = await self._call("PUT", digest, body, {"If-None-Match": "*"})
+        if status not in (200, PRECONDITION_FAILED):
+            raise PlatformRefused(f"put answered {status}")
+        return digest
+
+    async def get(self, digest):
+        """Return the body with a digest, or None.
+
+        Raises
+        ------
+        PlatformUnavailable
+        PlatformRefused
+            If the store answers with an error or with another body.
+        """
+        status, body = await self._call("GET", digest, b"", {})
+        if status == NOT_FOUND:
+            return None
+        if status != 200:
+            raise PlatformRefused(f"get answered {status}")
+        if digest_of(body) != digest:
+            raise PlatformRefused("object does not match its digest")
+        return body
+
+    async def _call(self, method, digest, body, headers):
+        request = AWSRequest(method, f"{self._base}/{digest}", headers, body)
+        self._signer.add_auth(request)
+        prepared = request.prepare()
+        try:
+            async with (
+                asyncio.timeout(CALL_TIMEOUT),
+                self._session.request(
+                    method, prepared.url, headers=dict(prepared.headers), data=body
+                ) as response,
+            ):
+                content = await response.read()
+        except (ClientError, TimeoutError, OSError) as error:
+            raise PlatformUnavailable(method) from error
+        if response.status >= 500:
+            raise PlatformUnavailable(f"{method} answered {response.status}")
+        return response.status, content
--- /dev/null
+++ b/cardamomdrift/platform/table.py
@@ -0,0 +1,188 @@
+"""
+Table service
+=============
+
+Client of the platform's table service (DynamoDB's protocol).  Rows that record a
+decision are append-only: one row for each number of a stream, taken by the first
+conditional write.  Every write carries its own id, so that a lost answer is settled by
+reading the row back.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from aiodynamo.client import Client
+from aiodynamo.credentials import Key, StaticCredentials
+from aiodynamo.errors import AIODynamoError, ConditionalCheckFailed, ItemNotFound
+from aiodynamo.expressions import F, HashKey, RangeKey
+from aiodynamo.http.aiohttp import AIOHTTP
+from aiodynamo.models import RetryConfig
+from aiohttp import ClientError
+from yarl import URL
+
+from cardamomdrift.errors import PlatformUnavailable
+
+CALL_TIMEOUT = 1.5  # seconds
+SETTLE_ATTEMPTS = 3
+SETTLE_DELAY = 0.2  # seconds
+NUMBER_WIDTH = 12  # digits
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """The row is ours."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotTaken:
+    """Another writer took the row first."""
+
+    row: dict
+
+
+@dataclass(frozen=True, slots=True)
+class StillUnknown:
+    """The platform gave no answer; the write may or may not stand."""
+
+
+@dataclass(frozen=True)
+class _SingleAttempt(RetryConfig):
+    """One attempt only: a repeat after a lost answer would see its own row."""
+
+    time_limit_secs: float = field(default=CALL_TIMEOUT)
+
+    def delays(self):
+        return ()
+
+    async def attempts(self):
+        yield
+
+
+_FAILURES = (AIODynamoError, ClientError, TimeoutError, OSError)
+
+
+class Table:
+    """The table of one deployment."""
+
+    def __init__(self, session, url, name, region, key):
+        client = Client(
+            AIOHTTP(session),
+            StaticCredentials(key),
+            region,
+            endpoint=URL(url),
+            throttle_config=_SingleAttempt(),
+        )
+        self._table = client.table(name)
+
+    async def get(self, partition, sort):
+        """Return one row, or None.
+
+        Raises
+        ------
+        PlatformUnavailable
+        """
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT):
+                return await self._table.get_item(
+                    {"pk": partition, "sk": sort}, consistent_read=True
+                )
+        except ItemNotFound:
+            return None
+        except _FAILURES as error:
+            raise PlatformUnavailable("read") from error
+
+    async def list(self, partition, prefix, newest_first=False, limit=None):
+        """Return the rows of a partition whose sort key starts with a prefix.
+
+        Raises
+        ------
+        PlatformUnavailable
+        """
+        condition = HashKey("pk", partition) & RangeKey("sk").begins_with(prefix)
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT):
+                page = await self._table.query_single_page(
+                    condition,
+                    scan_forward=not newest_first,
+                    limit=limit,
+                    consistent_read=True,
+                )
+        except _FAILURES as error:
+            raise PlatformUnavailable("query") from error
+        return page.items
+
+    async def put(self, partition, sort, fields):
+        """Write a row that only this process writes.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If it is not known whether the row was written.
+        """
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT):
+                await self._table.put_item({"pk": partition, "sk": sort, **fields})
+        except _FAILURES as error:
+            raise PlatformUnavailable("write") from error
+
+    async def delete(self, partition, sort):
+        """Delete a row.
+
+        Raises
+        ------
+        PlatformUnavailable
+        """
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT):
+                await self._table.delete_item({"pk": partition, "sk": sort})
+        except _FAILURES as error:
+            raise PlatformUnavailable("delete") from error
+
+    async def append(self, stream, number, fields, write_id):
+        """Take the row of a number in a stream.
+
+        Returns
+        -------
+        Taken or NotTaken or StillUnknown
+        """
+        sort = stream_key(stream[1], number)
+        item = {"pk": stream[0], "sk": sort, "write_id": write_id, **fields}
+        for attempt in range(SETTLE_ATTEMPTS):
+            if attempt:
+                await asyncio.sleep(SETTLE_DELAY)
+            try:
+                async with asyncio.timeout(CALL_TIMEOUT):
+                    await self._table.put_item(item, condition=F("pk").does_not_exist())
+                return Taken()
+            except ConditionalCheckFailed:
+                pass
+            except _FAILURES:
+                continue  # the same row again: its id tells whose it is
+            try:
+                row = await self.get(stream[0], sort)
+            except PlatformUnavailable:
+                continue
+            if row is not None:
+                return Taken() if row["write_id"] == write_id else NotTaken(row)
+        return StillUnknown()
+
+    async def latest(self, stream):
+        """Return the row with the highest number of a stream, or None.
+
+        Raises
+        ------
+        PlatformUnavailable
+        """
+        rows = await self.list(stream[0], f"{stream[1]}#", newest_first=True, limit=1)
+        return rows[0] if rows else None
+
+
+def stream_key(stream, number):
+    """Return the sort key of a number in a stream; keys sort by number."""
+    return f"{stream}#{number:0{NUMBER_WIDTH}d}"
+
+
+def make_table(session, options):
+    """Return the table that the platform options name."""
+    key = Key(options.access_key, options.secret_key)
+    return Table(session, options.url, options.table, options.region, key)
--- /dev/null
+++ b/cardamomdrift/standins/engine.py
@@ -0,0 +1,125 @@
+"""
+Stand-in storage engine
+=======================
+
+Two in-memory SQLite databases: statements of the open write transaction run on the
+working one; committed transactions are replayed on the committed one, which serves all
+other reads.  One write transaction is open at a time.
+"""
+
+import re
+import sqlite3
+from dataclasses import dataclass
+
+from cardamomdrift.errors import StatementRefused
+
+DUPLICATE_KEY = 1062
+NO_SUCH_TABLE = 1146
+SYNTAX_ERROR = 1064
+
+_FOR_UPDATE = re.compile(r"\s+FOR\s+UPDATE\s*$", re.IGNORECASE)
+_ESCAPED = re.compile(r"\\(.)", re.DOTALL)
+_MYSQL_TYPES = re.compile(
+    r"\bBIGINT\s+AUTO_INCREMENT\s+PRIMARY\s+KEY\b|\bINT\s+AUTO_INCREMENT\s+PRIMARY\s+KEY\b",
+    re.IGNORECASE,
+)
+_ESCAPES = {"'": "''", "n": "\n", "r": "\r", "t": "\t", "0": "\0"}
+
+
+@dataclass(frozen=True, slots=True)
+class EngineResult:
+    """What one statement gave."""
+
+    names: tuple
+    rows: list
+    affected_rows: int
+    insert_id: int
+
+
+def translate(sql):
+    """Return the statement in SQLite's dialect."""
+    sql = _FOR_UPDATE.sub("", sql)
+    sql = _MYSQL_TYPES.sub("INTEGER PRIMARY KEY", sql)
+    if "\\" in sql:
+        sql = _ESCAPED.sub(lambda match: _ESCAPES.get(match[1], match[1]), sql)
+    return sql
+
+
+def _refusal(error):
+    text = str(error)
+    if "UNIQUE" in text:
+        return StatementRefused(DUPLICATE_KEY, f"Duplicate entry: {text}")
+    if "no such table" in text:
+        return StatementRefused(NO_SUCH_TABLE, text)
+    return StatementRefused(SYNTAX_ERROR, text)
+
+
+def _execute(database, sql):
+    try:
+        cursor = database.execute(translate(sql))
+        rows = cursor.fetchall()
+    except sqlite3.Error as error:
+        raise _refusal(error) from error
+    names = tuple(column[0] for column in cursor.description or ())
+    return EngineResult(names, rows, max(cursor.rowcount, 0), cursor.lastrowid or 0)
+
+
+class Engine:
+    """Storage of one instance."""
+
+    def __init__(self):
+        self._open()
+
+    def _open(self):
+        self._working = sqlite3.connect(":memory:", isolation_level=None)
+        self._committed = sqlite3.connect(":memory:", isolation_level=None)
+        self._statements = []
+
+    def close(self):
+        """Close both databases."""
+        self._working.close()
+        self._committed.close()
+
+    def reset(self):
+        """Drop all data."""
+        self.close()
+        self._open()
+
+    def read(self, sql):
+        """Run a statement on the committed state."""
+        return _execute(self._committed, sql)
+
+    def begin(self):
+        """Open the write transaction."""
+        self._working.execute("BEGIN")
+
+    def write(self, sql):
+        """Run a statement inside the write transaction."""
+        result = _execute(self._working, sql)
+        if not result.names:
+            self._statements.append(sql)
+        return result
+
+    def commit(self):
+        """Commit the write transaction and return its statements."""
+        statements = tuple(self._statements)
+        self._statements.clear()
+        self._working.execute("COMMIT")
+        self._replay(self._committed, statements)
+        return statements
+
+    def rollback(self):
+        """Roll the write transaction back."""
+        self._statements.clear()
+        if self._working.in_transaction:
+            self._working.execute("ROLLBACK")
+
+    def apply(self, statements):
+        """Apply a transaction that was committed elsewhere."""
+        self._replay(self._working, statements)
+        self._replay(self._committed, statements)
+
+    @staticmethod
+    def _replay(database, statements):
+        for sql in statements:
+            _execute(database, sql)
--- /dev/null
+++ b/cardamomdrift/standins/instance.py
@@ -0,0 +1,582 @@
+"""
+Stand-in database instance
+==========================
+
+A small MySQL-protocol server with asynchronous replication, terms, log positions,
+slots, a connection limit and a connect time.  It serves the procedures that
+docs/UPSTREAM.md describes.  Faults are plain methods: `crash`, `restart`, `cut`,
+`heal` and `silence_connections`.
+"""
+
+import asyncio
+import re
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+
+from mysql_mimic.errors import MysqlError
+from mysql_mimic.results import infer_type
+
+from cardamomdrift.errors import StatementRefused
+from cardamomdrift.position import ORIGIN, Position
+from cardamomdrift.standins.engine import Engine
+from cardamomdrift.wire import Ok, OpenIdentity, Rows, WireServer, WireVariables, make_column
+
+READ_ONLY = 1290
+LOCK_WAIT_TIMEOUT = 1205
+LOCK_WAIT = 5.0  # seconds
+PULL_INTERVAL = 0.02  # seconds
+MAX_PACKET = 4 * 1024 * 1024  # bytes
+MILLISECONDS = 1000.0  # per second
+
+REQUEST_TABLE = (
+    "CREATE TABLE cardamomdrift_requests (request_key VARCHAR(128) PRIMARY KEY, "
+    "request_digest VARCHAR(32) NOT NULL, affected_rows BIGINT, insert_id BIGINT)"
+)
+STATUS_COLUMNS = (
+    "fence_term",
+    "fence_owner",
+    "position_term",
+    "position_sequence",
+    "primary",
+    "source",
+    "source_silence_ms",
+    "accepted",
+)
+
+_CALL = re.compile(r"\s*CALL\s+cardamomdrift_(\w+)\s*\((.*)\)\s*$", re.IGNORECASE)
+_COST = re.compile(r"/\*\s*cost_ms=(\d+(?:\.\d+)?)\s*\*/")
+_VERB = re.compile(r"\s*(?:/\*.*?\*/\s*)*(\w+)", re.DOTALL)
+_WRITES = {"INSERT", "UPDATE", "DELETE", "REPLACE", "CREATE", "DROP", "ALTER"}
+
+
+@dataclass(frozen=True, slots=True)
+class LogEntry:
+    """One committed transaction."""
+
+    position: Position
+    statements: tuple
+    committed_at: float
+
+
+@dataclass(slots=True)
+class InstanceOptions:
+    """How a stand-in instance behaves; times are in seconds."""
+
+    slots: int = 2
+    max_connections: int = 16
+    connect_time: float = 0.0
+    link_delay: float = 0.0
+    service_time: float = 0.0
+    lag: float = 0.0
+    schema: tuple = field(default_factory=tuple)
+
+
+class StandinInstance:
+    """One instance of a database group."""
+
+    def __init__(self, name, options):
+        self._name = name
+        self._options = options
+        self._engine = Engine()
+        self._log = []
+        self._fence_term = 0
+        self._fence_owner = ""
+        self._leads_term = 0
+        self._source = None
+        self._source_heard = 0.0
+        self._write_lock = asyncio.Lock()
+        self._writer = None
+        self._slots = asyncio.Semaphore(options.slots)
+        self._server = None
+        self._port = 0
+        self._puller = None
+        self._cut_clients = set()
+        self._cut_all = False
+        self._cut_replication = False
+        self._healed = asyncio.Event()
+        self._sessions = set()
+        self._statements = 0
+
+    @property
+    def name(self):
+        """Name of the instance."""
+        return self._name
+
+    @property
+    def options(self):
+        """Behaviour of the instance; may be changed at any time."""
+        return self._options
+
+    @property
+    def address(self):
+        """Address and port as ``ip:port``."""
+        return f"127.0.0.1:{self._port}"
+
+    @property
+    def port(self):
+        """Port of the instance."""
+        return self._port
+
+    @property
+    def log(self):
+        """The committed entries, oldest first."""
+        return tuple(self._log)
+
+    @property
+    def statements(self):
+        """Number of statements run that took a slot."""
+        return self._statements
+
+    @property
+    def connections(self):
+        """Number of open connections."""
+        return len(self._sessions)
+
+    @property
+    def position(self):
+        """Position of the last entry."""
+        return self._log[-1].position if self._log else ORIGIN
+
+    @property
+    def leads(self):
+        """Whether the instance believes that it is the primary."""
+        return bool(self._leads_term) and self._leads_term == self._fence_term
+
+    @property
+    def running(self):
+        """Whether the instance accepts connections."""
+        return self._server is not None
+
+    async def __aenter__(self):
+        await self._listen()
+        self._puller = asyncio.create_task(self._pull())
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self._puller.cancel()
+        await asyncio.gather(self._puller, return_exceptions=True)
+        if self._server is not None:
+            await self._server.close()
+        self._engine.close()
+
+    async def _listen(self):
+        server = WireServer(
+            lambda: StandinSession(self),
+            OpenIdentity(),
+            self._options.max_connections,
+            MAX_PACKET,
+        )
+        await server.open("127.0.0.1", self._port)
+        self._port = server.port
+        self._server = server
+
+    def bootstrap(self, statements):
+        """Make the instance the primary of term 1 with the given schema."""
+        self._fence_term = 1
+        self._fence_owner = "bootstrap"
+        self._leads_term = 1
+        self._append((REQUEST_TABLE, *statements), run=True)
+
+    def follow_at_start(self, source):
+        """Follow a bootstrapped primary."""
+        self._fence_term = 1
+        self._fence_owner = "bootstrap"
+        self._source = source
+
+    # Faults
+
+    def crash(self):
+        """Stop at once; committed data stays."""
+        if self._server is None:
+            return
+        self._server.stop_listening()
+        self._server.drop_connections()
+        self._server = None
+
+    async def restart(self):
+        """Start again with the data and beliefs from before the crash."""
+        await self._listen()
+
+    def cut(self, clients=None, replication=True):
+        """Drop all traffic with the named clients (default: all) and replicas."""
+        self._healed.clear()
+        if clients is None:
+            self._cut_all = True
+        else:
+            self._cut_clients.update(clients)
+        self._cut_replication = replication
+
+    def heal(self):
+        """Undo `cut`."""
+        self._cut_all = False
+        self._cut_clients.clear()
+        self._cut_replication = False
+        self._healed.set()
+
+    def silence_connections(self):
+        """Make every open connection silent for good; new ones work."""
+        for session in self._sessions:
+            session.silent = True
+
+    async def reachable(self, session):
+        """Wait until traffic with the session's peer flows."""
+        if session.silent:
+            await asyncio.Event().wait()
+        while self._cut_all or session.client in self._cut_clients:
+            self._healed.clear()
+            await self._healed.wait()
+
+    # Procedures
+
+    def status(self):
+        """Return the row of the status procedure."""
+        return self._row(True)
+
+    def fence(self, term, owner):
+        """Accept no entry of a lower term from now on."""
+        same = term == self._fence_term and owner == self._fence_owner
+        accepted = term > self._fence_term or same
+        if accepted and not same:
+            self._fence_term = term
+            self._fence_owner = owner
+            self._abort_writer()
+        return self._row(accepted)
+
+    def promote(self, term, owner):
+        """Lead the term that the owner has fenced here."""
+        accepted = term == self._fence_term and owner == self._fence_owner
+        if accepted and self._leads_term != term:
+            self._leads_term = term
+            self._source = None
+            self._append((), run=False)
+        return self._row(accepted)
+
+    def follow(self, term, source):
+        """Replicate from the primary of a term."""
+        accepted = term >= self._fence_term and not (
+            self.leads and term == self._fence_term
+        )
+        if accepted:
+            if term > self._fence_term:
+                self._fence_term = term
+                self._fence_owner = ""
+                self._abort_writer()
+            self._source = source
+        return self._row(accepted)
+
+    def _row(self, accepted):
+        source = self._source.address if self._source else ""
+        silence = (asyncio.get_running_loop().time() - self._source_heard) * MILLISECONDS
+        return (
+            self._fence_term,
+            self._fence_owner,
+            self.position.term,
+            self.position.sequence,
+            int(self.leads),
+            source,
+            int(silence),
+            int(accepted),
+        )
+
+    # Statements
+
+    def _abort_writer(self):
+        if self._writer is not None:
+            self._writer.abort()
+
+    def _append(self, statements, run):
+        if run:
+            self._engine.apply(statements)
+        position = Position(self._leads_term, self.position.sequence + 1)
+        now = asyncio.get_running_loop().time()
+        self._log.append(LogEntry(position, tuple(statements), now))
+
+    async def take_writer(self, session):
+        """Open the write transaction for a session."""
+        try:
+            async with asyncio.timeout(LOCK_WAIT):
+                await self._write_lock.acquire()
+        except TimeoutError:
+            raise StatementRefused(LOCK_WAIT_TIMEOUT, "Lock wait timeout") from None
+        if not self.leads:
+            self._write_lock.release()
+            raise StatementRefused(READ_ONLY, "instance is read-only")
+        self._writer = session
+        self._engine.begin()
+
+    def release_writer(self, commit):
+        """End the write transaction."""
+        statements = self._engine.commit() if commit else self._engine.rollback()
+        if statements:
+            self._append(statements, run=False)
+        self._writer = None
+        self._write_lock.release()
+
+    async def work(self, sql):
+        """Hold a slot for the service time of a statement."""
+        match = _COST.search(sql)
+        seconds = float(match[1]) / MILLISECONDS if match else self._options.service_time
+        async with self._slots:
+            self._statements += 1
+            if seconds:
+                await asyncio.sleep(seconds)
+
+    def read(self, sql):
+        """Run a statement on the committed state."""
+        return self._engine.read(sql)
+
+    def write(self, sql):
+        """Run a statement inside the open write transaction."""
+        return self._engine.write(sql)
+
+    def attach(self, session):
+        """Register an open session."""
+        self._sessions.add(session)
+
+    def detach(self, session):
+        """Remove a closed session."""
+        self._sessions.discard(session)
+
+    # Replication
+
+    async def _pull(self):
+        while True:
+            await asyncio.sleep(PULL_INTERVAL)
+            source = self._source
+            if source is not None and self._link_up(source):
+                self._source_heard = asyncio.get_running_loop().time()
+                self._apply_from(source)
+
+    def _link_up(self, source):
+        cut = self._cut_replication or source._cut_replication
+        return self.running and source.running and not cut
+
+    def _apply_from(self, source):
+        if not source.leads or source._leads_term < self._fence_term or self.leads:
+            return
+        if not self._is_prefix_of(source):
+            self._engine.reset()
+            self._log.clear()
+        due = asyncio.get_running_loop().time() - self._options.lag
+        for entry in source._log[len(self._log) :]:
+            if entry.committed_at > due:
+                break
+            self._engine.apply(entry.statements)
+            self._log.append(entry)
+
+    def _is_prefix_of(self, source):
+        length = len(self._log)
+        if not length:
+            return True
+        if length > len(source._log):
+            return False
+        return source._log[length - 1].position == self._log[-1].position
+
+
+class StandinSession:
+    """One connection to a stand-in instance."""
+
+    def __init__(self, instance):
+        self.variables = WireVariables()
+        self.username = None
+        self.database = None
+        self.client = ""
+        self.silent = False
+        self._instance = instance
+        self._in_transaction = False
+        self._writing = False
+        self._aborted = False
+
+    @property
+    def in_transaction(self):
+        """Whether a transaction is open."""
+        return self._in_transaction
+
+    async def init(self, connection):
+        """Finish the connection after its handshake."""
+        self._instance.attach(self)
+        self.client = connection.client_connect_attrs.get("program_name", "")
+        delay = self._instance.options.connect_time + self._instance.options.link_delay
+        if delay:
+            await asyncio.sleep(delay)
+        await self._instance.reachable(self)
+
+    async def close(self):
+        """Roll the open transaction back."""
+        self._instance.detach(self)
+        self._end(commit=False)
+
+    async def reset(self):
+        """Roll the open transaction back."""
+        self._end(commit=False)
+
+    async def use(self, database):
+        """Select a database."""
+        self.database = database
+
+    def abort(self):
+        """Roll back because the instance was fenced."""
+        self._aborted = True
+        self._instance.release_writer(commit=False)
+        self._writing = False
+
+    def _end(self, commit):
+        self._in_transaction = False
+        if self._writing:
+            self._writing = False
+            self._instance.release_writer(commit)
+
+    async def handle_query(self, sql, attrs):
+        """Run a statement after the link delay and answer after it."""
+        await self._travel()
+        try:
+            answer = await self._run(sql)
+        except StatementRefused as error:
+            await self._travel()
+            raise MysqlError(error.message, error.code) from error
+        await self._travel()
+        return answer
+
+    async def _travel(self):
+        await self._instance.reachable(self)
+        if self._instance.options.link_delay:
+            await asyncio.sleep(self._instance.options.link_delay)
+            await self._instance.reachable(self)
+
+    async def _run(self, sql):
+        call = _CALL.match(sql)
+        if call:
+            return self._call(call[1].lower(), call[2])
+        verb = _VERB.match(sql)
+        match verb[1].upper() if verb else "":
+            case "BEGIN" | "START":
+                self._end(commit=True)
+                self._in_transaction = True
+                self._aborted = False
+            case "COMMIT":
+                self._check_not_aborted()
+                self._end(commit=True)
+            case "ROLLBACK":
+                self._aborted = False
+                self._end(commit=False)
+            case "SET" | "USE":
+                pass
+            case word if word in _WRITES or sql.upper().rstrip().endswith("FOR UPDATE"):
+                return await self._write(sql)
+            case _:
+                return await self._read(sql)
+        return Ok()
+
+    def _check_not_aborted(self):
+        if self._aborted:
+            self._aborted = False
+            self._in_transaction = False
+            raise StatementRefused(READ_ONLY, "transaction rolled back by a fence")
+
+    def _call(self, name, arguments):
+        values = [value.strip().strip("'") for value in arguments.split(",") if value]
+        instance = self._instance
+        match name:
+            case "status":
+                row = instance.status()
+            case "fence":
+                row = instance.fence(int(values[0]), values[1])
+            case "promote":
+                row = instance.promote(int(values[0]), values[1])
+            case "follow":
+                source = find_instance(values[1])
+                row = instance.follow(int(values[0]), source)
+            case _:
+                raise StatementRefused(1305, f"no procedure {name}")
+        return _make_rows(STATUS_COLUMNS, [row])
+
+    async def _write(self, sql):
+        self._check_not_aborted()
+        if not self._writing:
+            await self._instance.take_writer(self)
+            self._writing = True
+        try:
+            await self._instance.work(sql)
+            self._check_not_aborted()
+            result = self._instance.write(sql)
+        except BaseException:
+            if not self._in_transaction:
+                self._end(commit=False)
+            raise
+        if not self._in_transaction:
+            self._end(commit=True)
+        return _make_answer(result)
+
+    async def _read(self, sql):
+        await self._instance.work(sql)
+        read = self._instance.write if self._writing else self._instance.read
+        return _make_answer(read(sql))
+
+
+def _make_answer(result):
+    if result.names:
+        return _make_rows(result.names, result.rows)
+    return Ok(result.affected_rows, result.insert_id)
+
+
+def _make_rows(names, rows):
+    first = rows[0] if rows else (None,) * len(names)
+    columns = tuple(
+        make_column(name, infer_type("" if value is None else value))
+        for name, value in zip(names, first, strict=True)
+    )
+    return Rows(columns, rows)
+
+
+_INSTANCES = {}
+
+
+def find_instance(address):
+    """Return the running stand-in at ``ip:port``."""
+    return _INSTANCES[address]
+
+
+class StandinGroup:
+    """The instances of one database group; an async context manager."""
+
+    def __init__(self, name, instances):
+        self._name = name
+        self._instances = instances
+        self._stack = AsyncExitStack()
+
+    @property
+    def name(self):
+        """Name of the group."""
+        return self._name
+
+    @property
+    def instances(self):
+        """The instances, by name."""
+        return {instance.name: instance for instance in self._instances}
+
+    @property
+    def primary(self):
+        """The instance that leads the highest term, or None."""
+        leading = [one for one in self._instances if one.leads and one.running]
+        return max(leading, key=lambda one: one._leads_term, default=None)
+
+    async def __aenter__(self):
+        for instance in self._instances:
+            await self._stack.enter_async_context(instance)
+            _INSTANCES[instance.address] = instance
+        first, *others = self._instances
+        first.bootstrap(first.options.schema)
+        for other in others:
+            other.follow_at_start(first)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        for instance in self._instances:
+            _INSTANCES.pop(instance.address, None)
+        await self._stack.aclose()
+
+
+def make_group(name, instance_names, options_factory):
+    """Return a group of stand-in instances; the first one leads."""
+    instances = [StandinInstance(one, options_factory()) for one in instance_names]
+    return StandinGroup(name, instances)
--- /dev/null
+++ b/cardamomdrift/upstreams/connection.py
@@ -0,0 +1,195 @@
+"""
+Upstream connection
+===================
+
+One MySQL connection to an instance, through `asyncmy`.  A connection whose answer is
+outstanding, cut or unreadable is broken for good and must be closed.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from asyncmy import connect
+from asyncmy.cursors import SSCursor
+from asyncmy.errors import Error, InterfaceError, MySQLError
+
+from cardamomdrift.errors import (
+    StatementRefused,
+    UpstreamBusy,
+    UpstreamLost,
+    UpstreamUnreachable,
+)
+from cardamomdrift.upstreams.contract import STATUS, parse_status
+from cardamomdrift.wire import ROW_BATCH, make_column
+
+TOO_MANY_CONNECTIONS = 1040
+CLIENT_ERRORS = range(2000, 3000)
+RESULT_TOO_LARGE = 16 * 1024 * 1024  # bytes
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamResult:
+    """Answer of an instance; ``complete`` tells whether all rows are here."""
+
+    columns: tuple
+    rows: list
+    affected_rows: int
+    insert_id: int
+    complete: bool
+
+
+def _failure(error):
+    code = error.args[0] if error.args else 0
+    if isinstance(code, int) and code and code not in CLIENT_ERRORS:
+        return StatementRefused(code, str(error.args[-1]))
+    return UpstreamLost(str(error))
+
+
+class UpstreamConnection:
+    """One open connection to an instance."""
+
+    def __init__(self, connection):
+        self._connection = connection
+        self._cursor = None
+        self._broken = False
+        self._outstanding = False
+        self.database = None
+        self.idle_since = 0.0
+
+    @property
+    def reusable(self):
+        """Whether the next request may use the connection."""
+        return not self._broken and not self._outstanding and self._connection.connected
+
+    def close(self):
+        """Close the connection at once."""
+        self._broken = True
+        self._connection.close()
+
+    async def execute(self, sql):
+        """Run one statement and return its answer, or the first batch of it.
+
+        Raises
+        ------
+        StatementRefused
+            The instance answered with an error.
+        UpstreamUnreachable
+            The connection was found closed; nothing was sent.
+        UpstreamLost
+            The connection failed after bytes may have left.
+        """
+        if not self.reusable:
+            raise UpstreamUnreachable("connection is closed")
+        self._outstanding = True
+        cursor = self._connection.cursor(SSCursor)
+        try:
+            await cursor.execute(sql)
+            rows = await cursor.fetchmany(ROW_BATCH) if cursor.description else []
+        except (MySQLError, Error, InterfaceError) as error:
+            failure = _failure(error)
+            if isinstance(failure, StatementRefused):
+                self._outstanding = False
+            else:
+                self.close()
+            raise failure from error
+        except (OSError, asyncio.IncompleteReadError, RuntimeError) as error:
+            self.close()
+            raise UpstreamLost(str(error)) from error
+        except BaseException:
+            self.close()
+            raise
+        complete = len(rows) < ROW_BATCH
+        self._outstanding = not complete
+        self._cursor = None if complete else cursor
+        return self._make_result(cursor, rows, complete)
+
+    def _make_result(self, cursor, rows, complete):
+        columns = ()
+        if cursor.description:
+            # The description lacks the character set, which tells TEXT from BLOB.
+            columns = tuple(
+                make_column(field.name, field.type_code, field.charsetnr)
+                for field in self._connection._result.fields
+            )
+        affected = 0 if columns else cursor.rowcount
+        insert_id = 0 if columns else cursor.lastrowid or 0
+        return UpstreamResult(columns, rows, affected, insert_id, complete)
+
+    async def next_batch(self):
+        """Return the next rows of a long answer; an empty list ends it.
+
+        Raises
+        ------
+        UpstreamLost
+        """
+        try:
+            rows = await self._cursor.fetchmany(ROW_BATCH)
+        except (MySQLError, Error, OSError, RuntimeError) as error:
+            self.close()
+            raise UpstreamLost(str(error)) from error
+        except BaseException:
+            self.close()
+            raise
+        if len(rows) < ROW_BATCH:
+            self._outstanding = False
+            self._cursor = None
+        return rows
+
+    async def use(self, database):
+        """Select a database, if it is not selected yet."""
+        if database and database != self.database:
+            await self.execute(f"USE `{database.replace('`', '``')}`")
+            self.database = database
+
+    async def call(self, statement):
+        """Run a procedure of the contract and return the instance's status."""
+        result = await self.execute(statement)
+        return parse_status(result.rows[0])
+
+    async def status(self):
+        """Return the instance's status."""
+        return await self.call(STATUS)
+
+
+async def open_connection(address, port, login, program, timeout):
+    """Return a new connection.
+
+    Parameters
+    ----------
+    address : str
+    port : int
+    login : Login
+        User and password.
+    program : str
+        Name of this VM, as the instance's process list shows it.
+    timeout : float
+        Seconds for the whole handshake.
+
+    Raises
+    ------
+    UpstreamBusy
+        The instance has too many connections.
+    UpstreamUnreachable
+        No connection could be opened in time.
+    """
+    try:
+        async with asyncio.timeout(timeout):
+            connection = await connect(
+                host=address,
+                port=port,
+                user=login.user,
+                password=login.password,
+                charset="utf8mb4",
+                use_unicode=False,
+                conv={},
+                autocommit=None,
+                program_name=program,
+                max_allowed_packet=RESULT_TOO_LARGE,
+            )
+    except TimeoutError as error:
+        raise UpstreamUnreachable("handshake timed out") from error
+    except (MySQLError, Error, OSError, RuntimeError) as error:
+        if error.args and error.args[0] == TOO_MANY_CONNECTIONS:
+            raise UpstreamBusy(str(error)) from error
+        raise UpstreamUnreachable(str(error)) from error
+    return UpstreamConnection(connection)
--- /dev/null
+++ b/cardamomdrift/wire.py
@@ -0,0 +1,427 @@
+"""
+MySQL wire server
+=================
+
+Thin layer over `mysql_mimic` that the callers' side and the stand-in instances share.
+It adds affected rows and insert ids to OK packets, typed errors with their SQLSTATE,
+bounds on packet size, connections and handshake time, and a clean stop.
+"""
+
+import asyncio
+import struct
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import dataclass
+from functools import lru_cache
+
+from asyncmy.converters import convert_date, convert_datetime, convert_timedelta
+from mysql_mimic import packets
+from mysql_mimic.auth import IdentityProvider, NativePasswordAuthPlugin, User
+from mysql_mimic.charset import CharacterSet
+from mysql_mimic.connection import Connection
+from mysql_mimic.control import LocalControl
+from mysql_mimic.errors import ErrorCode, MysqlError
+from mysql_mimic.results import ResultColumn, ResultSet
+from mysql_mimic.stream import ConnectionClosed, MysqlStream
+from mysql_mimic.types import ColumnType, ServerStatus, uint_len
+
+from cardamomdrift.errors import CallerError, PacketTooLarge
+
+HANDSHAKE_TIMEOUT = 5.0  # seconds
+READ_BUFFER = 16 * 1024  # bytes
+ROW_BATCH = 500  # rows
+BINARY_CHARSET_NUMBER = 63
+SQLSTATE_SLICE = slice(4, 9)
+SERVER_VERSION = "8.0.36-cardamomdrift"
+
+
+@dataclass(frozen=True, slots=True)
+class Ok:
+    """Answer without rows."""
+
+    affected_rows: int = 0
+    insert_id: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Rows:
+    """Answer with rows; ``rows`` is a sequence or an asynchronous iterator of batches.
+
+    Attributes
+    ----------
+    columns : tuple of ResultColumn
+    rows : sequence of tuples, or AsyncIterator of such sequences
+    """
+
+    columns: tuple
+    rows: Sequence | AsyncIterator
+
+
+def _integer_encoder(layout):
+    bits = struct.calcsize(layout) * 8
+    mask = (1 << bits) - 1
+    unsigned = layout.upper()
+
+    def encode(_column, value):
+        return struct.pack(unsigned, int(value) & mask)
+
+    return encode
+
+
+def _float_encoder(layout):
+    def encode(_column, value):
+        return struct.pack(layout, float(value))
+
+    return encode
+
+
+def _parsed_encoder(parse, column_type):
+    plain = ResultColumn("", column_type)
+
+    def encode(_column, value):
+        if isinstance(value, bytes):
+            value = parse(value.decode())
+        return plain.binary_encoder(plain, value)
+
+    return encode
+
+
+_BINARY_ENCODERS = {
+    ColumnType.TINY: _integer_encoder("<b"),
+    ColumnType.SHORT: _integer_encoder("<h"),
+    ColumnType.YEAR: _integer_encoder("<h"),
+    ColumnType.LONG: _integer_encoder("<i"),
+    ColumnType.INT24: _integer_encoder("<i"),
+    ColumnType.LONGLONG: _integer_encoder("<q"),
+    ColumnType.FLOAT: _float_encoder("<f"),
+    ColumnType.DOUBLE: _float_encoder("<d"),
+    ColumnType.DATETIME: _parsed_encoder(convert_datetime, ColumnType.DATETIME),
+    ColumnType.TIMESTAMP: _parsed_encoder(convert_datetime, ColumnType.DATETIME),
+    ColumnType.DATE: _parsed_encoder(convert_date, ColumnType.DATE),
+    ColumnType.TIME: _parsed_encoder(convert_timedelta, ColumnType.TIME),
+}
+
+
+@lru_cache(maxsize=4096)
+def make_column(name, type_code, charset_number=0):
+    """Return a result column that passes text values through as bytes."""
+    column_type = ColumnType(type_code)
+    binary = charset_number == BINARY_CHARSET_NUMBER
+    return ResultColumn(
+        name,
+        column_type,
+        character_set=CharacterSet.binary if binary else CharacterSet.utf8mb4,
+        binary_encoder=_BINARY_ENCODERS.get(column_type),
+    )
+
+
+class WireVariables:
+    """The few session variables that the handshake and the encoders read."""
+
+    __slots__ = ("_values",)
+
+    _DEFAULTS = {
+        "character_set_results": "utf8mb4",
+        "character_set_client": "utf8mb4",
+        "version": SERVER_VERSION,
+        "external_user": "",
+    }
+
+    def __init__(self):
+        self._values = None
+
+    def get(self, name):
+        """Return the value of a variable, or None."""
+        if self._values is not None and name in self._values:
+            return self._values[name]
+        return self._DEFAULTS.get(name)
+
+    def set(self, name, value, force=False):
+        """Set a variable."""
+        if self._DEFAULTS.get(name) == value:
+            return
+        if self._values is None:
+            self._values = {}
+        self._values[name] = value
+
+
+class BoundedReader(asyncio.StreamReader):
+    """Stream reader that refuses packets above a bound.
+
+    The packet stream of `mysql_mimic` is compiled and cannot be subclassed, so the bound
+    is set where it reads: four bytes of header, then exactly the packet.
+    """
+
+    def __init__(self, max_packet, loop):
+        super().__init__(limit=READ_BUFFER, loop=loop)
+        self._max_packet = max_packet
+
+    async def read(self, n=-1):
+        """Return a whole header, or nothing if the peer closed."""
+        try:
+            return await self.readexactly(n)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return b""
+
+    async def readexactly(self, n):
+        """Return exactly ``n`` bytes.
+
+        Raises
+        ------
+        PacketTooLarge
+            If ``n`` is above the bound.
+        """
+        if n > self._max_packet:
+            raise PacketTooLarge(f"packet of {n} bytes")
+        return await super().readexactly(n)
+
+
+class WireConnection(Connection):
+    """One connection of a peer that speaks MySQL as a client."""
+
+    async def authenticate(self, **kwargs):
+        """Authenticate the peer; a refused peer is disconnected."""
+        self.session.username = None
+        await super().authenticate(**kwargs)
+        if self.session.username is None:
+            await self.stream.drain()
+            raise ConnectionClosed()
+
+    async def connection_phase(self):
+        """Run the handshake within its time bound."""
+        async with asyncio.timeout(HANDSHAKE_TIMEOUT):
+            await super().connection_phase()
+
+    def error(self, msg="", code=ErrorCode.UNKNOWN_ERROR):
+        """Return an error packet; typed errors bring their own code and SQLSTATE."""
+        if not isinstance(msg, CallerError):
+            return super().error(msg=msg, code=code)
+        packet = bytearray(super().error(msg=str(msg), code=msg.code))
+        if packet[3:4] == b"#":
+            packet[SQLSTATE_SLICE] = msg.sqlstate.encode()
+        return bytes(packet)
+
+    def ok(self, **kwargs):
+        """Return an OK packet that carries the transaction state."""
+        self.status_flags = ServerStatus.SERVER_STATUS_AUTOCOMMIT
+        if self.session.in_transaction:
+            self.status_flags |= ServerStatus.SERVER_STATUS_IN_TRANS
+        return super().ok(**kwargs)
+
+    async def handle_query(self, data):
+        """Run a text statement and write its answer."""
+        query = packets.parse_com_query(
+            capabilities=self.capabilities,
+            client_charset=self.client_charset,
+            data=data,
+        )
+        answer = await self.session.handle_query(query.sql, query.query_attrs)
+        match answer:
+            case Ok(affected_rows, insert_id):
+                packet = self.ok(affected_rows=affected_rows, last_insert_id=insert_id)
+                await self.stream.write(packet)
+            case Rows(columns, rows):
+                await self._write_rows(columns, rows)
+
+    async def _write_rows(self, columns, rows):
+        if not isinstance(rows, AsyncIterator):
+            await self.write_text_resultset(ResultSet(rows, columns))
+            return
+        await self.write_text_resultset(ResultSet(_flatten(rows), columns))
+
+    async def handle_stmt_execute(self, data):
+        """Run a prepared statement and write its answer in the binary protocol."""
+        execute = packets.parse_com_stmt_execute(
+            capabilities=self.capabilities,
+            client_charset=self.client_charset,
+            data=data,
+            get_stmt=self.get_stmt,
+        )
+        execute.stmt.param_buffers = None
+        answer = await self.session.handle_query(execute.sql, execute.query_attrs)
+        match answer:
+            case Ok(affected_rows, insert_id):
+                packet = self.ok(affected_rows=affected_rows, last_insert_id=insert_id)
+                await self.stream.write(packet)
+            case Rows(columns, rows):
+                await self._write_binary_rows(columns, rows)
+
+    async def _write_binary_rows(self, columns, rows):
+        await self.stream.write(uint_len(len(columns)), drain=False)
+        for column in columns:
+            definition = packets.make_column_definition_41(
+                server_charset=self.server_charset,
+                name=column.name,
+                column_type=column.type,
+                character_set=column.character_set,
+            )
+            await self.stream.write(definition, drain=False)
+        if not self.deprecate_eof():
+            await self.stream.write(self.eof(), drain=False)
+        async for row in _each_row(rows):
+            await self.stream.write(
+                packets.make_binary_resultrow(row, columns), drain=False
+            )
+        await self.stream.write(self.ok_or_eof())
+
+    async def handle_reset_connection(self, data):
+        """Reset the session state."""
+        await self.session.reset()
+        await self.stream.write(self.ok())
+
+    async def handle_stmt_reset(self, data):
+        """Drop the long data of a prepared statement; the transaction stays."""
+        statement = self.get_stmt(packets.parse_com_stmt_reset(data).stmt_id)
+        statement.param_buffers = None
+        statement.cursor = None
+        await self.stream.write(self.ok())
+
+    async def handle_stmt_send_long_data(self, data):
+        """Refuse long data: its total size would not be bounded."""
+        raise MysqlError("long data is not supported", ErrorCode.NOT_SUPPORTED_YET)
+
+
+async def _flatten(batches):
+    async for batch in batches:
+        for row in batch:
+            yield row
+
+
+async def _each_row(rows):
+    if isinstance(rows, AsyncIterator):
+        async for row in _flatten(rows):
+            yield row
+        return
+    for row in rows:
+        yield row
+
+
+class OpenIdentity(IdentityProvider):
+    """Accepts every user without a password."""
+
+    async def get_user(self, username):
+        """Return a user without a password."""
+        return User(name=username, auth_plugin=NativePasswordAuthPlugin.name)
+
+
+class PasswordIdentity(IdentityProvider):
+    """Accepts the users of a map from name to double SHA-1 of the password, in hex."""
+
+    def __init__(self, users):
+        self._users = users
+
+    async def get_user(self, username):
+        """Return the user, or None."""
+        digest = self._users.get(username)
+        if digest is None:
+            return None
+        return User(
+            name=username,
+            auth_string=digest,
+            auth_plugin=NativePasswordAuthPlugin.name,
+        )
+
+
+class WireServer:
+    """Listener that gives each connection a session; an async context manager."""
+
+    def __init__(self, session_factory, identity, max_connections, max_packet, ssl=None):
+        self._session_factory = session_factory
+        self._identity = identity
+        self._max_connections = max_connections
+        self._max_packet = max_packet
+        self._ssl = ssl
+        self._control = LocalControl(server_id=1)
+        self._server = None
+        self._tasks = {}
+        self._refused = 0
+
+    @property
+    def connections(self):
+        """Number of open connections."""
+        return len(self._tasks)
+
+    @property
+    def refused(self):
+        """Number of connections refused because of the bound."""
+        return self._refused
+
+    @property
+    def port(self):
+        """Port that the server listens on."""
+        return self._server.sockets[0].getsockname()[1]
+
+    async def open(self, address, port):
+        """Start listening."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._make_protocol, address, port)
+
+    def stop_listening(self):
+        """Take no new connections."""
+        if self._server is not None:
+            self._server.close()
+
+    async def close(self):
+        """Stop listening and end every connection."""
+        self.stop_listening()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def drop_connections(self):
+        """Abort every connection at once, as a crash does."""
+        for task, writer in list(self._tasks.items()):
+            writer.transport.abort()
+            task.cancel()
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.close()
+
+    def _make_protocol(self):
+        loop = asyncio.get_running_loop()
+        reader = BoundedReader(self._max_packet, loop)
+        return asyncio.StreamReaderProtocol(reader, self._accept, loop=loop)
+
+    async def _accept(self, reader, writer):
+        if len(self._tasks) >= self._max_connections:
+            self._refused += 1
+            packet = packets.make_error(
+                msg="Too many connections", code=ErrorCode.CON_COUNT_ERROR
+            )
+            writer.write(len(packet).to_bytes(3, "little") + b"\0" + packet)
+            writer.close()
+            return
+        task = asyncio.current_task()
+        self._tasks[task] = writer
+        try:
+            await self._serve(reader, writer)
+        except (ConnectionClosed, ConnectionError, TimeoutError, MysqlError):
+            pass
+        except (PacketTooLarge, asyncio.IncompleteReadError):
+            pass
+        except (struct.error, ValueError, IndexError, KeyError):
+            pass  # malformed handshake
+        except asyncio.CancelledError:
+            pass  # the server is closing
+        finally:
+            del self._tasks[task]
+            writer.close()
+
+    async def _serve(self, reader, writer):
+        session = self._session_factory()
+        connection = WireConnection(
+            stream=MysqlStream(reader, writer),
+            session=session,
+            control=self._control,
+            identity_provider=self._identity,
+            ssl=self._ssl,
+        )
+        connection.connection_id = await self._control.add(connection)
+        try:
+            # Runs without the task of its own that Connection.start would make.
+            await connection._start()
+        finally:
+            await self._control.remove(connection.connection_id)
