--- /dev/null
+++ b/cardamomdrift/bundle/model.py
@@ -0,0 +1,253 @@
+"""
+Bundle
+======
+
+The versioned description of one deployment: its database groups and request classes.
+The border models check what operators write; the data classes are what the daemon uses.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+from returns.result import Failure, Success
+
+from cardamomdrift.errors import BundleError
+from cardamomdrift.util import fault_lines, seconds
+
+Name = Annotated[str, Field(pattern=r"^[a-z][a-z0-9_-]{0,62}$")]
+PRIORITIES = 4
+
+
+class Kind(StrEnum):
+    """What a request does."""
+
+    READ = "read"
+    WRITE = "write"
+
+
+class Durability(StrEnum):
+    """What an acknowledged write has proven.
+
+    Attributes
+    ----------
+    CURRENT_TERM
+        No higher term existed at the commit.
+    REPLICATED
+        Besides, a majority of the group holds the write.
+    """
+
+    CURRENT_TERM = "current_term"
+    REPLICATED = "replicated"
+
+
+class RecordOrder(StrEnum):
+    """When a promotion records its term in the table service."""
+
+    AFTER = "after"
+    BEFORE = "before"
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True, use_enum_values=True)
+
+
+class InstanceModel(_Model):
+    """One instance of a group."""
+
+    address: str
+    port: int = Field(ge=1, le=65535)
+    failure_domain: Name
+
+
+class GroupModel(_Model):
+    """One database group."""
+
+    databases: list[str] = Field(min_length=1)
+    instances: dict[Name, InstanceModel] = Field(min_length=1)
+    slots: int = Field(default=2, ge=1, le=1024)
+    connections: int = Field(default=16, ge=2, le=10000)
+    record: Literal["after", "before"] = "after"
+
+
+class ClassModel(_Model):
+    """One request class."""
+
+    kind: Literal["read", "write"]
+    max_age_ms: float | None = Field(default=None, gt=0)
+    repeatable: bool = False
+    durability: Literal["current_term", "replicated"] = "replicated"
+    deadline_ms: float = Field(default=5000, ge=10, le=600000)
+    priority: int = Field(default=1, ge=0, lt=PRIORITIES)
+    objective: float = Field(default=0.999, gt=0, lt=1)
+
+    @model_validator(mode="after")
+    def _check_kind(self):
+        if self.kind == "write" and self.max_age_ms is not None:
+            raise ValueError("max_age_ms is for reads only")
+        return self
+
+
+class DefaultsModel(_Model):
+    """Classes of requests that name none."""
+
+    read: Name
+    write: Name
+
+
+class BundleModel(_Model):
+    """A whole bundle."""
+
+    deployment: Name
+    groups: dict[Name, GroupModel] = Field(min_length=1)
+    classes: dict[Name, ClassModel] = Field(min_length=1)
+    defaults: DefaultsModel
+
+    @model_validator(mode="after")
+    def _check_references(self):
+        for kind in ("read", "write"):
+            name = getattr(self.defaults, kind)
+            found = self.classes.get(name)
+            if found is None or found.kind != kind:
+                raise ValueError(f"defaults.{kind} names no {kind} class: {name}")
+        owners = {}
+        for group, model in self.groups.items():
+            for database in model.databases:
+                if owners.setdefault(database, group) != group:
+                    raise ValueError(f"database {database} is in two groups")
+        return self
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceSpec:
+    """Where an instance is."""
+
+    name: str
+    address: str
+    port: int
+    failure_domain: str
+
+    @property
+    def endpoint(self):
+        """The instance as ``ip:port``."""
+        return f"{self.address}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class GroupSpec:
+    """One database group."""
+
+    name: str
+    databases: tuple
+    instances: tuple
+    slots: int
+    connections: int
+    record: RecordOrder
+
+    @property
+    def majority(self):
+        """Number of instances that make a majority."""
+        return len(self.instances) // 2 + 1
+
+    @property
+    def names(self):
+        """Names of the instances."""
+        return tuple(instance.name for instance in self.instances)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """One request class; times are in seconds."""
+
+    name: str
+    kind: Kind
+    max_age: float | None
+    repeatable: bool
+    durability: Durability
+    deadline: float
+    priority: int
+    objective: float
+
+
+@dataclass(frozen=True)
+class Bundle:
+    """A checked bundle."""
+
+    deployment: str
+    groups: dict
+    classes: dict
+    default_read: str
+    default_write: str
+
+    def group_of(self, database):
+        """Return the group that holds a database, or None."""
+        for group in self.groups.values():
+            if database in group.databases:
+                return group
+        return None
+
+
+def _make_group(name, model):
+    instances = tuple(
+        InstanceSpec(key, one.address, one.port, one.failure_domain)
+        for key, one in model.instances.items()
+    )
+    return GroupSpec(
+        name,
+        tuple(model.databases),
+        instances,
+        model.slots,
+        model.connections,
+        RecordOrder(model.record),
+    )
+
+
+def _make_class(name, model):
+    return RequestClass(
+        name=name,
+        kind=Kind(model.kind),
+        max_age=seconds(model.max_age_ms),
+        repeatable=model.repeatable or model.kind == "read",
+        durability=Durability(model.durability),
+        deadline=seconds(model.deadline_ms),
+        priority=model.priority,
+        objective=model.objective,
+    )
+
+
+def make_bundle(model):
+    """Return the bundle that a checked model describes."""
+    return Bundle(
+        deployment=model.deployment,
+        groups={name: _make_group(name, one) for name, one in model.groups.items()},
+        classes={name: _make_class(name, one) for name, one in model.classes.items()},
+        default_read=model.defaults.read,
+        default_write=model.defaults.write,
+    )
+
+
+def check_value(value, place):
+    """Check a bundle given as plain values.
+
+    Returns
+    -------
+    Success of BundleModel, or Failure of BundleError
+    """
+    try:
+        return Success(BundleModel.model_validate(value))
+    except ValidationError as error:
+        return Failure(BundleError(fault_lines(error, place)))
+
+
+def encode_bundle(model):
+    """Return the canonical bytes of a bundle, which its digest is taken of."""
+    return model.model_dump_json(exclude_none=True).encode()
+
+
+def decode_bundle(body):
+    """Return the bundle in canonical bytes, as Success or Failure of BundleError."""
+    try:
+        return Success(make_bundle(BundleModel.model_validate_json(body)))
+    except ValidationError as error:
+        return Failure(BundleError(fault_lines(error, "bundle")))
--- /dev/null
+++ b/cardamomdrift/failover/promotion.py
@@ -0,0 +1,215 @@
+"""
+Promotion
+=========
+
+Replaces a primary: fence a majority at a new term, promote the fenced instance with the
+highest position, record the term, and make the others follow.  The term and its owner
+are unique because an instance accepts one owner for each term and two majorities
+overlap.  The state machine is pure; it may be cut off, delayed or raced at any step.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from cardamomdrift.bundle.model import RecordOrder
+
+FENCE_GRACE = 0.1  # seconds that the last answers are waited for after a majority
+STEP_TIMEOUT = 2.0  # seconds
+
+
+class Phase(Enum):
+    """How far a promotion is."""
+
+    FENCING = auto()
+    RECORDING = auto()
+    PROMOTING = auto()
+    DONE = auto()
+    FAILED = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Fenced:
+    """An instance answered a fence."""
+
+    instance: str
+    status: object
+
+
+@dataclass(frozen=True, slots=True)
+class FenceFailed:
+    """An instance did not answer a fence."""
+
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class Recorded:
+    """The table service took the term's row."""
+
+
+@dataclass(frozen=True, slots=True)
+class RecordRefused:
+    """The table service holds another promoter's row for the term."""
+
+
+@dataclass(frozen=True, slots=True)
+class RecordUnknown:
+    """The table service did not answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class Promoted:
+    """The chosen instance answered the promotion."""
+
+    status: object
+
+
+@dataclass(frozen=True, slots=True)
+class PromoteFailed:
+    """The chosen instance did not answer the promotion."""
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class FenceInstance:
+    """Fence an instance at the promotion's term."""
+
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class RecordTerm:
+    """Append the term's row to the table service."""
+
+    primary: str
+
+
+@dataclass(frozen=True, slots=True)
+class PromoteInstance:
+    """Promote the instance."""
+
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class FollowPrimary:
+    """Make an instance replicate from the new primary."""
+
+    instance: str
+    primary: str
+
+
+@dataclass(slots=True)
+class Promotion:
+    """One attempt to give a group a new primary.
+
+    Attributes
+    ----------
+    term : int
+        Term of the new primary.
+    owner : str
+        Unique name of this attempt.
+    instances : tuple of str
+    majority : int
+    record : RecordOrder
+    deadline_at : float
+        When the attempt is given up.
+    """
+
+    term: int
+    owner: str
+    instances: tuple
+    majority: int
+    record: RecordOrder
+    deadline_at: float
+    phase: Phase = Phase.FENCING
+    fenced: dict = field(default_factory=dict)
+    failed: set = field(default_factory=set)
+    majority_at: float | None = None
+    chosen: str | None = None
+
+    def begin(self):
+        """Return the first actions."""
+        return [FenceInstance(one) for one in self.instances]
+
+    def handle(self, event, now):
+        """Take in an event and return the actions that it asks for.
+
+        Parameters
+        ----------
+        event : Fenced or FenceFailed or Recorded or RecordRefused or RecordUnknown \
+                or Promoted or PromoteFailed or Tick
+        now : float
+            Seconds of the loop's clock.
+        """
+        if self.phase in (Phase.DONE, Phase.FAILED):
+            return []
+        if now >= self.deadline_at:
+            self.phase = Phase.FAILED
+            return []
+        match event:
+            case Fenced(instance, status):
+                return self._on_fenced(instance, status, now)
+            case FenceFailed(instance):
+                self.failed.add(instance)
+                return self._after_fence(now)
+            case Recorded() if self.phase is Phase.RECORDING:
+                return self._promote()
+            case RecordRefused() | RecordUnknown() if self.phase is Phase.RECORDING:
+                self.phase = Phase.FAILED
+            case Promoted(status) if self.phase is Phase.PROMOTING:
+                return self._on_promoted(status)
+            case PromoteFailed() if self.phase is Phase.PROMOTING:
+                self.phase = Phase.FAILED
+            case Tick():
+                return self._after_fence(now)
+        return []
+
+    def _on_fenced(self, instance, status, now):
+        if not status.accepted:
+            self.failed.add(instance)
+            if status.fence_term >= self.term and self.phase is Phase.FENCING:
+                self.phase = Phase.FAILED
+                return []
+            return self._after_fence(now)
+        self.fenced[instance] = status
+        if len(self.fenced) == self.majority and self.majority_at is None:
+            self.majority_at = now
+        return self._after_fence(now)
+
+    def _after_fence(self, now):
+        if self.phase is not Phase.FENCING:
+            return []
+        answered = len(self.fenced) + len(self.failed)
+        if len(self.fenced) < self.majority:
+            if answered == len(self.instances):
+                self.phase = Phase.FAILED
+            return []
+        if answered < len(self.instances) and now < self.majority_at + FENCE_GRACE:
+            return []
+        self.chosen = max(
+            sorted(self.fenced), key=lambda name: self.fenced[name].position
+        )
+        if self.record is RecordOrder.BEFORE:
+            self.phase = Phase.RECORDING
+            return [RecordTerm(self.chosen)]
+        return self._promote()
+
+    def _promote(self):
+        self.phase = Phase.PROMOTING
+        return [PromoteInstance(self.chosen)]
+
+    def _on_promoted(self, status):
+        if not status.accepted:
+            self.phase = Phase.FAILED
+            return []
+        self.phase = Phase.DONE
+        actions = []
+        if self.record is RecordOrder.AFTER:
+            actions.append(RecordTerm(self.chosen))
+        others = [one for one in self.instances if one != self.chosen]
+        return actions + [FollowPrimary(one, self.chosen) for one in others]
--- /dev/null
+++ b/cardamomdrift/limits/admission.py
@@ -0,0 +1,252 @@
+"""
+Admission
+=========
+
+A bounded queue of requests that wait for an instance.  Higher priority goes first;
+within a priority the callers take turns; within a caller the policy decides.  A request
+that cannot finish before its deadline is refused at once.
+"""
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+
+SCAN_LIMIT = 16  # tickets tried on each pass
+OVERLOAD_WAIT = 0.1  # seconds
+OVERLOAD_INTERVAL = 0.2  # seconds
+
+
+@dataclass(frozen=True, slots=True)
+class Fifo:
+    """Oldest request first."""
+
+
+@dataclass(frozen=True, slots=True)
+class NewestFirst:
+    """Newest request first."""
+
+
+@dataclass(frozen=True, slots=True)
+class Adaptive:
+    """Oldest first, but newest first while even the shortest wait is long."""
+
+    wait: float = OVERLOAD_WAIT
+    interval: float = OVERLOAD_INTERVAL
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """A request that waits; times are in seconds of the loop's clock.
+
+    Attributes
+    ----------
+    caller : str
+        Whose turn it takes.
+    priority : int
+    arrived_at : float
+    deadline_at : float
+    cost : float
+        Expected service time.
+    long : bool
+        Whether it is expected to run long.
+    payload : object
+        What the runtime needs to start it.
+    """
+
+    caller: str
+    priority: int
+    arrived_at: float
+    deadline_at: float
+    cost: float
+    long: bool = False
+    payload: object = None
+
+
+@dataclass(frozen=True, slots=True)
+class Queued:
+    """The request waits."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The request is not run.
+
+    Attributes
+    ----------
+    reason : str
+    retry_after : float
+        Seconds after which another try may succeed.
+    """
+
+    reason: str
+    retry_after: float
+
+
+@dataclass(slots=True)
+class _Level:
+    """Tickets of one priority, by caller in turn order."""
+
+    callers: OrderedDict = field(default_factory=OrderedDict)
+    size: int = 0
+
+
+class AdmissionQueue:
+    """Requests of one group that wait for an instance.
+
+    Parameters
+    ----------
+    limit : int
+        Largest number of waiting requests.
+    policy : Fifo or NewestFirst or Adaptive
+    """
+
+    def __init__(self, limit, policy):
+        self._limit = limit
+        self._policy = policy
+        self._levels = {}
+        self._size = 0
+        self._work = 0.0
+        self._shortest_wait = None
+        self._interval_end = 0.0
+        self._overloaded = False
+
+    def __len__(self):
+        return self._size
+
+    @property
+    def work(self):
+        """Expected service time of all waiting requests, in seconds."""
+        return self._work
+
+    @property
+    def overloaded(self):
+        """Whether waits have been long for a whole interval."""
+        return self._overloaded
+
+    def offer(self, ticket, now, servers):
+        """Queue a request or refuse it.
+
+        Parameters
+        ----------
+        ticket : Ticket
+        now : float
+        servers : float
+            Requests that the group is expected to run at once for this VM.
+
+        Returns
+        -------
+        Queued or Refused
+        """
+        wait = self._expected_wait(ticket, servers)
+        if self._size >= self._limit and not self._evict_below(ticket.priority):
+            return Refused("the queue is full", wait)
+        if now + wait + ticket.cost > ticket.deadline_at:
+            return Refused("the request cannot finish before its deadline", wait)
+        level = self._levels.setdefault(ticket.priority, _Level())
+        level.callers.setdefault(ticket.caller, deque()).append(ticket)
+        level.size += 1
+        self._size += 1
+        self._work += ticket.cost
+        return Queued()
+
+    def _expected_wait(self, ticket, servers):
+        if self._newest_first():
+            return 0.0
+        ahead = sum(
+            level.size
+            for priority, level in self._levels.items()
+            if priority >= ticket.priority
+        )
+        average = self._work / self._size if self._size else 0.0
+        return ahead * average / max(servers, 1.0)
+
+    def _evict_below(self, priority):
+        lowest = min(
+            (one for one, level in self._levels.items() if level.size), default=priority
+        )
+        if lowest >= priority:
+            return False
+        level = self._levels[lowest]
+        caller = max(level.callers, key=lambda name: len(level.callers[name]))
+        ticket = level.callers[caller][-1]
+        self.remove(ticket)
+        if ticket.payload is not None:
+            ticket.payload.evicted()
+        return True
+
+    def remove(self, ticket):
+        """Take a request out of the queue; return whether it was there."""
+        level = self._levels.get(ticket.priority)
+        waiting = level.callers.get(ticket.caller) if level else None
+        if waiting is None or ticket not in waiting:
+            return False
+        waiting.remove(ticket)
+        if not waiting:
+            del level.callers[ticket.caller]
+        level.size -= 1
+        self._size -= 1
+        self._work = max(0.0, self._work - ticket.cost) if self._size else 0.0
+        return True
+
+    def take(self, now, admissible):
+        """Take the next request that can start, or None.
+
+        Parameters
+        ----------
+        now : float
+        admissible : callable
+            Tells whether a ticket can start now.
+        """
+        tried = 0
+        for priority in sorted(self._levels, reverse=True):
+            level = self._levels[priority]
+            for caller in list(level.callers):
+                if tried >= SCAN_LIMIT:
+                    return None
+                tried += 1
+                ticket = self._pick(level.callers[caller])
+                if admissible(ticket):
+                    level.callers.move_to_end(caller)
+                    self.remove(ticket)
+                    self._note_wait(now - ticket.arrived_at, now)
+                    return ticket
+        return None
+
+    def _pick(self, waiting):
+        return waiting[-1] if self._newest_first() else waiting[0]
+
+    def _newest_first(self):
+        match self._policy:
+            case Fifo():
+                return False
+            case NewestFirst():
+                return True
+            case Adaptive():
+                return self._overloaded
+
+    def _note_wait(self, wait, now):
+        if not isinstance(self._policy, Adaptive):
+            return
+        if self._shortest_wait is None or wait < self._shortest_wait:
+            self._shortest_wait = wait
+        if now < self._interval_end:
+            return
+        # Newest-first keeps waits short, so the backlog tells when the overload ends.
+        limit = self._policy.wait
+        self._overloaded = self._shortest_wait > limit or (
+            self._overloaded and self._work > limit
+        )
+        self._shortest_wait = None
+        self._interval_end = now + self._policy.interval
+
+    def expired(self, now):
+        """Take out and return the requests that can no longer finish in time."""
+        late = [
+            ticket
+            for level in self._levels.values()
+            for waiting in level.callers.values()
+            for ticket in waiting
+            if now + ticket.cost > ticket.deadline_at
+        ]
+        for ticket in late:
+            self.remove(ticket)
+        return late
--- /dev/null
+++ b/cardamomdrift/limits/shares.py
@@ -0,0 +1,68 @@
+"""
+Connection shares
+=================
+
+Divides the connections of each instance among the VMs.  A VM counts every VM that it
+has ever seen and whose lease has not run out; a new VM opens connections only when the
+lease of every other VM says that it counts the new one.  So everyone shrinks before
+anyone grows, and the sum of the shares never passes the limit.
+"""
+
+from dataclasses import dataclass
+
+OPERATOR_RESERVE = 1  # connections left to operators' own tools
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """The row of one VM.
+
+    Attributes
+    ----------
+    vm : str
+    expires_at : float
+        Seconds of the shared wall clock.
+    counted : frozenset of str
+        VMs that the holder counts when it works out its share.
+    address : str
+        Where peers reach it, as ``ip:port``.
+    failure_domain : str
+    leaving : bool
+    """
+
+    vm: str
+    expires_at: float
+    counted: frozenset
+    address: str = ""
+    failure_domain: str = ""
+    leaving: bool = False
+
+
+def live_leases(leases, now, grace):
+    """Return the leases that may still be held, with the grace for slow clocks."""
+    return [lease for lease in leases if lease.expires_at + grace > now]
+
+
+def count_members(vm, leases, now, grace):
+    """Return the VMs to count: all with a lease, and this one."""
+    held = {lease.vm for lease in live_leases(leases, now, grace)}
+    return frozenset(held | {vm})
+
+
+def may_connect(vm, leases, now, grace):
+    """Whether all other VMs count this one."""
+    others = [one for one in live_leases(leases, now, grace) if one.vm != vm]
+    return all(vm in lease.counted for lease in others)
+
+
+def share_of(limit, members):
+    """Return the connections to one instance that each VM may open.
+
+    Parameters
+    ----------
+    limit : int
+        Connections that the instance takes.
+    members : int
+        VMs counted.
+    """
+    return max((limit - OPERATOR_RESERVE) // max(members, 1), 0)
--- /dev/null
+++ b/cardamomdrift/routing/cost.py
@@ -0,0 +1,77 @@
+"""
+Statement cost
+==============
+
+Learns the service time of each statement shape, tells long ones from short ones, and
+says on which instances long ones may run.
+"""
+
+from collections import OrderedDict
+
+from cardamomdrift.membership.rendezvous import rank
+
+SHAPE_LIMIT = 2048  # shapes
+WEIGHT = 0.2
+LONG_FACTOR = 8.0
+LONG_MINIMUM = 0.05  # seconds
+FIRST_GUESS = 0.005  # seconds
+
+
+class CostBook:
+    """Expected service times by statement shape, the least recent dropped first."""
+
+    def __init__(self):
+        self._times = OrderedDict()
+        self._typical = FIRST_GUESS
+
+    @property
+    def typical(self):
+        """Seconds that a short statement takes."""
+        return self._typical
+
+    def expected(self, shape):
+        """Return the expected seconds of a shape."""
+        return self._times.get(shape, self._typical)
+
+    def is_long(self, shape):
+        """Whether statements of the shape run many times longer than usual."""
+        expected = self._times.get(shape)
+        if expected is None:
+            return False
+        return expected > max(LONG_MINIMUM, LONG_FACTOR * self._typical)
+
+    def learn(self, shape, elapsed):
+        """Take in the seconds that a statement took."""
+        known = self._times.pop(shape, None)
+        time = elapsed if known is None else known + WEIGHT * (elapsed - known)
+        self._times[shape] = time
+        if len(self._times) > SHAPE_LIMIT:
+            self._times.popitem(last=False)
+        if elapsed <= max(LONG_MINIMUM, LONG_FACTOR * self._typical):
+            self._typical += WEIGHT * (elapsed - self._typical) / 4
+
+
+def long_instances(group, replicas, vm, members):
+    """Return the instances on which this VM may run long statements.
+
+    One replica takes the long statements of every VM; on each other replica one VM may
+    run them.  All VMs work this out alike, so nothing has to be agreed.
+
+    Parameters
+    ----------
+    group : str
+    replicas : sequence of str
+        Names of the replicas that can serve.
+    vm : str
+        Name of this VM.
+    members : sequence of str
+        Names of all VMs.
+    """
+    if not replicas:
+        return frozenset()
+    ordered = rank(group, replicas)
+    allowed = {ordered[0]}
+    for replica in ordered[1:]:
+        if rank(f"{group}/{replica}", members)[0] == vm:
+            allowed.add(replica)
+    return frozenset(allowed)
--- /dev/null
+++ b/cardamomdrift/routing/view.py
@@ -0,0 +1,112 @@
+"""
+Group view
+==========
+
+What a daemon knows of a database group: for each instance the last status and when it
+was asked and answered.  The view is pure: it only takes in statuses.
+"""
+
+from dataclasses import dataclass, field
+
+from cardamomdrift.position import ORIGIN, Position
+
+
+@dataclass(slots=True)
+class InstanceView:
+    """What is known of one instance; times are in seconds of the loop's clock.
+
+    Attributes
+    ----------
+    fence_term : int
+        Highest term that the instance has reported.
+    position : Position
+        Position that the instance has reached, at least.
+    primary : bool
+        Whether its last status said that it leads its fence term.
+    source : str
+        Instance that it replicates from.
+    source_silence : float
+        How long it had not heard from its source at its last status.
+    answered_at : float or None
+        When its last status came.
+    rate : float
+        Entries per second that its position moved by, smoothed.
+    """
+
+    fence_term: int = 0
+    position: Position = ORIGIN
+    primary: bool = False
+    source: str = ""
+    source_silence: float = 0.0
+    answered_at: float | None = None
+    rate: float = 0.0
+
+
+RATE_WEIGHT = 0.3
+
+
+@dataclass(slots=True)
+class GroupView:
+    """What is known of a group's instances and its primary."""
+
+    instances: dict = field(default_factory=dict)
+    heard_term: int = 0
+
+    @property
+    def term(self):
+        """Highest term seen at any instance or heard of from peers."""
+        return max(self.heard_term, *(one.fence_term for one in self.instances.values()))
+
+    @property
+    def primary(self):
+        """Name of the instance that leads the highest term seen, or None."""
+        term = self.term
+        for name, one in self.instances.items():
+            if one.primary and one.fence_term == term:
+                return name
+        return None
+
+    def position_of(self, name):
+        """Return the position that an instance has reached, at least."""
+        return self.instances[name].position
+
+    def hear_term(self, term):
+        """Take in a term that a peer has seen."""
+        self.heard_term = max(self.heard_term, term)
+
+    def observe(self, name, status, now):
+        """Take in a status that an instance gave."""
+        one = self.instances[name]
+        elapsed = now - one.answered_at if one.answered_at is not None else 0.0
+        if elapsed > 0 and status.position.term == one.position.term:
+            moved = (status.position.sequence - one.position.sequence) / elapsed
+            one.rate += RATE_WEIGHT * (max(moved, 0.0) - one.rate)
+        one.fence_term = max(one.fence_term, status.fence_term)
+        one.position = max(one.position, status.position)
+        if status.fence_term == one.fence_term:
+            one.primary = status.primary
+        one.source = status.source
+        one.source_silence = status.source_silence
+        one.answered_at = now
+
+    def forget(self, name):
+        """Forget the position of an instance whose connections all broke.
+
+        A restarted instance may hold less than it reported before.
+        """
+        one = self.instances[name]
+        one.position = ORIGIN
+        one.rate = 0.0
+
+    def demote(self, name, term):
+        """Note that an instance refused a write as a replaced primary would."""
+        one = self.instances[name]
+        if one.fence_term <= term:
+            one.primary = False
+
+
+def make_view(spec, previous=None):
+    """Return the view of a group, keeping what was known of its instances."""
+    known = previous.instances if previous else {}
+    instances = {name: known.get(name, InstanceView()) for name in spec.names}
+    return GroupView(instances, previous.heard_term if previous else 0)
--- /dev/null
+++ b/cardamomdrift/sessions/options.py
@@ -0,0 +1,110 @@
+"""
+Request options
+===============
+
+Options of a request, from its query attributes, its leading comment or the session, in
+that order, checked against the bundle.
+"""
+
+from dataclasses import dataclass
+
+from returns.result import Failure, Success
+
+from cardamomdrift.bundle.model import Kind, RequestClass
+from cardamomdrift.errors import BadRequest, UnknownClass
+from cardamomdrift.util import seconds
+
+KEY_LIMIT = 128  # characters
+SESSION_OPTIONS = ("class", "token", "deadline_ms", "max_age_ms")
+REQUEST_OPTIONS = (*SESSION_OPTIONS, "key")
+ATTRIBUTE_PREFIX = "cardamomdrift_"
+
+
+@dataclass(frozen=True, slots=True)
+class RequestOptions:
+    """Checked options of one request; times are in seconds."""
+
+    request_class: RequestClass
+    deadline: float
+    max_age: float | None
+    key: str | None
+    token: str | None
+
+
+def attribute_options(attributes):
+    """Return the options among a statement's query attributes."""
+    return {
+        name.removeprefix(ATTRIBUTE_PREFIX): str(value)
+        for name, value in attributes.items()
+        if name.startswith(ATTRIBUTE_PREFIX)
+    }
+
+
+def _get_milliseconds(values, name, default):
+    text = values.get(name)
+    if text is None or text == "":
+        return default
+    try:
+        number = float(text)
+    except ValueError:
+        raise BadRequest(f"{name} is not a number: {text}") from None
+    if not 0 < number < float("inf"):
+        raise BadRequest(f"{name} must be above 0")
+    return seconds(number)
+
+
+def _get_class(values, bundle, kind):
+    name = values.get("class")
+    if not name:
+        default = bundle.default_read if kind is Kind.READ else bundle.default_write
+        return bundle.classes[default]
+    found = bundle.classes.get(name)
+    if found is None:
+        raise UnknownClass(f"no request class {name}")
+    if found.kind is not kind:
+        raise BadRequest(f"class {name} is for {found.kind.value}s")
+    return found
+
+
+def _get_key(values, kind):
+    key = values.get("key")
+    if key is None:
+        return None
+    if kind is Kind.READ:
+        raise BadRequest("a read takes no key")
+    if not 0 < len(key) <= KEY_LIMIT:
+        raise BadRequest(f"key must have 1 to {KEY_LIMIT} characters")
+    return key
+
+
+def check_options(values, bundle, kind):
+    """Return the options of a request, as Success, or Failure of BadRequest.
+
+    Parameters
+    ----------
+    values : dict of str to str
+        Options as the caller gave them.
+    bundle : Bundle
+    kind : Kind
+    """
+    unknown = [name for name in values if name not in REQUEST_OPTIONS]
+    if unknown:
+        return Failure(BadRequest(f"unknown option {unknown[0]}"))
+    try:
+        request_class = _get_class(values, bundle, kind)
+        age = _get_milliseconds(values, "max_age_ms", request_class.max_age)
+        if request_class.max_age is not None:
+            age = min(age, request_class.max_age)
+        elif "max_age_ms" in values and kind is Kind.READ:
+            age = None  # the class promises fresh reads
+        return Success(
+            RequestOptions(
+                request_class=request_class,
+                deadline=_get_milliseconds(values, "deadline_ms", request_class.deadline),
+                max_age=age if kind is Kind.READ else None,
+                key=_get_key(values, kind),
+                token=values.get("token") or None,
+            )
+        )
+    except BadRequest as error:
+        return Failure(error)
--- /dev/null
+++ b/cardamomdrift/util.py
@@ -0,0 +1,58 @@
+"""
+Helpers
+=======
+
+Small functions that several packages use.
+"""
+
+import asyncio
+from pathlib import Path
+
+import json5
+import xxhash
+
+MILLISECONDS = 1000.0  # per second
+
+
+def seconds(milliseconds):
+    """Return milliseconds as seconds; None stays None."""
+    return None if milliseconds is None else milliseconds / MILLISECONDS
+
+
+def hash_number(*parts):
+    """Return a 64-bit hash of some strings."""
+    return xxhash.xxh3_64_intdigest("\0".join(parts))
+
+
+def hash_text(text):
+    """Return a 128-bit hash of a text, in hex."""
+    return xxhash.xxh3_128_hexdigest(text)
+
+
+def load_jsonc(path):
+    """Return the value in a file of JSON with comments.
+
+    Raises
+    ------
+    OSError
+        If the file cannot be read.
+    ValueError
+        If it is not JSON; the text names line and column.
+    """
+    return json5.loads(Path(path).read_text(encoding="utf-8"))
+
+
+def fault_lines(error, place):
+    """Return a line for each fault of a validation error of pydantic."""
+    lines = []
+    for fault in error.errors():
+        key = ".".join(str(part) for part in fault["loc"]) or "(whole file)"
+        lines.append(f"{place}: {key}: {fault['msg']}")
+    return lines
+
+
+async def cancel_all(tasks):
+    """Cancel tasks and wait until they have ended."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
