--- a/cardamomdrift/bundle/model.py
+++ b/cardamomdrift/bundle/model.py
@@ -42,6 +42,21 @@
     REPLICATED = "replicated"
 
 
+class Consistency(StrEnum):
+    """What a read without a stated age has to see.
+
+    Attributes
+    ----------
+    FRESH
+        Every write acknowledged before the read arrived.
+    SESSION
+        The writes of its session, if the session's token is known; otherwise as fresh.
+    """
+
+    FRESH = "fresh"
+    SESSION = "session"
+
+
 class RecordOrder(StrEnum):
     """When a promotion records its term in the table service."""
 
@@ -77,6 +92,7 @@
     kind: Literal["read", "write"]
     max_age_ms: float | None = Field(default=None, gt=0)
     repeatable: bool = False
+    consistency: Literal["fresh", "session"] = "fresh"
     durability: Literal["current_term", "replicated"] = "replicated"
     deadline_ms: float = Field(default=5000, ge=10, le=600000)
     priority: int = Field(default=1, ge=0, lt=PRIORITIES)
@@ -164,6 +180,7 @@
     kind: Kind
     max_age: float | None
     repeatable: bool
+    consistency: Consistency
     durability: Durability
     deadline: float
     priority: int
@@ -209,6 +226,7 @@
         kind=Kind(model.kind),
         max_age=seconds(model.max_age_ms),
         repeatable=model.repeatable or model.kind == "read",
+        consistency=Consistency(model.consistency),
         durability=Durability(model.durability),
         deadline=seconds(model.deadline_ms),
         priority=model.priority,
--- /dev/null
+++ b/cardamomdrift/failover/monitor.py
@@ -0,0 +1,223 @@
+"""
+Failover monitor
+================
+
+Watches one group's primary, starts a promotion when the evidence suffices, and makes
+instances follow the primary that they should.  Any VM may promote; the VMs' order for
+the group decides who tries first.
+"""
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+from cardamomdrift.failover.promoter import Promoter, call_instance
+from cardamomdrift.failover.promotion import STEP_TIMEOUT, Promotion
+from cardamomdrift.failover.suspicion import Evidence, is_dead, replicas_silent
+from cardamomdrift.membership.rendezvous import rank
+from cardamomdrift.upstreams.contract import follow_statement
+from cardamomdrift.util import cancel_all
+
+TICK = 0.05  # seconds
+RANK_DELAY = 0.25  # seconds for each VM that comes first
+JITTER = 0.1  # seconds
+RETRY_DELAY = 0.3  # seconds
+HEARTBEAT = 1.0  # seconds between probes of an idle group
+RECENT = 2.0  # seconds for which a status counts as evidence
+LEADERLESS_TIME = 1.0  # seconds
+PROMOTION_TIME = 6.0  # seconds
+REPAIR_INTERVAL = 0.5  # seconds
+
+
+@dataclass(slots=True)
+class FailoverCounts:
+    """How often things happened in one group."""
+
+    suspected: int = 0
+    promoted: int = 0
+    failed: int = 0
+    repaired: int = 0
+
+
+class FailoverMonitor:
+    """Watches one group; an async context manager.
+
+    Parameters
+    ----------
+    parts : GroupParts
+    login : Login
+    terms : TermRecord
+    members : callable
+        Returns the names of all VMs.
+    contacts : callable
+        Returns the seconds since any peer had an answer from the primary of a term, or
+        None.
+    log : structlog logger
+    seed : int
+    """
+
+    def __init__(self, parts, login, terms, members, contacts, log, seed):
+        self._parts = parts
+        self._login = login
+        self._terms = terms
+        self._members = members
+        self._contacts = contacts
+        self._log = log
+        self._random = random.Random(seed)
+        self._leaderless_since = None
+        self._suspected_since = None
+        self._delay = 0.0
+        self._not_before = 0.0
+        self._repaired_at = 0.0
+        self._probed_at = 0.0
+        self._task = None
+        self.counts = FailoverCounts()
+
+    async def __aenter__(self):
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await cancel_all([self._task])
+
+    @property
+    def _rank(self):
+        ordered = rank(self._parts.spec.name, self._members())
+        vm = self._parts.vm.name
+        return ordered.index(vm) if vm in ordered else len(ordered)
+
+    async def _run(self):
+        while True:
+            now = self._parts.clock()
+            self._heartbeat(now)
+            if self._should_promote(now):
+                await self._promote()
+            elif self._parts.view.primary is not None:
+                await self._repair(now)
+            await asyncio.sleep(TICK)
+
+    def _heartbeat(self, now):
+        troubled = self._leaderless_since is not None or self._unanswered(now) > 0
+        interval = TICK if troubled else HEARTBEAT
+        if now - self._probed_at < interval:
+            return
+        self._probed_at = now
+        for runtime in self._parts.instances.values():
+            runtime.prober.want()
+
+    def _unanswered(self, now):
+        primary = self._parts.view.primary
+        if primary is None:
+            return 0.0
+        return self._parts.instances[primary].silence.unanswered(now)
+
+    def _should_promote(self, now):
+        if not self._is_suspect(now):
+            self._suspected_since = None
+            return False
+        if self._suspected_since is None:
+            self._suspected_since = now
+            self._delay = self._rank * RANK_DELAY + self._random.uniform(0, JITTER)
+            self.counts.suspected += 1
+            self._log.warning(
+                "primary suspected",
+                group=self._parts.spec.name,
+                primary=self._parts.view.primary or "none",
+                term=self._parts.view.term,
+            )
+        return now >= self._suspected_since + self._delay and now >= self._not_before
+
+    def _is_suspect(self, now):
+        primary = self._parts.view.primary
+        if primary is None:
+            return self._is_leaderless(now)
+        self._leaderless_since = None
+        return is_dead(self._evidence(primary, now))
+
+    def _is_leaderless(self, now):
+        """Whether a majority has answered for a while and none of them leads."""
+        answering = self._parts.watch.recent(now - RECENT)
+        if len(answering) < self._parts.spec.majority:
+            self._leaderless_since = None
+            return False
+        if self._leaderless_since is None:
+            self._leaderless_since = now
+        return now - self._leaderless_since >= LEADERLESS_TIME
+
+    def _evidence(self, primary, now):
+        parts = self._parts
+        runtime = parts.instances[primary]
+        others = [
+            status
+            for name, status in parts.watch.recent(now - RECENT).items()
+            if name != primary
+        ]
+        return Evidence(
+            unanswered=runtime.silence.unanswered(now),
+            refused=runtime.silence.refused,
+            replicas_silent=replicas_silent(
+                others, runtime.spec.endpoint, parts.spec.majority
+            ),
+            peer_contact_age=self._contacts(parts.spec.name, parts.view.term),
+        )
+
+    async def _promote(self):
+        parts = self._parts
+        term = parts.view.term + 1
+        promotion = Promotion(
+            term=term,
+            owner=f"{parts.vm.name}/{self._random.getrandbits(32):08x}",
+            instances=parts.spec.names,
+            majority=parts.spec.majority,
+            record=parts.spec.record,
+            deadline_at=parts.clock() + PROMOTION_TIME,
+        )
+        self._log.warning("promotion started", group=parts.spec.name, term=term)
+        promoter = Promoter(
+            promotion, parts.spec, self._login, parts.vm.name, self._terms, parts.clock
+        )
+        succeeded = await promoter.run()
+        self._note_outcome(promotion, succeeded)
+        for runtime in parts.instances.values():
+            runtime.prober.want()
+        self._suspected_since = None
+        self._leaderless_since = None
+        self._not_before = parts.clock() + RETRY_DELAY * (1 + self._random.random())
+
+    def _note_outcome(self, promotion, succeeded):
+        event = "promotion succeeded" if succeeded else "promotion failed"
+        if succeeded:
+            self.counts.promoted += 1
+        else:
+            self.counts.failed += 1
+        self._log.warning(
+            event,
+            group=self._parts.spec.name,
+            term=promotion.term,
+            primary=promotion.chosen or "none",
+            fenced=len(promotion.fenced),
+        )
+
+    async def _repair(self, now):
+        """Make instances that follow nobody or the wrong one follow the primary."""
+        if now - self._repaired_at < REPAIR_INTERVAL or self._rank > 0:
+            return
+        self._repaired_at = now
+        parts = self._parts
+        primary = parts.view.primary
+        endpoint = parts.instances[primary].spec.endpoint
+        term = parts.view.instances[primary].fence_term
+        for name, status in parts.watch.recent(now - RECENT).items():
+            if name == primary or (status.source == endpoint and not status.primary):
+                continue
+            self.counts.repaired += 1
+            self._log.info(
+                "instance told to follow", group=parts.spec.name, instance=name, term=term
+            )
+            await call_instance(
+                parts.instances[name].spec,
+                self._login,
+                parts.vm.name,
+                follow_statement(term, endpoint),
+                STEP_TIMEOUT,
+            )
--- /dev/null
+++ b/cardamomdrift/failover/promoter.py
@@ -0,0 +1,143 @@
+"""
+Promoter
+========
+
+Carries out the actions of a promotion: statements to the instances and the row in the
+table service.  Each step is bounded; its outcome goes back as an event.
+"""
+
+import asyncio
+
+from cardamomdrift.errors import DeadlinePassed, UpstreamError
+from cardamomdrift.failover.promotion import (
+    FENCE_GRACE,
+    STEP_TIMEOUT,
+    Fenced,
+    FenceFailed,
+    FenceInstance,
+    FollowPrimary,
+    Phase,
+    Promoted,
+    PromoteFailed,
+    PromoteInstance,
+    Recorded,
+    RecordRefused,
+    RecordTerm,
+    RecordUnknown,
+    Tick,
+)
+from cardamomdrift.platform.table import NotTaken, StillUnknown, Taken
+from cardamomdrift.upstreams.connection import open_connection
+from cardamomdrift.upstreams.contract import (
+    fence_statement,
+    follow_statement,
+    promote_statement,
+)
+from cardamomdrift.util import cancel_all
+
+
+class Promoter:
+    """Runs one promotion.
+
+    Parameters
+    ----------
+    promotion : Promotion
+    spec : GroupSpec
+    login : Login
+    vm : str
+    terms : TermRecord
+        Where the term's row is appended.
+    clock : callable
+    """
+
+    def __init__(self, promotion, spec, login, vm, terms, clock):
+        self._promotion = promotion
+        self._specs = {one.name: one for one in spec.instances}
+        self._login = login
+        self._vm = vm
+        self._terms = terms
+        self._clock = clock
+        self._events = asyncio.Queue()
+        self._tasks = set()
+
+    async def run(self):
+        """Run the promotion to its end and return whether it succeeded."""
+        promotion = self._promotion
+        self._start(promotion.begin())
+        try:
+            while promotion.phase not in (Phase.DONE, Phase.FAILED):
+                event = await self._next_event()
+                self._start(promotion.handle(event, self._clock()))
+            if promotion.phase is Phase.DONE:
+                await self._finish()
+            return promotion.phase is Phase.DONE
+        finally:
+            await cancel_all(list(self._tasks))
+
+    async def _finish(self):
+        """Give the last steps, which nothing depends on, their bounded time."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=STEP_TIMEOUT)
+
+    async def _next_event(self):
+        try:
+            async with asyncio.timeout(FENCE_GRACE):
+                return await self._events.get()
+        except TimeoutError:
+            return Tick()
+
+    def _start(self, actions):
+        for action in actions:
+            task = asyncio.create_task(self._carry_out(action))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _carry_out(self, action):
+        promotion = self._promotion
+        match action:
+            case FenceInstance(instance):
+                statement = fence_statement(promotion.term, promotion.owner)
+                status = await self._call(instance, statement)
+                event = Fenced(instance, status) if status else FenceFailed(instance)
+            case PromoteInstance(instance):
+                statement = promote_statement(promotion.term, promotion.owner)
+                status = await self._call(instance, statement)
+                event = Promoted(status) if status else PromoteFailed()
+            case FollowPrimary(instance, primary):
+                endpoint = self._specs[primary].endpoint
+                await self._call(instance, follow_statement(promotion.term, endpoint))
+                return
+            case RecordTerm(primary):
+                event = await self._record(primary)
+        self._events.put_nowait(event)
+
+    async def _record(self, primary):
+        promotion = self._promotion
+        outcome = await self._terms.append(promotion.term, primary, promotion.owner)
+        match outcome:
+            case Taken():
+                return Recorded()
+            case NotTaken():
+                return RecordRefused()
+            case StillUnknown():
+                return RecordUnknown()
+
+    async def _call(self, instance, statement):
+        return await call_instance(
+            self._specs[instance], self._login, self._vm, statement, STEP_TIMEOUT
+        )
+
+
+async def call_instance(spec, login, vm, statement, timeout):
+    """Run a procedure over a connection of its own; return the status or None."""
+    try:
+        async with asyncio.timeout(timeout):
+            connection = await open_connection(
+                spec.address, spec.port, login, vm, timeout
+            )
+            try:
+                return await connection.call(statement)
+            finally:
+                connection.close()
+    except (UpstreamError, DeadlinePassed, TimeoutError):
+        return None
--- /dev/null
+++ b/cardamomdrift/routing/dispatch.py
@@ -0,0 +1,280 @@
+"""
+Dispatch
+========
+
+Gives waiting requests of one group to its instances as room appears.  The decisions
+are `limits.admission` and `routing.choice`; this is the loop around them.
+"""
+
+import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from cardamomdrift.errors import DeadlinePassed, NoPrimary, Overloaded
+from cardamomdrift.limits.admission import Refused
+from cardamomdrift.position import ORIGIN, Position
+from cardamomdrift.routing.choice import Candidate, Hold, Probe, Serve, choose
+from cardamomdrift.routing.cost import long_instances
+
+EXPIRY_INTERVAL = 0.05  # seconds
+
+
+@dataclass(frozen=True, slots=True)
+class ForRead:
+    """The request reads from any instance that has reached a floor."""
+
+    floor: Position
+    excluded: frozenset = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class ForWrite:
+    """The request needs the primary."""
+
+
+@dataclass(frozen=True, slots=True)
+class ForTransaction:
+    """The request opens a transaction on the primary."""
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a request runs.
+
+    Attributes
+    ----------
+    name : str
+    term : int
+        Highest term seen when it was placed.
+    proven : bool
+        Whether the instance is known to have reached the floor.
+    """
+
+    name: str
+    term: int
+    proven: bool = True
+
+
+@dataclass(slots=True, eq=False)
+class Waiting:
+    """A queued request: its need, and the future that gets its place."""
+
+    need: object
+    future: asyncio.Future = field(default=None)
+
+    def evicted(self):
+        """Refuse the request because one of higher priority needs its room."""
+        if not self.future.done():
+            self.future.set_exception(Overloaded("a request of higher priority came"))
+
+
+class Dispatcher:
+    """Places the requests of one group; an async context manager.
+
+    Parameters
+    ----------
+    group : GroupSpec
+    instances : dict of str to InstanceRuntime
+    view : GroupView
+    queue : AdmissionQueue
+    costs : CostBook
+    vm : VmIdentity
+        This VM and its failure domain.
+    members : callable
+        Returns the names of all VMs.
+    clock : callable
+    """
+
+    def __init__(self, group, instances, view, queue, costs, vm, members, clock):
+        self._group = group
+        self._instances = instances
+        self._view = view
+        self._queue = queue
+        self._costs = costs
+        self._vm = vm
+        self._members = members
+        self._clock = clock
+        self._expiry = None
+        self._long_cache = (None, frozenset())
+
+    @property
+    def queue(self):
+        """The waiting requests."""
+        return self._queue
+
+    async def __aenter__(self):
+        self._expiry = asyncio.create_task(self._expire())
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self._expiry.cancel()
+        await asyncio.gather(self._expiry, return_exceptions=True)
+
+    @asynccontextmanager
+    async def place(self, need, ticket):
+        """Wait for a place and hold it.
+
+        Parameters
+        ----------
+        need : ForRead or ForWrite or ForTransaction
+        ticket : Ticket
+
+        Raises
+        ------
+        Overloaded
+        DeadlinePassed
+        NoPrimary
+        """
+        place = await self._wait(need, ticket)
+        runtime = self._instances[place.name]
+        try:
+            yield place
+        finally:
+            runtime.in_flight -= 1
+            if isinstance(need, ForTransaction):
+                runtime.transactions -= 1
+            self.pump()
+
+    async def _wait(self, need, ticket):
+        now = self._clock()
+        place = None if len(self._queue) else self._find(need, ticket)
+        if place is not None:
+            self._occupy(place, need)
+            return place
+        waiting = Waiting(need, asyncio.get_running_loop().create_future())
+        ticket.payload = waiting
+        match self._queue.offer(ticket, now, self._servers()):
+            case Refused(reason, retry_after):
+                raise Overloaded(reason, retry_after)
+        self.pump()
+        try:
+            return await waiting.future
+        except asyncio.CancelledError:
+            self._abandon(waiting, ticket)
+            raise
+
+    def _abandon(self, waiting, ticket):
+        self._queue.remove(ticket)
+        future = waiting.future
+        if future.done() and not future.cancelled() and future.exception() is None:
+            runtime = self._instances[future.result().name]
+            runtime.in_flight -= 1
+            if isinstance(waiting.need, ForTransaction):
+                runtime.transactions -= 1
+            self.pump()
+
+    def _servers(self):
+        return sum(one.limit for one in self._instances.values() if one.usable)
+
+    def pump(self):
+        """Place as many waiting requests as there is room for."""
+        found = None
+
+        def admissible(ticket):
+            nonlocal found
+            if ticket.payload.future.done():
+                return True
+            found = self._find(ticket.payload.need, ticket)
+            return found is not None
+
+        while len(self._queue):
+            ticket = self._queue.take(self._clock(), admissible)
+            if ticket is None:
+                return
+            if ticket.payload.future.done():
+                continue
+            self._occupy(found, ticket.payload.need)
+            ticket.payload.future.set_result(found)
+
+    def _occupy(self, place, need):
+        runtime = self._instances[place.name]
+        runtime.in_flight += 1
+        if isinstance(need, ForTransaction):
+            runtime.transactions += 1
+
+    def _find(self, need, ticket):
+        match need:
+            case ForRead(floor, excluded):
+                return self._find_for_read(floor, excluded, ticket)
+            case ForWrite():
+                return self._find_primary(ticket)
+            case ForTransaction():
+                place = self._find_primary(ticket)
+                if place is None:
+                    return None
+                runtime = self._instances[place.name]
+                full = runtime.transactions >= runtime.transaction_limit
+                return None if full else place
+
+    def _find_primary(self, ticket):
+        name = self._view.primary
+        if name is None:
+            return None
+        runtime = self._instances[name]
+        if not runtime.usable or runtime.in_flight >= runtime.limit:
+            return None
+        return Place(name, self._view.term)
+
+    def _find_for_read(self, floor, excluded, ticket):
+        candidates = self._candidates(excluded, ticket)
+        term = self._view.term
+        match choose(candidates, floor, ticket.long):
+            case Serve(name):
+                return Place(name, term, self._view.position_of(name) >= floor)
+            case Probe(name):
+                return Place(name, term, proven=False)
+            case Hold():
+                return None
+
+    def _candidates(self, excluded, ticket):
+        primary = self._view.primary
+        long_allowed = self._long_instances(primary) if ticket.long else frozenset()
+        found = []
+        for name, runtime in self._instances.items():
+            if name in excluded or not runtime.usable:
+                continue
+            known = self._view.instances[name]
+            found.append(
+                Candidate(
+                    name=name,
+                    position=known.position,
+                    rate=known.rate,
+                    primary=name == primary,
+                    same_domain=runtime.spec.failure_domain == self._vm.failure_domain,
+                    in_flight=runtime.in_flight,
+                    limit=runtime.limit,
+                    service_time=ticket.cost,
+                    long_allowed=name in long_allowed,
+                )
+            )
+        return found
+
+    def _long_instances(self, primary):
+        members = self._members()
+        usable = tuple(
+            name
+            for name, one in self._instances.items()
+            if name != primary and one.usable
+        )
+        key = (usable, members)
+        if self._long_cache[0] != key:
+            allowed = long_instances(self._group.name, usable, self._vm.name, members)
+            self._long_cache = (key, allowed or frozenset([primary]))
+        return self._long_cache[1]
+
+    async def _expire(self):
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL)
+            for ticket in self._queue.expired(self._clock()):
+                waiting = ticket.payload
+                if not waiting.future.done():
+                    waiting.future.set_exception(self._expiry_error(waiting.need))
+            self.pump()
+
+    def _expiry_error(self, need):
+        if not isinstance(need, ForRead) and self._view.primary is None:
+            return NoPrimary(f"group {self._group.name} has no primary", 1.0)
+        return DeadlinePassed("no instance became free", 0.1)
+
+
+NO_FLOOR = ORIGIN
--- a/cardamomdrift/routing/floor.py
+++ b/cardamomdrift/routing/floor.py
@@ -10,29 +10,26 @@
 from collections import deque
 from dataclasses import dataclass
 
-from cardamomdrift.bundle.model import Durability
-from cardamomdrift.position import Position
+from cardamomdrift.bundle.model import Consistency, Durability
+from cardamomdrift.position import ORIGIN, Position
 
-SAMPLE_LIMIT = 64  # samples
+SAMPLE_LIMIT = 256  # samples
 
 
 @dataclass(frozen=True, slots=True)
-class Fresh:
-    """The read must see every write acknowledged before it arrived."""
+class FloorRule:
+    """What a read has to see.
 
+    Attributes
+    ----------
+    since : float or None
+        The read needs a sample begun at this time or later; None if it needs none.
+    at_least : Position
+        Position that it has to see in any case.
+    """
 
-@dataclass(frozen=True, slots=True)
-class Aged:
-    """The read must see every write acknowledged ``age`` seconds before it arrived."""
-
-    age: float
-
-
-@dataclass(frozen=True, slots=True)
-class AtLeast:
-    """The read must see the log up to a position."""
-
-    position: Position
+    since: float | None
+    at_least: Position
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,23 +40,33 @@
     floor: Position
 
 
-def freshness_of(options, token_position):
+def make_rule(options, arrived_at, connected_at, written, token_position):
     """Return what a read has to see.
 
     Parameters
     ----------
     options : RequestOptions
+    arrived_at : float
+        When the read arrived.
+    connected_at : float
+        When the session's connection was opened.  Before that the session may have
+        written through another daemon.
+    written : Position or None
+        Position of the last write acknowledged on this connection.
     token_position : Position or None
         Position that the session's token has for the group; None without a token.
     """
-    if token_position is not None:
-        return AtLeast(token_position)
+    at_least = max(written or ORIGIN, token_position or ORIGIN)
+    known = token_position is not None
     if options.max_age is not None:
-        return Aged(options.max_age)
-    return Fresh()
+        since = arrived_at - options.max_age
+        return FloorRule(since if known else max(since, connected_at), at_least)
+    if known and options.request_class.consistency is Consistency.SESSION:
+        return FloorRule(None, at_least)
+    return FloorRule(arrived_at, at_least)
 
 
-def needs_primary(spec, classes):
+def needs_primary(classes):
     """Whether a floor sample must include the primary of the highest term.
 
     A write acknowledged as ``current_term`` may be on its primary only.
@@ -100,18 +107,11 @@
             return
         self._samples.append(sample)
 
-    def find(self, freshness, arrived_at):
-        """Return the lowest known floor that suits a read, or None."""
-        match freshness:
-            case AtLeast(position):
-                return position
-            case Aged(age):
-                return self._oldest_since(arrived_at - age)
-            case Fresh():
-                return self._oldest_since(arrived_at)
-
-    def _oldest_since(self, time):
+    def find(self, rule):
+        """Return the lowest known floor that suits a rule, or None."""
+        if rule.since is None:
+            return rule.at_least
         for sample in self._samples:
-            if sample.begun_at >= time:
-                return sample.floor
+            if sample.begun_at >= rule.since:
+                return max(sample.floor, rule.at_least)
         return None
--- /dev/null
+++ b/cardamomdrift/routing/group.py
@@ -0,0 +1,225 @@
+"""
+Group runtime
+=============
+
+Puts together what one VM runs for one database group and passes probe answers to the
+parts that need them.
+"""
+
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+
+from cardamomdrift.failover.monitor import FailoverMonitor
+from cardamomdrift.failover.terms import TermRecord
+from cardamomdrift.limits.admission import Adaptive, AdmissionQueue
+from cardamomdrift.limits.budget import RetryBudget
+from cardamomdrift.limits.shares import share_of
+from cardamomdrift.routing.cost import CostBook
+from cardamomdrift.routing.dispatch import Dispatcher
+from cardamomdrift.routing.instance import InstanceRuntime
+from cardamomdrift.routing.reads import ReadRunner
+from cardamomdrift.routing.transactions import Transaction
+from cardamomdrift.routing.view import GroupView, make_view
+from cardamomdrift.routing.watch import StatusWatch
+from cardamomdrift.routing.writes import WriteRunner
+from cardamomdrift.util import hash_number
+
+QUEUE_LIMIT = 2000  # requests
+
+
+@dataclass(frozen=True, slots=True)
+class VmIdentity:
+    """This VM."""
+
+    name: str
+    failure_domain: str
+
+
+@dataclass
+class GroupParts:
+    """What the runners of one group share."""
+
+    spec: object
+    vm: VmIdentity
+    view: GroupView
+    watch: StatusWatch
+    instances: dict
+    dispatcher: Dispatcher
+    costs: CostBook
+    budget: RetryBudget
+    clock: object
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What a group runtime takes from its daemon.
+
+    Attributes
+    ----------
+    vm : VmIdentity
+    login : Login
+    table : Table
+    deployment : str
+    members : callable
+        Returns the names of all VMs, as a tuple.
+    contacts : callable
+        See `FailoverMonitor`.
+    clock : callable
+    log : structlog logger
+    policy : Fifo or NewestFirst or Adaptive
+    """
+
+    vm: VmIdentity
+    login: object
+    table: object
+    deployment: str
+    members: object
+    contacts: object
+    clock: object
+    log: object
+    policy: object = Adaptive()
+
+
+class GroupRuntime:
+    """One database group as this VM uses it; an async context manager."""
+
+    def __init__(self, spec, surroundings):
+        self._spec = spec
+        self._clock = surroundings.clock
+        self._stack = AsyncExitStack()
+        view = make_view(spec)
+        instances = {
+            one.name: InstanceRuntime(
+                one, surroundings.login, surroundings.vm.name, self._clock, self
+            )
+            for one in spec.instances
+        }
+        watch = StatusWatch(spec, view, lambda name: instances[name].prober.want())
+        costs = CostBook()
+        dispatcher = Dispatcher(
+            spec,
+            instances,
+            view,
+            AdmissionQueue(QUEUE_LIMIT, surroundings.policy),
+            costs,
+            surroundings.vm,
+            surroundings.members,
+            self._clock,
+        )
+        self._parts = GroupParts(
+            spec=spec,
+            vm=surroundings.vm,
+            view=view,
+            watch=watch,
+            instances=instances,
+            dispatcher=dispatcher,
+            costs=costs,
+            budget=RetryBudget(),
+            clock=self._clock,
+        )
+        self._reads = ReadRunner(self._parts)
+        self._writes = WriteRunner(self._parts)
+        self._monitor = FailoverMonitor(
+            self._parts,
+            surroundings.login,
+            TermRecord(surroundings.table, surroundings.deployment, spec.name),
+            surroundings.members,
+            surroundings.contacts,
+            surroundings.log,
+            hash_number(surroundings.vm.name, spec.name),
+        )
+
+    @property
+    def spec(self):
+        """The group as the bundle describes it."""
+        return self._spec
+
+    @property
+    def view(self):
+        """What is known of the group's instances."""
+        return self._parts.view
+
+    @property
+    def parts(self):
+        """What the runners share."""
+        return self._parts
+
+    @property
+    def counts(self):
+        """Counts of failover events."""
+        return self._monitor.counts
+
+    async def __aenter__(self):
+        for runtime in self._parts.instances.values():
+            await self._stack.enter_async_context(runtime)
+        await self._stack.enter_async_context(self._parts.dispatcher)
+        await self._stack.enter_async_context(self._monitor)
+        self._stack.push_async_callback(self._reads.close)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._stack.aclose()
+
+    def set_members(self, members, may_connect):
+        """Take this VM's share of the instances' connections.
+
+        Parameters
+        ----------
+        members : int
+            VMs counted.
+        may_connect : bool
+            Whether the other VMs count this one.
+        """
+        share = share_of(self._spec.connections, members) if may_connect else 0
+        for runtime in self._parts.instances.values():
+            if runtime.pool.limit != share:
+                runtime.set_share(share)
+        self._parts.dispatcher.pump()
+
+    def set_leaving(self, instances):
+        """Send no new requests to the instances that are about to leave."""
+        for name, runtime in self._parts.instances.items():
+            runtime.leaving = name in instances
+
+    def trim(self, now):
+        """Close connections that have been idle for long."""
+        for runtime in self._parts.instances.values():
+            runtime.pool.trim(now)
+
+    async def read(self, request):
+        """Serve a read; see `ReadRunner.run`."""
+        return await self._reads.run(request)
+
+    async def write(self, request):
+        """Serve a write; see `WriteRunner.run`."""
+        return await self._writes.run(request)
+
+    async def begin(self, request):
+        """Open and return a transaction; see `Transaction.open`."""
+        transaction = Transaction(self._parts, request)
+        await transaction.open()
+        return transaction
+
+    # Listener of the probers
+
+    def probe_begun(self, name, now):
+        """Note that an instance was asked."""
+        self._parts.instances[name].silence.asked(now)
+
+    def probe_answered(self, name, status, begun_at, now):
+        """Take in an instance's answer."""
+        runtime = self._parts.instances[name]
+        was_usable = runtime.usable
+        leader = self._parts.view.primary
+        runtime.silence.answered()
+        self._parts.watch.take(name, status, begun_at, now)
+        if not was_usable or leader != self._parts.view.primary:
+            self._parts.dispatcher.pump()
+
+    def probe_failed(self, name, now, refused):
+        """Note that an instance did not answer."""
+        runtime = self._parts.instances[name]
+        runtime.silence.failed(now, refused)
+        if refused:
+            runtime.pool.drop_idle()
+        self._parts.watch.retry(name)
--- /dev/null
+++ b/cardamomdrift/routing/instance.py
@@ -0,0 +1,87 @@
+"""
+Instance runtime
+================
+
+Everything that one VM holds for one instance: its pool, its prober, how long it has
+been silent and how many requests run there.
+"""
+
+from contextlib import AsyncExitStack
+
+from cardamomdrift.failover.suspicion import SilenceClock
+from cardamomdrift.limits.concurrency import ConcurrencyLimit
+from cardamomdrift.upstreams.pool import InstancePool
+from cardamomdrift.upstreams.prober import CONTROL_CONNECTIONS, InstanceProber
+
+SILENCE_LIMIT = 0.3  # seconds after which an instance gets no new requests
+
+
+class InstanceRuntime:
+    """One instance as this VM uses it; an async context manager."""
+
+    def __init__(self, spec, login, vm, clock, listener):
+        self._spec = spec
+        self._clock = clock
+        self._pool = InstancePool(spec, login, vm, clock)
+        self._prober = InstanceProber(spec.name, self._pool, listener, clock)
+        self._silence = SilenceClock()
+        self._concurrency = ConcurrencyLimit()
+        self._stack = AsyncExitStack()
+        self.in_flight = 0
+        self.transactions = 0
+        self.leaving = False
+
+    @property
+    def spec(self):
+        """Where the instance is."""
+        return self._spec
+
+    @property
+    def pool(self):
+        """Connections to the instance."""
+        return self._pool
+
+    @property
+    def prober(self):
+        """Status questions to the instance."""
+        return self._prober
+
+    @property
+    def silence(self):
+        """How long the instance has left everything unanswered."""
+        return self._silence
+
+    @property
+    def concurrency(self):
+        """Limit on the requests that run there at once."""
+        return self._concurrency
+
+    @property
+    def limit(self):
+        """Requests that may run there at once now."""
+        data_connections = self._pool.limit - CONTROL_CONNECTIONS
+        return min(self._concurrency.current, data_connections)
+
+    @property
+    def transaction_limit(self):
+        """Transactions of callers that may be open there at once."""
+        return max(1, self._pool.limit - CONTROL_CONNECTIONS - 1)
+
+    @property
+    def usable(self):
+        """Whether new requests may go there."""
+        silent = self._silence.unanswered(self._clock()) > SILENCE_LIMIT
+        return not self.leaving and not silent
+
+    def set_share(self, connections):
+        """Change the number of connections."""
+        self._pool.set_limit(connections)
+        self._concurrency.set_maximum(connections - CONTROL_CONNECTIONS)
+
+    async def __aenter__(self):
+        await self._stack.enter_async_context(self._pool)
+        await self._stack.enter_async_context(self._prober)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._stack.aclose()
--- /dev/null
+++ b/cardamomdrift/routing/proof.py
@@ -0,0 +1,144 @@
+"""
+Proofs from statuses
+====================
+
+What a set of statuses proves: a floor for reads, or that a write may be acknowledged.
+Each question counts only statuses whose probe began at or after a given time.
+"""
+
+from dataclasses import dataclass
+
+from cardamomdrift.bundle.model import Durability
+from cardamomdrift.position import Position
+from cardamomdrift.routing.floor import sample_floor
+
+
+@dataclass(frozen=True, slots=True)
+class Pending:
+    """The statuses prove nothing yet."""
+
+
+@dataclass(frozen=True, slots=True)
+class FloorProven:
+    """The read may be served from the floor on."""
+
+    floor: Position
+
+
+@dataclass(frozen=True, slots=True)
+class WriteProven:
+    """The write may be acknowledged.
+
+    Attributes
+    ----------
+    position : Position
+        Position that includes the write.
+    """
+
+    position: Position
+
+
+@dataclass(frozen=True, slots=True)
+class Replaced:
+    """A higher term was seen, so the write may be lost."""
+
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class FloorQuestion:
+    """Which floor holds for a read.
+
+    Attributes
+    ----------
+    since : float
+    majority : int
+    include_primary : bool
+    """
+
+    since: float
+    majority: int
+    include_primary: bool
+
+
+@dataclass(slots=True)
+class WriteQuestion:
+    """Whether a committed write may be acknowledged.
+
+    Attributes
+    ----------
+    since : float
+        When the commit was answered, or later.
+    majority : int
+    primary : str
+    term : int
+        Term in which the primary committed the write.
+    durability : Durability
+    position : Position or None
+        Position that includes the write, once the primary has told it.
+    """
+
+    since: float
+    majority: int
+    primary: str
+    term: int
+    durability: Durability
+    position: Position | None = None
+
+
+def answer_floor(question, statuses):
+    """Return FloorProven or Pending."""
+    floor = sample_floor(statuses, question.majority, question.include_primary)
+    return Pending() if floor is None else FloorProven(floor)
+
+
+def answer_write(question, statuses):
+    """Return WriteProven, Replaced or Pending.
+
+    The primary's own status gives a position that includes the write.  Then enough
+    other instances, asked after the commit, must have seen no higher term; for
+    ``replicated`` they must hold that position besides.
+    """
+    highest = max((one.fence_term for one in statuses.values()), default=0)
+    if highest > question.term:
+        return Replaced(highest)
+    own = statuses.get(question.primary)
+    if own is not None and question.position is None:
+        if not own.primary:
+            return Replaced(own.fence_term)
+        question.position = own.position
+    if question.position is None:
+        return Pending()
+    others = [one for name, one in statuses.items() if name != question.primary]
+    if question.durability is Durability.REPLICATED:
+        others = [one for one in others if one.position >= question.position]
+    if len(others) < question.majority - 1:
+        return Pending()
+    return WriteProven(question.position)
+
+
+def answer(question, statuses):
+    """Return what some statuses prove for a question.
+
+    Parameters
+    ----------
+    question : FloorQuestion or WriteQuestion
+    statuses : dict of str to InstanceStatus
+        Statuses whose probes began at or after the question's time.
+    """
+    match question:
+        case FloorQuestion():
+            return answer_floor(question, statuses)
+        case WriteQuestion():
+            return answer_write(question, statuses)
+
+
+def wanted_instances(question, statuses, names):
+    """Return the instances whose next status may bring the answer."""
+    match question:
+        case FloorQuestion():
+            return [name for name in names if name not in statuses]
+        case WriteQuestion():
+            if question.position is None and question.primary not in statuses:
+                return list(names)
+            return [name for name in names if name != question.primary]
--- /dev/null
+++ b/cardamomdrift/routing/transactions.py
@@ -0,0 +1,221 @@
+"""
+Transactions
+============
+
+An interactive transaction of a caller holds one connection to the primary from BEGIN to
+its end.  Nobody else's statement runs there meanwhile.
+"""
+
+import asyncio
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+
+from cardamomdrift.bundle.model import Durability
+from cardamomdrift.errors import (
+    AlreadyDone,
+    NoPrimary,
+    OutcomeUnknown,
+    RefusedByInstance,
+    StatementRefused,
+    TransactionLost,
+    UpstreamError,
+)
+from cardamomdrift.limits.admission import Ticket
+from cardamomdrift.routing.answers import make_answer
+from cardamomdrift.routing.dispatch import ForTransaction
+from cardamomdrift.routing.floor import FloorRule
+from cardamomdrift.routing.writes import (
+    DUPLICATE_KEY,
+    READ_ONLY,
+    insert_key,
+    prove_commit,
+)
+from cardamomdrift.util import hash_text
+from cardamomdrift.wire import Ok
+
+BEGIN_COST = 0.005  # seconds
+IDLE_LIMIT = 30.0  # seconds between two statements of a transaction
+
+
+@dataclass(frozen=True, slots=True)
+class TransactionRequest:
+    """How a transaction is opened; times are in seconds."""
+
+    begin_sql: str
+    database: str | None
+    caller: str
+    key: str | None
+    durability: Durability
+    priority: int
+    at_least: object
+    arrived_at: float
+    statement_deadline: float
+
+
+class Transaction:
+    """One open transaction; an async context manager that rolls back when left."""
+
+    def __init__(self, parts, request):
+        self._parts = parts
+        self._request = request
+        self._stack = AsyncExitStack()
+        self._connection = None
+        self._place = None
+        self._wrote = False
+        self._used_at = 0.0
+        self._lost = None
+
+    @property
+    def idle_since(self):
+        """When the last statement ended."""
+        return self._used_at
+
+    @property
+    def wrote(self):
+        """Whether a statement may have changed something."""
+        return self._wrote
+
+    async def open(self):
+        """Open the transaction on the primary.
+
+        Raises
+        ------
+        CallerError
+        """
+        request = self._request
+        deadline_at = request.arrived_at + request.statement_deadline
+        ticket = Ticket(
+            caller=request.caller,
+            priority=request.priority,
+            arrived_at=request.arrived_at,
+            deadline_at=deadline_at,
+            cost=BEGIN_COST,
+        )
+        try:
+            await self._take_connection(ticket, deadline_at)
+            await self._begin(deadline_at)
+        except (UpstreamError, TimeoutError) as error:
+            await self.close()
+            raise NoPrimary("the primary could not be reached", 1.0) from error
+        except BaseException:
+            await self.close()
+            raise
+        self._used_at = self._parts.clock()
+
+    async def _take_connection(self, ticket, deadline_at):
+        parts = self._parts
+        self._place = await self._stack.enter_async_context(
+            parts.dispatcher.place(ForTransaction(), ticket)
+        )
+        pool = parts.instances[self._place.name].pool
+        self._connection = await self._stack.enter_async_context(
+            pool.connection(self._request.database, deadline_at)
+        )
+
+    async def _begin(self, deadline_at):
+        parts = self._parts
+        now = parts.clock()
+        rule = FloorRule(now, self._request.at_least)
+        floor = await parts.watch.floor(rule, now, True, deadline_at)
+        async with asyncio.timeout_at(deadline_at):
+            status = await self._connection.status()
+            if not status.primary or status.position < floor:
+                parts.watch.take(self._place.name, status, now, parts.clock())
+                raise NoPrimary("the primary was replaced", 0.2)
+            await self._connection.execute(self._request.begin_sql)
+            if self._request.key is not None:
+                await self._record_key()
+
+    async def _record_key(self):
+        key = self._request.key
+        try:
+            await self._connection.execute(insert_key(key, hash_text(key), 0, 0))
+        except StatementRefused as error:
+            if error.code == DUPLICATE_KEY:
+                raise AlreadyDone("a transaction with this key was committed") from error
+            raise
+        self._wrote = True
+
+    async def execute(self, sql, writes):
+        """Run one statement inside the transaction.
+
+        Raises
+        ------
+        TransactionLost
+            The transaction cannot be committed any more.
+        RefusedByInstance
+        """
+        self._check_usable()
+        self._wrote = self._wrote or writes
+        deadline_at = self._parts.clock() + self._request.statement_deadline
+        try:
+            async with asyncio.timeout_at(deadline_at):
+                result = await self._connection.execute_all(sql)
+        except StatementRefused as error:
+            if error.code in READ_ONLY:
+                await self._lose(error)
+            raise RefusedByInstance(error.code, error.message) from error
+        except (UpstreamError, TimeoutError) as error:
+            await self._lose(error)
+        finally:
+            self._used_at = self._parts.clock()
+        return make_answer(result)
+
+    def _check_usable(self):
+        if self._lost is not None:
+            raise self._lost
+
+    async def _lose(self, cause):
+        self._lost = TransactionLost("the connection of the transaction was lost", 0.2)
+        await self.close()
+        raise self._lost from cause
+
+    async def commit(self):
+        """Commit and return the position that includes the writes, or None.
+
+        Raises
+        ------
+        TransactionLost
+        OutcomeUnknown
+        """
+        self._check_usable()
+        deadline_at = self._parts.clock() + self._request.statement_deadline
+        try:
+            async with asyncio.timeout_at(deadline_at):
+                await self._connection.execute("COMMIT")
+        except StatementRefused as error:
+            await self._lose(error)
+        except (UpstreamError, TimeoutError) as error:
+            await self.close()
+            if not self._wrote:
+                raise TransactionLost("the connection was lost", 0.2) from error
+            raise OutcomeUnknown("no answer to the commit") from error
+        await self.close()
+        if not self._wrote:
+            return None
+        return await prove_commit(
+            self._parts, self._place, self._request.durability, deadline_at, None
+        )
+
+    async def rollback(self):
+        """Roll back; a connection that does not answer is closed."""
+        if self._lost is None and self._connection is not None:
+            try:
+                async with asyncio.timeout(self._request.statement_deadline):
+                    await self._connection.execute("ROLLBACK")
+            except (UpstreamError, TimeoutError):
+                self._connection.close()
+        await self.close()
+        return Ok()
+
+    async def abandon(self):
+        """End a transaction whose caller has gone: its connection is closed."""
+        if self._connection is not None:
+            self._connection.close()
+        await self.close()
+
+    async def close(self):
+        """Give the connection back, if it is still held."""
+        stack, self._stack = self._stack, AsyncExitStack()
+        await stack.aclose()
+
--- a/cardamomdrift/routing/view.py
+++ b/cardamomdrift/routing/view.py
@@ -27,6 +27,8 @@
         Instance that it replicates from.
     source_silence : float
         How long it had not heard from its source at its last status.
+    begun_at : float or None
+        When its last status was asked for.
     answered_at : float or None
         When its last status came.
     rate : float
@@ -38,6 +40,7 @@
     primary: bool = False
     source: str = ""
     source_silence: float = 0.0
+    begun_at: float | None = None
     answered_at: float | None = None
     rate: float = 0.0
 
@@ -74,29 +77,32 @@
         """Take in a term that a peer has seen."""
         self.heard_term = max(self.heard_term, term)
 
-    def observe(self, name, status, now):
-        """Take in a status that an instance gave."""
+    def observe(self, name, status, begun_at, now):
+        """Take in a status that an instance gave to a question begun at a time.
+
+        The position is taken as it is, also if it is lower: an instance that discards
+        entries does so when it copies another one.
+        """
         one = self.instances[name]
-        elapsed = now - one.answered_at if one.answered_at is not None else 0.0
-        if elapsed > 0 and status.position.term == one.position.term:
-            moved = (status.position.sequence - one.position.sequence) / elapsed
-            one.rate += RATE_WEIGHT * (max(moved, 0.0) - one.rate)
         one.fence_term = max(one.fence_term, status.fence_term)
-        one.position = max(one.position, status.position)
-        if status.fence_term == one.fence_term:
-            one.primary = status.primary
+        if one.begun_at is not None and begun_at <= one.begun_at:
+            return
+        self._note_rate(one, status.position, now)
+        one.position = status.position
+        one.primary = status.primary and status.fence_term == one.fence_term
         one.source = status.source
         one.source_silence = status.source_silence
+        one.begun_at = begun_at
         one.answered_at = now
 
-    def forget(self, name):
-        """Forget the position of an instance whose connections all broke.
-
-        A restarted instance may hold less than it reported before.
-        """
-        one = self.instances[name]
-        one.position = ORIGIN
-        one.rate = 0.0
+    @staticmethod
+    def _note_rate(one, position, now):
+        if one.answered_at is None or position.term != one.position.term:
+            return
+        elapsed = now - one.answered_at
+        if elapsed > 0:
+            moved = (position.sequence - one.position.sequence) / elapsed
+            one.rate += RATE_WEIGHT * (max(moved, 0.0) - one.rate)
 
     def demote(self, name, term):
         """Note that an instance refused a write as a replaced primary would."""
--- /dev/null
+++ b/cardamomdrift/routing/watch.py
@@ -0,0 +1,126 @@
+"""
+Status watch
+============
+
+Collects the statuses of a group's instances and answers the questions that wait for
+them.  One status answers every question that began before it, so the number of probes
+does not grow with the number of requests.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from cardamomdrift.routing.floor import FloorHistory, Sample
+from cardamomdrift.routing.proof import (
+    FloorProven,
+    FloorQuestion,
+    Pending,
+    answer,
+    wanted_instances,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """The last status of an instance."""
+
+    begun_at: float
+    status: object
+
+
+class StatusWatch:
+    """Open questions about one group.
+
+    Parameters
+    ----------
+    spec : GroupSpec
+    view : GroupView
+    want : callable
+        Asks an instance, by name, for a new status.
+    """
+
+    def __init__(self, spec, view, want):
+        self._spec = spec
+        self._view = view
+        self._want = want
+        self._answers = {}
+        self._questions = {}
+        self._floors = FloorHistory()
+
+    @property
+    def open_questions(self):
+        """Number of questions without an answer."""
+        return len(self._questions)
+
+    def take(self, name, status, begun_at, now):
+        """Take in a status and answer what it answers."""
+        self._view.observe(name, status, begun_at, now)
+        known = self._answers.get(name)
+        if known is None or begun_at > known.begun_at:
+            self._answers[name] = _Answer(begun_at, status)
+        for question, _ in list(self._questions.values()):
+            self._try(question)
+
+    def retry(self, name):
+        """Ask an instance again, after a failure, if a question still wants it."""
+        for question, _ in self._questions.values():
+            statuses = self._since(question.since)
+            if name in wanted_instances(question, statuses, self._spec.names):
+                self._want(name)
+                return
+
+    def _since(self, time):
+        return {
+            name: one.status
+            for name, one in self._answers.items()
+            if one.begun_at >= time
+        }
+
+    def recent(self, time):
+        """Return the statuses whose probes began at or after a time, by instance."""
+        return self._since(time)
+
+    def _try(self, question):
+        statuses = self._since(question.since)
+        result = answer(question, statuses)
+        if isinstance(result, Pending):
+            for name in wanted_instances(question, statuses, self._spec.names):
+                self._want(name)
+            return
+        if isinstance(result, FloorProven):
+            self._floors.add(Sample(question.since, result.floor))
+        _, future = self._questions.pop(id(question))
+        if not future.done():
+            future.set_result(result)
+
+    async def ask(self, question, deadline_at):
+        """Return the answer to a question.
+
+        Raises
+        ------
+        TimeoutError
+            If there is none by the deadline.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self._questions[id(question)] = (question, future)
+        self._try(question)
+        try:
+            async with asyncio.timeout_at(deadline_at):
+                return await future
+        finally:
+            self._questions.pop(id(question), None)
+
+    async def floor(self, rule, now, include_primary, deadline_at):
+        """Return the floor that a rule gives.
+
+        Raises
+        ------
+        TimeoutError
+            If no majority has answered by the deadline.
+        """
+        known = self._floors.find(rule)
+        if known is not None:
+            return known
+        question = FloorQuestion(now, self._spec.majority, include_primary)
+        proven = await self.ask(question, deadline_at)
+        return max(proven.floor, rule.at_least)
--- /dev/null
+++ b/cardamomdrift/routing/writes.py
@@ -0,0 +1,287 @@
+"""
+Writes
+======
+
+Runs a write outside transactions on the primary and acknowledges it only when no higher
+term can have replaced that primary before the commit.  A write with a key is recorded
+in the same transaction, so that a repeat finds it.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from cardamomdrift.bundle.model import Durability
+from cardamomdrift.errors import (
+    DeadlinePassed,
+    KeyReused,
+    NoPrimary,
+    OutcomeUnknown,
+    Overloaded,
+    RefusedByInstance,
+    StatementRefused,
+    UpstreamError,
+    UpstreamLost,
+    UpstreamUnreachable,
+)
+from cardamomdrift.limits.admission import Ticket
+from cardamomdrift.position import Position
+from cardamomdrift.routing.answers import make_answer
+from cardamomdrift.routing.dispatch import ForWrite
+from cardamomdrift.routing.proof import Replaced, WriteProven, WriteQuestion
+from cardamomdrift.sessions.statement import shape_of
+from cardamomdrift.upstreams.contract import REQUEST_TABLE
+from cardamomdrift.util import hash_text
+from cardamomdrift.wire import Ok
+
+DUPLICATE_KEY = 1062
+READ_ONLY = (1290, 1792, 1836)
+RETRY_PAUSE = 0.05  # seconds
+
+
+@dataclass(frozen=True, slots=True)
+class WriteRequest:
+    """One write; times are in seconds of the loop's clock.
+
+    Attributes
+    ----------
+    sql : str
+    database : str or None
+    caller : str
+        Whose turn it takes in the queue.
+    key : str or None
+        Idempotency key.
+    repeatable : bool
+        Whether running it twice does no harm.
+    durability : Durability
+    priority : int
+    arrived_at : float
+    deadline_at : float
+    """
+
+    sql: str
+    database: str | None
+    caller: str
+    key: str | None
+    repeatable: bool
+    durability: Durability
+    priority: int
+    arrived_at: float
+    deadline_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class WriteAnswer:
+    """Answer of an acknowledged write and the position that includes it."""
+
+    answer: object
+    position: Position
+    repeated: bool = False
+
+
+class _TryAgain(Exception):
+    """The write was proven not run; another try is safe."""
+
+
+class _CommitUnknown(Exception):
+    """The write may have been committed."""
+
+
+def quote(text):
+    """Return a text as a string literal."""
+    return "'" + text.replace("\\", "\\\\").replace("'", "''") + "'"
+
+
+def select_key(key):
+    """Return the statement that looks a key up."""
+    return (
+        f"SELECT request_digest, affected_rows, insert_id FROM {REQUEST_TABLE} "
+        f"WHERE request_key = {quote(key)}"
+    )
+
+
+def insert_key(key, digest, affected_rows, insert_id):
+    """Return the statement that records a key."""
+    return (
+        f"INSERT INTO {REQUEST_TABLE} "
+        "(request_key, request_digest, affected_rows, insert_id) VALUES "
+        f"({quote(key)}, '{digest}', {affected_rows}, {insert_id})"
+    )
+
+
+class WriteRunner:
+    """Runs the writes of one group.
+
+    Parameters
+    ----------
+    parts : GroupParts
+        What the group's runners share.
+    """
+
+    def __init__(self, parts):
+        self._parts = parts
+
+    async def run(self, request):
+        """Return the answer to a write once it may be acknowledged.
+
+        Raises
+        ------
+        CallerError
+        """
+        self._parts.budget.earn()
+        unknown = False
+        while True:
+            try:
+                return await self._once(request)
+            except _TryAgain:
+                pass
+            except _CommitUnknown as error:
+                unknown = True
+                if request.key is None and not request.repeatable:
+                    raise OutcomeUnknown("no answer to the write") from error
+            except (Overloaded, DeadlinePassed, NoPrimary) as error:
+                if unknown:
+                    raise OutcomeUnknown("no answer to the write") from error
+                raise
+            await self._pause_before_retry(request, unknown)
+
+    async def _pause_before_retry(self, request, unknown):
+        late = self._parts.clock() + RETRY_PAUSE >= request.deadline_at
+        if late or not self._parts.budget.spend():
+            if unknown:
+                raise OutcomeUnknown("no answer to the write")
+            raise NoPrimary("the primary could not be reached", 1.0)
+        await asyncio.sleep(RETRY_PAUSE)
+
+    async def _once(self, request):
+        parts = self._parts
+        shape = shape_of(request.sql)
+        ticket = Ticket(
+            caller=request.caller,
+            priority=request.priority,
+            arrived_at=request.arrived_at,
+            deadline_at=request.deadline_at,
+            cost=parts.costs.expected(shape),
+        )
+        async with parts.dispatcher.place(ForWrite(), ticket) as place:
+            runtime = parts.instances[place.name]
+            try:
+                async with runtime.pool.connection(
+                    request.database, request.deadline_at
+                ) as connection:
+                    started = parts.clock()
+                    result, repeated = await self._run_on(connection, request, place)
+                    parts.costs.learn(shape, parts.clock() - started)
+            except UpstreamUnreachable as error:
+                raise _TryAgain() from error
+        position = await prove_commit(
+            parts, place, request.durability, request.deadline_at, request.key
+        )
+        return WriteAnswer(result, position, repeated)
+
+    async def _run_on(self, connection, request, place):
+        if request.key is not None:
+            return await _KeyedWrite(self._parts, connection, request, place).run()
+        try:
+            async with asyncio.timeout_at(request.deadline_at):
+                result = await connection.execute_all(request.sql)
+        except StatementRefused as error:
+            raise_refusal(self._parts, error, place)
+        except (UpstreamLost, TimeoutError) as error:
+            raise _CommitUnknown() from error
+        return make_answer(result), False
+
+
+def raise_refusal(parts, error, place):
+    """Raise what an instance's error means for the request."""
+    if error.code in READ_ONLY:
+        parts.view.demote(place.name, place.term)
+        parts.instances[place.name].prober.want()
+        raise _TryAgain() from error
+    raise RefusedByInstance(error.code, error.message) from error
+
+
+async def prove_commit(parts, place, durability, deadline_at, key):
+    """Return the position of a committed write once it may be acknowledged.
+
+    Raises
+    ------
+    OutcomeUnknown
+        If a higher term was seen, or nothing was proven by the deadline.
+    """
+    question = WriteQuestion(
+        since=parts.clock(),
+        majority=parts.spec.majority,
+        primary=place.name,
+        term=place.term,
+        durability=durability,
+    )
+    try:
+        proof = await parts.watch.ask(question, deadline_at)
+    except TimeoutError:
+        raise OutcomeUnknown("the commit was not confirmed in time") from None
+    match proof:
+        case WriteProven(position):
+            return position
+        case Replaced(term) if key is not None:
+            raise _CommitUnknown() from None
+        case Replaced(term):
+            raise OutcomeUnknown(f"the primary was replaced in term {term}")
+
+
+class _KeyedWrite:
+    """One try of a write with a key, as a transaction that records the key."""
+
+    def __init__(self, parts, connection, request, place):
+        self._parts = parts
+        self._connection = connection
+        self._request = request
+        self._place = place
+        self._digest = hash_text(request.sql)
+
+    async def run(self):
+        """Return the answer and whether it is that of an earlier run."""
+        try:
+            async with asyncio.timeout_at(self._request.deadline_at):
+                return await self._transaction()
+        except TimeoutError as error:
+            # The connection is closed, so the transaction cannot commit any more
+            # unless its COMMIT had been sent.
+            raise _CommitUnknown() from error
+
+    async def _transaction(self):
+        connection = self._connection
+        try:
+            await connection.execute("BEGIN")
+            result = await connection.execute_all(self._request.sql)
+            await connection.execute(
+                insert_key(
+                    self._request.key,
+                    self._digest,
+                    result.affected_rows,
+                    result.insert_id,
+                )
+            )
+        except StatementRefused as error:
+            return await self._after_refusal(error)
+        except UpstreamLost as error:
+            raise _TryAgain() from error  # COMMIT was not sent
+        try:
+            await connection.execute("COMMIT")
+        except StatementRefused as error:
+            raise_refusal(self._parts, error, self._place)
+        except UpstreamError as error:
+            raise _CommitUnknown() from error
+        return make_answer(result), False
+
+    async def _after_refusal(self, error):
+        try:
+            await self._connection.execute("ROLLBACK")
+            found = await self._connection.execute(select_key(self._request.key))
+        except UpstreamError as failure:
+            raise _TryAgain() from failure
+        if not found.rows:
+            raise_refusal(self._parts, error, self._place)
+        digest, affected_rows, insert_id = found.rows[0]
+        if digest.decode() != self._digest:
+            raise KeyReused("the key was used for another statement")
+        return Ok(int(affected_rows), int(insert_id)), True
--- a/cardamomdrift/standins/instance.py
+++ b/cardamomdrift/standins/instance.py
@@ -25,6 +25,7 @@
 LOCK_WAIT_TIMEOUT = 1205
 LOCK_WAIT = 5.0  # seconds
 PULL_INTERVAL = 0.02  # seconds
+HEARTBEAT = 0.1  # seconds
 MAX_PACKET = 4 * 1024 * 1024  # bytes
 MILLISECONDS = 1000.0  # per second
 
@@ -96,6 +97,7 @@
         self._healed = asyncio.Event()
         self._sessions = set()
         self._statements = 0
+        self.appended = asyncio.Event()
 
     @property
     def name(self):
@@ -290,6 +292,8 @@
         position = Position(self._leads_term, self.position.sequence + 1)
         now = asyncio.get_running_loop().time()
         self._log.append(LogEntry(position, tuple(statements), now))
+        self.appended.set()
+        self.appended = asyncio.Event()
 
     async def take_writer(self, session):
         """Open the write transaction for a session."""
@@ -341,11 +345,25 @@
 
     async def _pull(self):
         while True:
-            await asyncio.sleep(PULL_INTERVAL)
             source = self._source
-            if source is not None and self._link_up(source):
+            if source is None:
+                await asyncio.sleep(PULL_INTERVAL)
+                continue
+            if self._link_up(source):
                 self._source_heard = asyncio.get_running_loop().time()
                 self._apply_from(source)
+            await self._wait_for(source)
+
+    async def _wait_for(self, source):
+        if self._options.lag or not self._link_up(source):
+            await asyncio.sleep(PULL_INTERVAL)
+            return
+        try:
+            async with asyncio.timeout(HEARTBEAT):
+                await source.appended.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(self._options.link_delay)
 
     def _link_up(self, source):
         cut = self._cut_replication or source._cut_replication
@@ -355,6 +373,8 @@
         if not source.leads or source._leads_term < self._fence_term or self.leads:
             return
         if not self._is_prefix_of(source):
+            # Copying another instance restarts the server, as MySQL's clone does.
+            self._server.drop_connections()
             self._engine.reset()
             self._log.clear()
         due = asyncio.get_running_loop().time() - self._options.lag
--- a/cardamomdrift/upstreams/connection.py
+++ b/cardamomdrift/upstreams/connection.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from asyncmy import connect
 from asyncmy.cursors import SSCursor
@@ -24,6 +24,7 @@
 
 TOO_MANY_CONNECTIONS = 1040
 CLIENT_ERRORS = range(2000, 3000)
+HELD_ROWS = 200_000
 RESULT_TOO_LARGE = 16 * 1024 * 1024  # bytes
 
 
@@ -54,6 +55,7 @@
         self._broken = False
         self._outstanding = False
         self.database = None
+        self.opened_at = 0.0
         self.idle_since = 0.0
 
     @property
@@ -61,6 +63,11 @@
         """Whether the next request may use the connection."""
         return not self._broken and not self._outstanding and self._connection.connected
 
+    @property
+    def streaming(self):
+        """Whether rows of a long answer are still to come."""
+        return self._cursor is not None
+
     def close(self):
         """Close the connection at once."""
         self._broken = True
@@ -135,6 +142,25 @@
             self._cursor = None
         return rows
 
+    async def execute_all(self, sql):
+        """Run one statement and return its whole answer.
+
+        Raises
+        ------
+        UpstreamLost
+            Besides the cases of `execute`, if the answer has too many rows to hold.
+        """
+        result = await self.execute(sql)
+        if result.complete:
+            return result
+        rows = list(result.rows)
+        while self.streaming:
+            rows.extend(await self.next_batch())
+            if len(rows) > HELD_ROWS:
+                self.close()
+                raise UpstreamLost("the answer has too many rows")
+        return replace(result, rows=rows, complete=True)
+
     async def use(self, database):
         """Select a database, if it is not selected yet."""
         if database and database != self.database:
--- /dev/null
+++ b/cardamomdrift/upstreams/pool.py
@@ -0,0 +1,192 @@
+"""
+Connection pool
+===============
+
+The connections of one VM to one instance, with a hard bound.  A connection goes back
+only if nothing is outstanding on it; otherwise it is closed.
+"""
+
+import asyncio
+from collections import deque
+from contextlib import asynccontextmanager
+
+from cardamomdrift.errors import (
+    DeadlinePassed,
+    UpstreamBusy,
+    UpstreamError,
+    UpstreamUnreachable,
+)
+from cardamomdrift.upstreams.connection import open_connection
+
+CONNECT_TIMEOUT = 1.0  # seconds
+IDLE_LIMIT = 60.0  # seconds
+BUSY_PAUSE = 0.2  # seconds
+
+
+class InstancePool:
+    """Connections to one instance; an async context manager.
+
+    Parameters
+    ----------
+    spec : InstanceSpec
+    login : Login
+    vm : str
+        Name of this VM.
+    clock : callable
+        Returns seconds of the loop's clock.
+    """
+
+    def __init__(self, spec, login, vm, clock):
+        self._spec = spec
+        self._login = login
+        self._vm = vm
+        self._clock = clock
+        self._limit = 0
+        self._idle = deque()
+        self._in_use = set()
+        self._opening = 0
+        self._waiters = deque()
+        self._busy_until = 0.0
+        self._closed = False
+        self._refusals = 0
+
+    @property
+    def limit(self):
+        """Largest number of connections."""
+        return self._limit
+
+    @property
+    def in_use(self):
+        """Number of connections that are held."""
+        return len(self._in_use)
+
+    @property
+    def size(self):
+        """Number of connections that are open or being opened."""
+        return len(self._idle) + len(self._in_use) + self._opening
+
+    @property
+    def refusals(self):
+        """Number of connections that the instance refused as too many."""
+        return self._refusals
+
+    def set_limit(self, limit):
+        """Change the bound; idle connections above it are closed at once."""
+        self._limit = limit
+        while self._idle and self.size > limit:
+            self._idle.popleft().close()
+        self._wake()
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self._closed = True
+        self.drop_idle()
+        for connection in list(self._in_use):
+            connection.close()
+
+    def drop_idle(self):
+        """Close all idle connections."""
+        while self._idle:
+            self._idle.popleft().close()
+
+    def trim(self, now):
+        """Close connections that have been idle for long."""
+        while self._idle and now - self._idle[0].idle_since > IDLE_LIMIT:
+            self._idle.popleft().close()
+
+    @asynccontextmanager
+    async def connection(self, database, deadline_at):
+        """Hold a connection with a database selected.
+
+        Raises
+        ------
+        UpstreamUnreachable
+            No connection could be had; nothing was sent.
+        DeadlinePassed
+        """
+        connection = await self.acquire(deadline_at)
+        try:
+            try:
+                async with asyncio.timeout_at(deadline_at):
+                    await connection.use(database)
+            except (UpstreamError, TimeoutError) as error:
+                connection.close()
+                raise UpstreamUnreachable("database could not be selected") from error
+            yield connection
+        finally:
+            self.release(connection)
+
+    async def acquire(self, deadline_at):
+        """Return a connection that must be released."""
+        while True:
+            if self._closed:
+                raise UpstreamUnreachable("pool is closed")
+            connection = self._take_idle()
+            if connection is not None:
+                return connection
+            if self.size < self._limit and self._clock() >= self._busy_until:
+                return await self._open(deadline_at)
+            await self._wait(deadline_at)
+
+    def _take_idle(self):
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.reusable:
+                self._in_use.add(connection)
+                return connection
+            connection.close()
+        return None
+
+    async def _open(self, deadline_at):
+        timeout = min(CONNECT_TIMEOUT, deadline_at - self._clock())
+        if timeout <= 0:
+            raise DeadlinePassed("no time left to connect")
+        self._opening += 1
+        try:
+            connection = await open_connection(
+                self._spec.address, self._spec.port, self._login, self._vm, timeout
+            )
+        except UpstreamBusy:
+            # A refusal is backpressure: others may hold what our share counted on.
+            self._refusals += 1
+            self._busy_until = self._clock() + BUSY_PAUSE
+            raise
+        finally:
+            self._opening -= 1
+        connection.opened_at = self._clock()
+        self._in_use.add(connection)
+        return connection
+
+    async def _wait(self, deadline_at):
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        pause = min(deadline_at, max(self._busy_until, self._clock() + BUSY_PAUSE))
+        try:
+            async with asyncio.timeout_at(pause):
+                await waiter
+        except TimeoutError:
+            if self._clock() >= deadline_at:
+                raise DeadlinePassed("no connection became free") from None
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+
+    def release(self, connection):
+        """Give a connection back."""
+        self._in_use.discard(connection)
+        fits = self.size < self._limit and not self._closed
+        if connection.reusable and fits:
+            connection.idle_since = self._clock()
+            self._idle.append(connection)
+        else:
+            connection.close()
+        self._wake()
+
+    def _wake(self):
+        while self._waiters:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
--- /dev/null
+++ b/cardamomdrift/upstreams/prober.py
@@ -0,0 +1,102 @@
+"""
+Prober
+======
+
+Asks one instance for its status, one question at a time, whenever somebody wants an
+answer begun after now.  A question left unanswered closes the connection, and the next
+one goes over a new connection: so a silent connection is told from a dead instance.
+"""
+
+import asyncio
+
+from cardamomdrift.errors import DeadlinePassed, UpstreamError, UpstreamUnreachable
+from cardamomdrift.util import cancel_all
+
+PROBE_TIMEOUT = 0.5  # seconds
+PROBE_INTERVAL = 0.003  # seconds between the beginnings of two questions
+RETRY_INTERVAL = 0.1  # seconds after a failure
+CONTROL_CONNECTIONS = 1
+
+
+class InstanceProber:
+    """Status questions to one instance; an async context manager.
+
+    Parameters
+    ----------
+    name : str
+    pool : InstancePool
+        Pool that the control connection comes from.
+    listener : ProbeListener
+        Takes the answers and failures.
+    clock : callable
+    """
+
+    def __init__(self, name, pool, listener, clock):
+        self._name = name
+        self._pool = pool
+        self._listener = listener
+        self._clock = clock
+        self._wanted = asyncio.Event()
+        self._connection = None
+        self._task = None
+        self._asked = 0
+
+    @property
+    def asked(self):
+        """Number of questions asked."""
+        return self._asked
+
+    def want(self):
+        """Ask again as soon as the question under way is answered."""
+        self._wanted.set()
+
+    async def __aenter__(self):
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await cancel_all([self._task])
+        self._drop()
+
+    def _drop(self):
+        if self._connection is not None:
+            self._connection.close()
+            self._pool.release(self._connection)
+            self._connection = None
+
+    async def _run(self):
+        while True:
+            await self._wanted.wait()
+            self._wanted.clear()
+            answered = await self._ask()
+            await asyncio.sleep(PROBE_INTERVAL if answered else RETRY_INTERVAL)
+
+    async def _ask(self):
+        self._listener.probe_begun(self._name, self._clock())
+        try:
+            status, begun_at = await self._call()
+        except (UpstreamError, DeadlinePassed, TimeoutError) as error:
+            self._drop()
+            refused = isinstance(error, UpstreamUnreachable) and _is_refusal(error)
+            self._listener.probe_failed(self._name, self._clock(), refused)
+            return False
+        self._listener.probe_answered(self._name, status, begun_at, self._clock())
+        return True
+
+    async def _call(self):
+        deadline_at = self._clock() + PROBE_TIMEOUT
+        if self._connection is None:
+            self._connection = await self._pool.acquire(deadline_at)
+        begun_at = self._clock()
+        self._asked += 1
+        async with asyncio.timeout_at(deadline_at):
+            return await self._connection.status(), begun_at
+
+
+def _is_refusal(error):
+    cause = error.__cause__
+    while cause is not None:
+        if isinstance(cause, ConnectionRefusedError):
+            return True
+        cause = cause.__cause__
+    return False
