--- /dev/null
+++ b/cardamomdrift/bundle/follower.py
@@ -0,0 +1,152 @@
+"""
+Bundle follower
+===============
+
+Finds the newest bundle, from the platform or from peers, and hands it on.  Versions only
+rise.  At its start a daemon serves nothing until the platform has told it the newest
+version or, if the platform is down, most of its configured peers have.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from cardamomdrift.bundle.model import Bundle
+from cardamomdrift.bundle.registry import read_body
+from cardamomdrift.errors import BundleError, PlatformRefused, PlatformUnavailable
+from cardamomdrift.peers.link import ask
+from cardamomdrift.peers.messages import BundleQuery, BundleReply
+from cardamomdrift.platform.objects import digest_of
+from cardamomdrift.util import cancel_all
+
+POLL_INTERVAL = 2.0  # seconds
+START_RETRY = 0.5  # seconds
+
+
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """The bundle that a daemon obeys."""
+
+    version: int
+    digest: str
+    body: bytes
+    bundle: Bundle
+
+
+class BundleFollower:
+    """Follows the deployment's bundle; an async context manager.
+
+    Parameters
+    ----------
+    registry : BundleRegistry
+    seeds : sequence of str
+        Addresses of the peers in the settings, as ``ip:port``.
+    on_bundle : coroutine function
+        Takes an InForce and returns when it is obeyed.
+    log : structlog logger
+    """
+
+    def __init__(self, registry, seeds, on_bundle, log):
+        self._registry = registry
+        self._seeds = tuple(seeds)
+        self._on_bundle = on_bundle
+        self._log = log
+        self._in_force = None
+        self._hint = asyncio.Event()
+        self._hinted = None
+        self._task = None
+        self._lock = asyncio.Lock()
+
+    @property
+    def in_force(self):
+        """The bundle that is obeyed, or None."""
+        return self._in_force
+
+    @property
+    def version(self):
+        """Version of the bundle that is obeyed; 0 before the first."""
+        return self._in_force.version if self._in_force else 0
+
+    async def start(self):
+        """Wait until the newest bundle is known and obeyed."""
+        while self._in_force is None:
+            try:
+                await self._poll()
+            except PlatformUnavailable:
+                await self._start_from_peers()
+            if self._in_force is None:
+                await asyncio.sleep(START_RETRY)
+
+    async def _start_from_peers(self):
+        replies = await asyncio.gather(
+            *(ask(address, BundleQuery()) for address in self._seeds)
+        )
+        answers = [one for one in replies if isinstance(one, BundleReply)]
+        if not self._seeds or len(answers) * 2 <= len(self._seeds):
+            self._log.warning("no bundle yet: platform down and too few peers answer")
+            return
+        newest = max(answers, key=lambda one: one.version)
+        if newest.version:
+            await self._take(newest.version, newest.digest, newest.body)
+
+    async def __aenter__(self):
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await cancel_all([self._task])
+
+    def hint(self, version, digest, address):
+        """Take in that a peer obeys a version; a newer one is fetched at once."""
+        if version > self.version:
+            self._hinted = (version, digest, address)
+            self._hint.set()
+
+    async def _run(self):
+        while True:
+            try:
+                async with asyncio.timeout(POLL_INTERVAL):
+                    await self._hint.wait()
+            except TimeoutError:
+                pass
+            self._hint.clear()
+            try:
+                await self._poll()
+            except PlatformUnavailable:
+                await self._take_hint()
+
+    async def _take_hint(self):
+        """Fetch a newer bundle from the peer that has it, while the platform is down."""
+        hinted, self._hinted = self._hinted, None
+        if hinted is None or hinted[0] <= self.version or hinted[2] is None:
+            return
+        reply = await ask(hinted[2], BundleQuery())
+        if isinstance(reply, BundleReply):
+            await self._take(reply.version, reply.digest, reply.body)
+
+    async def _poll(self):
+        newest = await self._registry.latest()
+        if newest is None or newest.version <= self.version:
+            return
+        try:
+            body = await self._registry.fetch(newest.digest)
+        except (BundleError, PlatformRefused) as error:
+            self._log.error("bundle not usable", version=newest.version, error=str(error))
+            return
+        await self._take(newest.version, newest.digest, body)
+
+    async def _take(self, version, digest, body):
+        async with self._lock:
+            if version <= self.version:
+                return
+            if digest_of(body) != digest:
+                self._log.error("bundle does not match its digest", version=version)
+                return
+            try:
+                bundle = read_body(body)
+            except BundleError as error:
+                self._log.error("bundle not usable", version=version, error=str(error))
+                return
+            in_force = InForce(version, digest, body, bundle)
+            await self._on_bundle(in_force)
+            self._in_force = in_force
+            self._log.info("bundle in force", version=version, digest=digest[:12])
--- /dev/null
+++ b/cardamomdrift/bundle/registry.py
@@ -0,0 +1,178 @@
+"""
+Bundle registry
+===============
+
+Sign-offs and roll-outs of one deployment.  A bundle's body lies in the object store
+under its digest; the table has one row for each sign-off and one for each version.  A
+version is taken by the first conditional write, so of two operators one wins and the
+other learns who did.
+"""
+
+import uuid
+from dataclasses import dataclass
+
+from returns.result import Failure, Success
+
+from cardamomdrift.bundle.model import decode_bundle, encode_bundle
+from cardamomdrift.errors import (
+    BundleConflict,
+    BundleError,
+    BundleNotSignedOff,
+    PlatformUnavailable,
+)
+from cardamomdrift.platform.table import NotTaken, StillUnknown, Taken
+
+SIGN_OFF = "signoff"
+VERSION = "bundle"
+
+
+@dataclass(frozen=True, slots=True)
+class SignOff:
+    """Record that somebody approved a bundle."""
+
+    digest: str
+    operator: str
+    signed_at: str
+    checks: str
+
+
+@dataclass(frozen=True, slots=True)
+class RollOut:
+    """One version of the deployment's bundle."""
+
+    version: int
+    digest: str
+    operator: str
+    rolled_out_at: str
+
+
+def _make_roll_out(row):
+    return RollOut(
+        int(row["version"]), row["digest"], row["operator"], row["rolled_out_at"]
+    )
+
+
+class BundleRegistry:
+    """Bundles of one deployment."""
+
+    def __init__(self, table, objects, deployment):
+        self._table = table
+        self._objects = objects
+        self._deployment = deployment
+
+    @property
+    def _stream(self):
+        return self._deployment, VERSION
+
+    async def sign_off(self, model, operator, now):
+        """Store a checked bundle and record the sign-off; return it.
+
+        Parameters
+        ----------
+        model : BundleModel
+        operator : str
+        now : datetime
+
+        Raises
+        ------
+        PlatformUnavailable
+        """
+        digest = await self._objects.put(encode_bundle(model))
+        checks = f"{len(model.groups)} groups, {len(model.classes)} classes: passed"
+        record = SignOff(digest, operator, now.isoformat(timespec="seconds"), checks)
+        fields = {
+            "digest": digest,
+            "operator": operator,
+            "signed_at": record.signed_at,
+            "checks": checks,
+        }
+        await self._table.put(self._deployment, f"{SIGN_OFF}#{digest}", fields)
+        return record
+
+    async def find_sign_off(self, digest):
+        """Return the sign-off of a digest, or None."""
+        row = await self._table.get(self._deployment, f"{SIGN_OFF}#{digest}")
+        if row is None:
+            return None
+        return SignOff(digest, row["operator"], row["signed_at"], row["checks"])
+
+    async def latest(self):
+        """Return the newest roll-out, or None.
+
+        Raises
+        ------
+        PlatformUnavailable
+        """
+        row = await self._table.latest(self._stream)
+        return None if row is None else _make_roll_out(row)
+
+    async def history(self, limit):
+        """Return the newest roll-outs, newest first."""
+        rows = await self._table.list(
+            self._deployment, f"{VERSION}#", newest_first=True, limit=limit
+        )
+        return [_make_roll_out(row) for row in rows]
+
+    async def roll_out(self, digest, expected_version, operator, now):
+        """Make a signed-off bundle the version after the expected one.
+
+        Returns
+        -------
+        Success of RollOut, or Failure of BundleNotSignedOff, BundleConflict or \
+        PlatformUnavailable
+        """
+        if await self.find_sign_off(digest) is None:
+            return Failure(BundleNotSignedOff(digest))
+        newest = await self.latest()
+        version = newest.version if newest else 0
+        if version != expected_version:
+            return Failure(BundleConflict(version, newest.operator, newest.digest))
+        record = RollOut(
+            version + 1, digest, operator, now.isoformat(timespec="seconds")
+        )
+        fields = {
+            "version": record.version,
+            "digest": digest,
+            "operator": operator,
+            "rolled_out_at": record.rolled_out_at,
+        }
+        outcome = await self._table.append(
+            self._stream, record.version, fields, uuid.uuid4().hex
+        )
+        match outcome:
+            case Taken():
+                return Success(record)
+            case NotTaken(row):
+                winner = _make_roll_out(row)
+                return Failure(
+                    BundleConflict(winner.version, winner.operator, winner.digest)
+                )
+            case StillUnknown():
+                return Failure(PlatformUnavailable("the roll-out may have been taken"))
+
+    async def fetch(self, digest):
+        """Return the bytes of a bundle.
+
+        Raises
+        ------
+        PlatformUnavailable
+        BundleError
+        """
+        body = await self._objects.get(digest)
+        if body is None:
+            raise BundleError([f"bundle: no body with digest {digest}"])
+        return body
+
+
+def read_body(body):
+    """Return the bundle in stored bytes.
+
+    Raises
+    ------
+    BundleError
+    """
+    match decode_bundle(body):
+        case Success(bundle):
+            return bundle
+        case Failure(error):
+            raise error
--- /dev/null
+++ b/cardamomdrift/membership/keeper.py
@@ -0,0 +1,184 @@
+"""
+Lease keeper
+============
+
+Keeps this VM's lease row, reads the others' rows and the platform's list of VMs, and
+tells the daemon whom to count.  While the platform does not answer, nobody is dropped.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from cardamomdrift.errors import PlatformUnavailable
+from cardamomdrift.limits.shares import Lease, count_members, may_connect
+from cardamomdrift.util import cancel_all
+
+RENEW_INTERVAL = 5.0  # seconds
+JOIN_INTERVAL = 0.5  # seconds, until all others count this VM
+LEASE_TIME = 20.0  # seconds
+GRACE = 3.0  # seconds for clocks that differ
+PLATFORM_PARTITION = "platform"
+LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class Membership:
+    """What a VM knows of the others.
+
+    Attributes
+    ----------
+    counted : frozenset of str
+        VMs that share the connections.
+    may_connect : bool
+        Whether this VM may open connections.
+    addresses : dict of str to str
+        Where peers listen, by VM.
+    leaving : frozenset of str
+        VMs and upstream instances that the platform's list shows as leaving.
+    """
+
+    counted: frozenset
+    may_connect: bool
+    addresses: dict
+    leaving: frozenset
+
+
+def decide_membership(vm, leases, previous, listed_leaving, now, steady_since):
+    """Return the membership that some lease rows give.
+
+    A VM is dropped only after the platform has answered for a whole lease time, since
+    during an outage nobody can renew.
+
+    Parameters
+    ----------
+    vm : str
+    leases : list of Lease
+    previous : Membership
+    listed_leaving : frozenset of str
+    now : float
+        Wall clock.
+    steady_since : float
+        Wall clock of the first answer after the platform's last failure.
+    """
+    counted = count_members(vm, leases, now, GRACE)
+    if now - steady_since < LEASE_TIME:
+        counted |= previous.counted
+    return Membership(
+        counted=counted,
+        may_connect=previous.may_connect or may_connect(vm, leases, now, GRACE),
+        addresses={one.vm: one.address for one in leases if one.vm != vm and one.address},
+        leaving=listed_leaving,
+    )
+
+
+def _parse_lease(row):
+    return Lease(
+        vm=row["sk"].partition("#")[2],
+        expires_at=float(row["expires_at"]),
+        counted=frozenset(row["counted"].split(",")),
+        address=row["address"],
+        failure_domain=row["failure_domain"],
+    )
+
+
+class LeaseKeeper:
+    """Keeps the lease of one VM; an async context manager.
+
+    Parameters
+    ----------
+    table : Table
+    deployment : str
+    vm : VmIdentity
+    address : str
+        Where peers reach this VM, as ``ip:port``.
+    wall_clock : callable
+    on_change : callable
+        Takes the new Membership.
+    log : structlog logger
+    """
+
+    def __init__(self, table, deployment, vm, address, wall_clock, on_change, log):
+        self._table = table
+        self._deployment = deployment
+        self._vm = vm
+        self._address = address
+        self._wall_clock = wall_clock
+        self._on_change = on_change
+        self._log = log
+        self._steady_since = None
+        self._task = None
+        self._membership = Membership(frozenset([vm.name]), False, {}, frozenset())
+
+    @property
+    def membership(self):
+        """What was last read."""
+        return self._membership
+
+    @property
+    def platform_answers(self):
+        """Whether the platform answered the last time."""
+        return self._steady_since is not None
+
+    @property
+    def _sort_key(self):
+        return f"lease#{self._vm.name}"
+
+    async def __aenter__(self):
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await cancel_all([self._task])
+
+    async def give_up(self):
+        """Delete the lease, after the last connection has been closed."""
+        await cancel_all([self._task])
+        try:
+            await self._table.delete(self._deployment, self._sort_key)
+        except PlatformUnavailable:
+            self._log.warning("lease not deleted; it runs out by itself")
+
+    async def _run(self):
+        while True:
+            try:
+                await self._renew()
+            except PlatformUnavailable as error:
+                self._note_outage(error)
+            joined = self._membership.may_connect
+            await asyncio.sleep(RENEW_INTERVAL if joined else JOIN_INTERVAL)
+
+    def _note_outage(self, error):
+        if self._steady_since is not None:
+            self._log.warning("platform does not answer", call=str(error))
+        self._steady_since = None
+
+    async def _renew(self):
+        await self._write(self._membership.counted)
+        rows = await self._table.list(self._deployment, "lease#")
+        listed = await self._table.list(PLATFORM_PARTITION, "vm#")
+        now = self._wall_clock()
+        if self._steady_since is None:
+            self._steady_since = now
+        leaving = frozenset(
+            row["sk"].partition("#")[2] for row in listed if row["state"] == LEAVING
+        )
+        leases = [_parse_lease(row) for row in rows]
+        membership = decide_membership(
+            self._vm.name, leases, self._membership, leaving, now, self._steady_since
+        )
+        grown = not membership.counted <= self._membership.counted
+        if membership != self._membership:
+            self._membership = membership
+            self._on_change(membership)
+        if grown:
+            # The share has shrunk by now, so the newcomers may be told.
+            await self._write(membership.counted)
+
+    async def _write(self, counted):
+        fields = {
+            "expires_at": str(self._wall_clock() + LEASE_TIME),
+            "counted": ",".join(sorted(counted)),
+            "address": self._address,
+            "failure_domain": self._vm.failure_domain,
+        }
+        await self._table.put(self._deployment, self._sort_key, fields)
--- /dev/null
+++ b/cardamomdrift/peers/link.py
@@ -0,0 +1,167 @@
+"""
+Peer link
+=========
+
+News by publish and subscribe, questions by request and reply, both over `pynng`.  Each
+daemon subscribes to a bounded number of others, chosen by hash.
+"""
+
+import asyncio
+
+import msgspec
+from pynng import NNGException, Pub0, Rep0, Req0, Sub0
+
+from cardamomdrift.membership.rendezvous import home_set
+from cardamomdrift.peers.messages import decode_news, decode_query, decode_reply, encode
+from cardamomdrift.util import cancel_all
+
+NEIGHBOURS = 8
+QUERY_TIMEOUT = 1.0  # seconds
+RECONNECT_MINIMUM = 100  # milliseconds
+RECONNECT_MAXIMUM = 2000  # milliseconds
+RECEIVE_BUFFER = 64  # messages
+MESSAGE_LIMIT = 8 * 1024 * 1024  # bytes
+
+
+def choose_neighbours(vm, others, count=NEIGHBOURS):
+    """Return the VMs whose news this VM listens to."""
+    return frozenset(home_set(vm, others, count))
+
+
+def query_address(address):
+    """Return the address for questions: the port after the one for news."""
+    host, _, port = address.rpartition(":")
+    return f"{host}:{int(port) + 1}"
+
+
+class PeerLink:
+    """This daemon's end of the talk between daemons; an async context manager.
+
+    Parameters
+    ----------
+    vm : str
+    address : str
+        ``ip:port`` for news; questions use the next port.
+    on_news : callable
+        Takes a News.
+    on_query : coroutine function
+        Takes a query and returns the reply.
+    log : structlog logger
+    """
+
+    def __init__(self, vm, address, on_news, on_query, log):
+        self._vm = vm
+        self._address = address
+        self._on_news = on_news
+        self._on_query = on_query
+        self._log = log
+        self._publisher = None
+        self._subscriber = None
+        self._replier = None
+        self._dialers = {}
+        self._tasks = []
+        self._sent_bytes = 0
+        self._received_bytes = 0
+
+    @property
+    def sent_bytes(self):
+        """Bytes of news published, counted once for each subscriber dialled."""
+        return self._sent_bytes
+
+    @property
+    def received_bytes(self):
+        """Bytes of news received."""
+        return self._received_bytes
+
+    async def __aenter__(self):
+        self._publisher = Pub0(listen=f"tcp://{self._address}")
+        self._subscriber = Sub0(
+            topics=b"",
+            reconnect_time_min=RECONNECT_MINIMUM,
+            reconnect_time_max=RECONNECT_MAXIMUM,
+            recv_buffer_size=RECEIVE_BUFFER,
+            recv_max_size=MESSAGE_LIMIT,
+        )
+        self._replier = Rep0(
+            listen=f"tcp://{query_address(self._address)}", recv_max_size=MESSAGE_LIMIT
+        )
+        self._tasks = [
+            asyncio.create_task(self._receive()),
+            asyncio.create_task(self._reply()),
+        ]
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await cancel_all(self._tasks)
+        for socket in (self._publisher, self._subscriber, self._replier):
+            socket.close()
+
+    def set_peers(self, addresses):
+        """Subscribe to the news of the neighbours among some VMs.
+
+        Parameters
+        ----------
+        addresses : dict of str to str
+            Addresses for news, by VM.
+        """
+        chosen = choose_neighbours(self._vm, addresses)
+        wanted = {addresses[vm] for vm in chosen}
+        for address in set(self._dialers) - wanted:
+            self._dialers.pop(address).close()
+        for address in wanted - set(self._dialers):
+            self._dialers[address] = self._subscriber.dial(
+                f"tcp://{address}", block=False
+            )
+
+    async def publish(self, news):
+        """Send news to all who listen."""
+        data = encode(news)
+        self._sent_bytes += len(data) * len(self._dialers)
+        try:
+            await self._publisher.asend(data)
+        except NNGException as error:
+            self._log.warning("news not sent", error=type(error).__name__)
+
+    async def _receive(self):
+        while True:
+            data = await self._subscriber.arecv()
+            self._received_bytes += len(data)
+            try:
+                self._on_news(decode_news(data))
+            except msgspec.DecodeError:
+                self._log.warning("news not understood", size=len(data))
+
+    async def _reply(self):
+        while True:
+            data = await self._replier.arecv()
+            try:
+                reply = await self._on_query(decode_query(data))
+            except msgspec.DecodeError:
+                self._log.warning("query not understood", size=len(data))
+                continue
+            await self._replier.asend(encode(reply))
+
+
+async def ask(address, query, timeout=QUERY_TIMEOUT):
+    """Ask a daemon and return its reply, or None if there was none in time.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` for news.
+    query : Query
+    timeout : float
+        Seconds.
+    """
+    milliseconds = int(timeout * 1000)
+    with Req0(
+        recv_timeout=milliseconds,
+        send_timeout=milliseconds,
+        recv_max_size=MESSAGE_LIMIT,
+    ) as socket:
+        try:
+            socket.dial(f"tcp://{query_address(address)}", block=False)
+            await socket.asend(encode(query))
+            return decode_reply(await socket.arecv())
+        except (NNGException, msgspec.DecodeError):
+            return None
--- /dev/null
+++ b/cardamomdrift/peers/messages.py
@@ -0,0 +1,122 @@
+"""
+Peer messages
+=============
+
+What daemons tell each other.  These messages make things fast; nothing is safe only
+because of them.
+"""
+
+import msgspec
+
+
+class GroupNews(msgspec.Struct, array_like=True, frozen=True):
+    """What a daemon knows of one group.
+
+    Attributes
+    ----------
+    term : int
+        Highest term seen.
+    contact_age_ms : int
+        Time since the primary of that term last answered; -1 if there is none.
+    """
+
+    term: int
+    contact_age_ms: int
+
+
+class News(msgspec.Struct, array_like=True, frozen=True, tag="news"):
+    """A daemon's state, sent at intervals and after a change.
+
+    Attributes
+    ----------
+    vm : str
+    bundle_version : int
+    bundle_digest : str
+    groups : dict of str to GroupNews
+    leaving : bool
+        Whether the daemon is shutting down.
+    """
+
+    vm: str
+    bundle_version: int
+    bundle_digest: str
+    groups: dict[str, GroupNews]
+    leaving: bool = False
+
+
+class BundleQuery(msgspec.Struct, array_like=True, frozen=True, tag="bundle?"):
+    """Asks a daemon for the bundle that it has in force."""
+
+
+class BundleReply(msgspec.Struct, array_like=True, frozen=True, tag="bundle!"):
+    """The bundle in force at a daemon; version 0 if there is none."""
+
+    version: int
+    digest: str
+    body: bytes
+
+
+class StatusQuery(msgspec.Struct, array_like=True, frozen=True, tag="status?"):
+    """Asks a daemon for its state, for operators."""
+
+
+class MetricsQuery(msgspec.Struct, array_like=True, frozen=True, tag="metrics?"):
+    """Asks a daemon for its metrics."""
+
+
+class BurnQuery(msgspec.Struct, array_like=True, frozen=True, tag="burn?"):
+    """Asks a daemon for its counts against the objectives."""
+
+
+class DrainRequest(msgspec.Struct, array_like=True, frozen=True, tag="drain"):
+    """Tells a daemon to shut down gracefully."""
+
+
+class JsonReply(msgspec.Struct, array_like=True, frozen=True, tag="json!"):
+    """An answer for operators, as JSON."""
+
+    body: bytes
+
+
+Query = BundleQuery | StatusQuery | MetricsQuery | BurnQuery | DrainRequest
+Reply = BundleReply | JsonReply
+
+_ENCODER = msgspec.msgpack.Encoder()
+_NEWS = msgspec.msgpack.Decoder(News)
+_QUERY = msgspec.msgpack.Decoder(Query)
+_REPLY = msgspec.msgpack.Decoder(Reply)
+
+
+def encode(message):
+    """Return a message as bytes."""
+    return _ENCODER.encode(message)
+
+
+def decode_news(data):
+    """Return the news in bytes.
+
+    Raises
+    ------
+    msgspec.DecodeError
+    """
+    return _NEWS.decode(data)
+
+
+def decode_query(data):
+    """Return the query in bytes.
+
+    Raises
+    ------
+    msgspec.DecodeError
+    """
+    return _QUERY.decode(data)
+
+
+def decode_reply(data):
+    """Return the reply in bytes.
+
+    Raises
+    ------
+    msgspec.DecodeError
+    """
+    return _REPLY.decode(data)
--- a/cardamomdrift/routing/group.py
+++ b/cardamomdrift/routing/group.py
@@ -216,6 +216,11 @@
         if not was_usable or leader != self._parts.view.primary:
             self._parts.dispatcher.pump()
 
+    def probe_crowded(self, name):
+        """Note that an instance lives but had no connection for the question."""
+        self._parts.instances[name].silence.answered()
+        self._parts.watch.retry(name)
+
     def probe_failed(self, name, now, refused):
         """Note that an instance did not answer."""
         runtime = self._parts.instances[name]
--- a/cardamomdrift/upstreams/prober.py
+++ b/cardamomdrift/upstreams/prober.py
@@ -9,7 +9,12 @@
 
 import asyncio
 
-from cardamomdrift.errors import DeadlinePassed, UpstreamError, UpstreamUnreachable
+from cardamomdrift.errors import (
+    DeadlinePassed,
+    UpstreamBusy,
+    UpstreamError,
+    UpstreamUnreachable,
+)
 from cardamomdrift.util import cancel_all
 
 PROBE_TIMEOUT = 0.5  # seconds
@@ -72,10 +77,16 @@
             await asyncio.sleep(PROBE_INTERVAL if answered else RETRY_INTERVAL)
 
     async def _ask(self):
+        if self._pool.limit < CONTROL_CONNECTIONS:
+            return False
         self._listener.probe_begun(self._name, self._clock())
         try:
             status, begun_at = await self._call()
-        except (UpstreamError, DeadlinePassed, TimeoutError) as error:
+        except (UpstreamBusy, DeadlinePassed):
+            # Refused by a live instance, or short of connections here: no silence.
+            self._listener.probe_crowded(self._name)
+            return False
+        except (UpstreamError, TimeoutError) as error:
             self._drop()
             refused = isinstance(error, UpstreamUnreachable) and _is_refusal(error)
             self._listener.probe_failed(self._name, self._clock(), refused)
