--- /dev/null
+++ b/cardamomdrift/callers/session.py
@@ -0,0 +1,250 @@
+"""
+Caller session
+==============
+
+One caller connection: its database, options, positions and open transaction.  Each
+statement goes to the handler that its verb names.
+"""
+
+import re
+
+from mysql_mimic.types import ColumnType
+
+from cardamomdrift.bundle.model import Kind
+from cardamomdrift.errors import BadRequest, ShuttingDown
+from cardamomdrift.position import ORIGIN
+from cardamomdrift.sessions.options import SESSION_OPTIONS, attribute_options
+from cardamomdrift.sessions.statement import Verb, parse_statement
+from cardamomdrift.wire import Ok, Rows, WireVariables, make_column
+
+_KEPT_SETTINGS = re.compile(
+    r"SET\s+(?:NAMES|CHARACTER\s+SET|CHARSET)\s+'?(?:utf8mb4|utf8mb3|utf8|binary)\b",
+    re.IGNORECASE,
+)
+
+
+class CallerSession:
+    """Session of one caller connection.
+
+    Parameters
+    ----------
+    service : Service
+    clock : callable
+    """
+
+    def __init__(self, service, clock):
+        self.variables = WireVariables()
+        self.username = None
+        self.database = None
+        self.connected_at = clock()
+        self.positions = {}
+        self.caller = ""
+        self._service = service
+        self._values = {}
+        self._transaction = None
+        self._transaction_group = None
+        self._transaction_options = None
+        self._autocommit = True
+        self._stream = None
+
+    @property
+    def in_transaction(self):
+        """Whether a transaction is open."""
+        return self._transaction is not None
+
+    # Connection
+
+    async def init(self, connection):
+        """Finish the connection after its handshake."""
+        peer = connection.stream.writer.get_extra_info("peername") or ("",)
+        self.caller = f"{self.username}@{peer[0]}"
+
+    async def close(self):
+        """End whatever is still open; an open transaction is rolled back."""
+        await self._close_stream()
+        transaction = self._leave_transaction()
+        if transaction is not None:
+            await transaction.abandon()
+
+    async def reset(self):
+        """Return to the state of a new connection."""
+        await self.close()
+        self._values = {}
+        self._autocommit = True
+
+    async def use(self, database):
+        """Select a database."""
+        if self._transaction is not None:
+            raise BadRequest("the database cannot change inside a transaction")
+        self._service.group_for(database)
+        self.database = database
+
+    def note_write(self, group, position):
+        """Remember the position of an acknowledged write."""
+        self.positions[group] = max(self.positions.get(group, ORIGIN), position)
+
+    def floor_in(self, group, service, options):
+        """Return the position that the session must see in a group."""
+        known = self.positions.get(group, ORIGIN)
+        if options.token is not None:
+            known = max(known, service.read_token(options.token).get(group, ORIGIN))
+        return known
+
+    # Statements
+
+    async def handle_query(self, sql, attributes):
+        """Run one statement and return its answer.
+
+        Raises
+        ------
+        CallerError
+        """
+        await self._close_stream()
+        statement = parse_statement(sql)
+        values = {**self._values, **dict(statement.options)}
+        if attributes:
+            values.update(attribute_options(attributes))
+        if self._service.draining and self._transaction is None:
+            raise ShuttingDown("the daemon is shutting down", 0.1)
+        match statement.verb:
+            case Verb.READ:
+                return await self._read(statement, values)
+            case Verb.WRITE:
+                return await self._write(statement, values)
+            case Verb.BEGIN:
+                return await self._begin(statement.sql, values)
+            case Verb.COMMIT:
+                return await self._commit()
+            case Verb.ROLLBACK:
+                return await self._rollback()
+            case Verb.SAVEPOINT:
+                return await self._savepoint(statement)
+            case Verb.SET_OPTION:
+                return self._set_option(statement)
+            case Verb.READ_OPTION:
+                return self._read_option(statement)
+            case Verb.USE:
+                await self.use(statement.argument)
+                return Ok()
+            case Verb.AUTOCOMMIT_ON:
+                return await self._set_autocommit(True)
+            case Verb.AUTOCOMMIT_OFF:
+                return await self._set_autocommit(False)
+            case Verb.SET:
+                return self._set(statement)
+            case _:
+                raise BadRequest("the statement needs a connection of its own")
+
+    async def _read(self, statement, values):
+        if await self._in_transaction_for(values):
+            return await self._transaction.execute(statement.sql, writes=False)
+        options = self._service.check_options(values, Kind.READ)
+        result = await self._service.read(statement.sql, options, self)
+        self._stream = result
+        return result.answer
+
+    async def _write(self, statement, values):
+        if statement.commits_implicitly and (values.get("key") or self._transaction):
+            raise BadRequest("the statement commits by itself; run it without key or transaction")
+        if not statement.commits_implicitly and await self._in_transaction_for(values):
+            if "key" in values:
+                raise BadRequest("inside a transaction the key belongs to its BEGIN")
+            return await self._transaction.execute(statement.sql, writes=True)
+        options = self._service.check_options(values, Kind.WRITE)
+        return await self._service.write(statement.sql, options, self)
+
+    async def _in_transaction_for(self, values):
+        if self._transaction is None and not self._autocommit:
+            await self._begin("BEGIN", {k: v for k, v in values.items() if k == "token"})
+        return self._transaction is not None
+
+    async def _begin(self, sql, values):
+        if self._transaction is not None:
+            await self._commit()
+        options = self._service.check_options(values, Kind.WRITE)
+        self._transaction, self._transaction_group = await self._service.begin(
+            sql, options, self
+        )
+        self._transaction_options = options
+        return Ok()
+
+    async def _commit(self):
+        if self._transaction is None:
+            return Ok()
+        transaction = self._transaction
+        group = self._transaction_group
+        try:
+            async with self._service.counted_commit(self._transaction_options):
+                position = await transaction.commit()
+        finally:
+            self._leave_transaction()
+            await transaction.close()
+        if position is not None:
+            self.note_write(group, position)
+        return Ok()
+
+    async def _rollback(self):
+        transaction = self._leave_transaction()
+        return Ok() if transaction is None else await transaction.rollback()
+
+    def _leave_transaction(self):
+        transaction, self._transaction = self._transaction, None
+        if transaction is not None:
+            self._service.ended(transaction)
+        return transaction
+
+    async def _savepoint(self, statement):
+        if self._transaction is None:
+            raise BadRequest("there is no transaction")
+        return await self._transaction.execute(statement.sql, writes=False)
+
+    # Options
+
+    def _set_option(self, statement):
+        name, value = statement.argument, statement.value
+        if name not in SESSION_OPTIONS:
+            raise BadRequest(f"unknown option {name}")
+        if not value:
+            self._values.pop(name, None)
+            return Ok()
+        if name == "token":
+            self._service.read_token(value)
+        self._values[name] = value
+        return Ok()
+
+    def _read_option(self, statement):
+        name = statement.argument
+        if name == "token":
+            value = self._make_token()
+        elif name in SESSION_OPTIONS:
+            value = self._values.get(name, "")
+        else:
+            raise BadRequest(f"unknown option {name}")
+        column = make_column(f"@@cardamomdrift_{name}", ColumnType.VAR_STRING)
+        return Rows((column,), [(value,)])
+
+    def _make_token(self):
+        positions = dict(self.positions)
+        if "token" in self._values:
+            for group, position in self._service.read_token(self._values["token"]).items():
+                positions[group] = max(positions.get(group, ORIGIN), position)
+        return self._service.make_token(positions)
+
+    async def _set_autocommit(self, on):
+        if on and self._transaction is not None:
+            await self._commit()
+        self._autocommit = on
+        return Ok()
+
+    def _set(self, statement):
+        if _KEPT_SETTINGS.match(statement.sql.strip()):
+            return Ok()
+        raise BadRequest("session variables of the database are not kept by the proxy")
+
+    # Long answers
+
+    async def _close_stream(self):
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            await stream.close()
+
--- /dev/null
+++ b/cardamomdrift/daemon.py
@@ -0,0 +1,358 @@
+"""
+Daemon
+======
+
+One process of the proxy: puts the parts together, serves callers and shuts down without
+cutting a request.
+"""
+
+import asyncio
+import signal
+import sys
+import time
+from contextlib import AsyncExitStack
+
+import fire
+import msgspec
+from aiohttp import ClientSession, TCPConnector
+from returns.result import Failure, Success
+
+from cardamomdrift.bundle.follower import BundleFollower
+from cardamomdrift.bundle.registry import BundleRegistry
+from cardamomdrift.callers.session import CallerSession
+from cardamomdrift.limits.admission import Adaptive
+from cardamomdrift.membership.keeper import LeaseKeeper
+from cardamomdrift.peers.board import PeerBoard
+from cardamomdrift.peers.link import PeerLink
+from cardamomdrift.peers.messages import (
+    BundleQuery,
+    BundleReply,
+    BurnQuery,
+    DrainRequest,
+    GroupNews,
+    JsonReply,
+    MetricsQuery,
+    News,
+    StatusQuery,
+)
+from cardamomdrift.platform.objects import Objects
+from cardamomdrift.platform.table import make_table
+from cardamomdrift.routing.group import Surroundings, VmIdentity
+from cardamomdrift.service import Service
+from cardamomdrift.settings import load_settings
+from cardamomdrift.telemetry.log import make_log, setup_logging
+from cardamomdrift.util import MILLISECONDS, cancel_all
+from cardamomdrift.wire import OpenIdentity, PasswordIdentity, WireServer
+
+NEWS_INTERVAL = 1.0  # seconds
+NEWS_MINIMUM = 0.1  # seconds between two news
+PLATFORM_CONNECTIONS = 4
+GOODBYE_TIME = 1.0  # seconds in which idle callers still get a typed refusal
+
+
+def _make_identity(callers):
+    return PasswordIdentity(callers.users) if callers.users else OpenIdentity()
+
+
+class Daemon:
+    """One daemon; an async context manager.
+
+    Parameters
+    ----------
+    settings : Settings
+    policy : Fifo or NewestFirst or Adaptive
+        Order of the requests that wait.
+    """
+
+    def __init__(self, settings, policy=None):
+        self._settings = settings
+        self._log = make_log(settings.vm)
+        self._clock = asyncio.get_running_loop().time
+        self._stack = AsyncExitStack()
+        self._board = PeerBoard()
+        self._peer_addresses = {}
+        self._members = (settings.vm,)
+        self._policy = policy or Adaptive()
+        self._drain_asked = asyncio.Event()
+        self._news_wanted = asyncio.Event()
+        self._tasks = []
+        self._service = None
+        self._server = None
+        self._keeper = None
+        self._follower = None
+        self._link = None
+
+    @property
+    def service(self):
+        """The requests of this daemon."""
+        return self._service
+
+    @property
+    def follower(self):
+        """The bundle of this daemon."""
+        return self._follower
+
+    @property
+    def keeper(self):
+        """The lease of this daemon."""
+        return self._keeper
+
+    @property
+    def link(self):
+        """The talk with other daemons."""
+        return self._link
+
+    @property
+    def port(self):
+        """Port for callers."""
+        return self._server.port
+
+    @property
+    def drain_asked(self):
+        """Set once an operator or a signal has asked for a graceful shutdown."""
+        return self._drain_asked
+
+    async def __aenter__(self):
+        try:
+            await self._start()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        return self
+
+    async def _start(self):
+        settings = self._settings
+        session = await self._stack.enter_async_context(
+            ClientSession(connector=TCPConnector(limit=PLATFORM_CONNECTIONS))
+        )
+        table = make_table(session, settings.platform)
+        vm = VmIdentity(settings.vm, settings.failure_domain)
+        self._service = await self._stack.enter_async_context(
+            self._make_service(table, vm)
+        )
+        self._link = await self._stack.enter_async_context(
+            PeerLink(
+                vm.name, settings.peer_address, self._on_news, self._answer, self._log
+            )
+        )
+        self._keeper = await self._stack.enter_async_context(
+            LeaseKeeper(
+                table,
+                settings.deployment,
+                vm,
+                settings.peer_address,
+                time.time,
+                self._on_membership,
+                self._log,
+            )
+        )
+        objects = Objects(session, settings.platform)
+        registry = BundleRegistry(table, objects, settings.deployment)
+        self._follower = BundleFollower(
+            registry, settings.seeds, self._on_bundle, self._log
+        )
+        await self._follower.start()
+        await self._stack.enter_async_context(self._follower)
+        await self._listen()
+        self._tasks = [asyncio.create_task(self._send_news())]
+        self._stack.push_async_callback(cancel_all, self._tasks)
+        self._log.info("daemon started", port=self.port, bundle=self._follower.version)
+
+    def _make_service(self, table, vm):
+        settings = self._settings
+        surroundings = Surroundings(
+            vm=vm,
+            login=settings.login,
+            table=table,
+            deployment=settings.deployment,
+            members=lambda: self._members,
+            contacts=self._contact_age,
+            clock=self._clock,
+            log=self._log,
+            policy=self._policy,
+        )
+        return Service(surroundings, settings.token_key)
+
+    async def _listen(self):
+        callers = self._settings.callers
+        self._server = WireServer(
+            lambda: CallerSession(self._service, self._clock),
+            _make_identity(callers),
+            callers.max_connections,
+            callers.max_packet_bytes,
+            self._settings.make_tls(),
+        )
+        await self._stack.enter_async_context(self._server)
+        await self._server.open(callers.address, callers.port)
+
+    async def __aexit__(self, *exc_info):
+        await self._stack.aclose()
+
+    async def stop(self):
+        """Shut down gracefully; return whether every request was finished.
+
+        New connections and new requests are refused; running requests and transactions
+        end within the drain timeout; peers are told; the lease goes last.
+        """
+        self._server.stop_listening()
+        self._service.refuse_new()
+        self._news_wanted.set()
+        started = self._clock()
+        clean = await self._service.drain(self._settings.drain_timeout)
+        await asyncio.sleep(max(0.0, started + GOODBYE_TIME - self._clock()))
+        self._log.info("daemon drained", clean=clean)
+        await self._server.close()
+        await self._service.end_groups()
+        await self._keeper.give_up()
+        return clean
+
+    def abort(self):
+        """Drop every caller at once, as a crash does; for tests."""
+        self._server.stop_listening()
+        self._server.drop_connections()
+
+    # Peers
+
+    def _contact_age(self, group, term):
+        return self._board.contact_age(group, term, self._clock())
+
+    def _on_news(self, news):
+        if news.vm == self._settings.vm:
+            return
+        self._board.take(news, self._clock())
+        address = self._peer_addresses.get(news.vm)
+        self._follower.hint(news.bundle_version, news.bundle_digest, address)
+        for name, known in news.groups.items():
+            group = self._service.groups.get(name)
+            if group is not None and known.term > group.view.term:
+                group.hear_term(known.term)
+
+    def _make_news(self):
+        in_force = self._follower.in_force
+        return News(
+            vm=self._settings.vm,
+            bundle_version=in_force.version,
+            bundle_digest=in_force.digest,
+            groups={
+                name: GroupNews(group.view.term, self._own_contact_age(group))
+                for name, group in self._service.groups.items()
+            },
+            leaving=self._service.draining,
+        )
+
+    def _own_contact_age(self, group):
+        primary = group.view.primary
+        answered_at = group.view.instances[primary].answered_at if primary else None
+        if answered_at is None:
+            return -1
+        return int((self._clock() - answered_at) * MILLISECONDS)
+
+    async def _send_news(self):
+        while True:
+            await self._link.publish(self._make_news())
+            try:
+                async with asyncio.timeout(NEWS_INTERVAL):
+                    await self._news_wanted.wait()
+            except TimeoutError:
+                continue
+            self._news_wanted.clear()
+            await asyncio.sleep(NEWS_MINIMUM)
+
+    def _on_membership(self, membership):
+        self._members = tuple(sorted(membership.counted))
+        self._peer_addresses = membership.addresses
+        self._link.set_peers(membership.addresses)
+        self._service.set_membership(membership)
+        self._log.info(
+            "membership changed",
+            counted=len(membership.counted),
+            may_connect=membership.may_connect,
+        )
+
+    async def _on_bundle(self, in_force):
+        await self._service.obey(in_force)
+        self._news_wanted.set()
+
+    # Questions
+
+    async def _answer(self, query):
+        match query:
+            case BundleQuery():
+                return self._bundle_reply()
+            case StatusQuery():
+                return JsonReply(msgspec.json.encode(self.status()))
+            case MetricsQuery():
+                return JsonReply(self._service.metrics.collect())
+            case BurnQuery():
+                return JsonReply(msgspec.json.encode(self._burn()))
+            case DrainRequest():
+                self._drain_asked.set()
+                return JsonReply(msgspec.json.encode({"draining": True}))
+
+    def _bundle_reply(self):
+        in_force = self._follower.in_force if self._follower else None
+        if in_force is None:
+            return BundleReply(0, "", b"")
+        return BundleReply(in_force.version, in_force.digest, in_force.body)
+
+    def _burn(self):
+        bundle = self._service.bundle
+        objectives = (
+            {name: one.objective for name, one in bundle.classes.items()} if bundle else {}
+        )
+        return self._service.burn.report(objectives, time.time())
+
+    def status(self):
+        """Return the daemon's state as plain values, for operators."""
+        membership = self._keeper.membership
+        return {
+            "vm": self._settings.vm,
+            "failure_domain": self._settings.failure_domain,
+            "bundle_version": self._follower.version if self._follower else 0,
+            "draining": self._service.draining,
+            "platform_answers": self._keeper.platform_answers,
+            "members": sorted(membership.counted),
+            "may_connect": membership.may_connect,
+            "callers": self._server.connections if self._server else 0,
+            "active": self._service.active,
+            "groups": {
+                name: group.status() for name, group in self._service.groups.items()
+            },
+        }
+
+
+async def run(settings):
+    """Run a daemon until a signal or an operator ends it; return the exit code."""
+    async with Daemon(settings) as daemon:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, daemon.drain_asked.set)
+        await daemon.drain_asked.wait()
+        clean = await daemon.stop()
+    return 0 if clean else 1
+
+
+def start(settings):
+    """Run the daemon with the settings in a file.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the settings file.
+    """
+    match load_settings(settings):
+        case Failure(error):
+            print(error, file=sys.stderr)
+            sys.exit(2)
+        case Success(found):
+            setup_logging(found.log_level)
+            sys.exit(asyncio.run(run(found)))
+
+
+def main():
+    """Entry point of ``cardamomdriftd``."""
+    fire.Fire(start, name="cardamomdriftd")
+
+
+if __name__ == "__main__":
+    main()
--- a/cardamomdrift/routing/group.py
+++ b/cardamomdrift/routing/group.py
@@ -181,6 +181,37 @@
         for name, runtime in self._parts.instances.items():
             runtime.leaving = name in instances
 
+    def hear_term(self, term):
+        """Take in a term that a peer has seen, and look for its primary."""
+        self._parts.view.hear_term(term)
+        for runtime in self._parts.instances.values():
+            runtime.prober.want()
+
+    def status(self):
+        """Return the group's state as plain values, for operators."""
+        view = self._parts.view
+        return {
+            "term": view.term,
+            "primary": view.primary,
+            "waiting": len(self._parts.dispatcher.queue),
+            "overloaded": self._parts.dispatcher.queue.overloaded,
+            "promoted": self.counts.promoted,
+            "instances": {
+                name: {
+                    "position": str(view.instances[name].position),
+                    "fence_term": view.instances[name].fence_term,
+                    "usable": runtime.usable,
+                    "leaving": runtime.leaving,
+                    "in_flight": runtime.in_flight,
+                    "limit": runtime.limit,
+                    "connections": runtime.pool.size,
+                    "share": runtime.pool.limit,
+                    "refusals": runtime.pool.refusals,
+                }
+                for name, runtime in self._parts.instances.items()
+            },
+        }
+
     def trim(self, now):
         """Close connections that have been idle for long."""
         for runtime in self._parts.instances.values():
--- a/cardamomdrift/routing/transactions.py
+++ b/cardamomdrift/routing/transactions.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 
@@ -147,6 +148,7 @@
         """
         self._check_usable()
         self._wrote = self._wrote or writes
+        self._used_at = math.inf
         deadline_at = self._parts.clock() + self._request.statement_deadline
         try:
             async with asyncio.timeout_at(deadline_at):
--- /dev/null
+++ b/cardamomdrift/service.py
@@ -0,0 +1,373 @@
+"""
+Service
+=======
+
+What one daemon does for callers: finds the group, the class and the rule of a request,
+has it run, and counts its outcome.
+"""
+
+import asyncio
+import time
+from contextlib import AsyncExitStack, asynccontextmanager
+
+from returns.result import Failure, Success
+
+from cardamomdrift.bundle.model import Kind
+from cardamomdrift.errors import (
+    BadRequest,
+    CallerError,
+    RefusedByInstance,
+    ShuttingDown,
+    UnknownDatabase,
+)
+from cardamomdrift.routing.floor import make_rule, needs_primary
+from cardamomdrift.routing.group import GroupRuntime
+from cardamomdrift.routing.reads import ReadRequest
+from cardamomdrift.routing.transactions import IDLE_LIMIT, TransactionRequest
+from cardamomdrift.routing.writes import WriteRequest
+from cardamomdrift.sessions.options import check_options
+from cardamomdrift.sessions.token import decode_token, encode_token
+from cardamomdrift.telemetry.burn import GOOD, BurnBook
+from cardamomdrift.telemetry.metrics import Metrics
+from cardamomdrift.util import cancel_all
+
+TIDY_INTERVAL = 1.0  # seconds
+DRAIN_POLL = 0.02  # seconds
+
+
+class Service:
+    """The groups of one daemon and the requests that run there.
+
+    Parameters
+    ----------
+    surroundings : Surroundings
+    token_key : bytes
+    """
+
+    def __init__(self, surroundings, token_key):
+        self._surroundings = surroundings
+        self._token_key = token_key
+        self._clock = surroundings.clock
+        self._bundle = None
+        self._include_primary = False
+        self._groups = {}
+        self._stacks = {}
+        self._databases = {}
+        self._retired = set()
+        self._membership = None
+        self._active = 0
+        self._transactions = set()
+        self._draining = False
+        self._tidier = None
+        self.metrics = Metrics(surroundings.vm.name)
+        self.burn = BurnBook()
+
+    @property
+    def bundle(self):
+        """The bundle that is obeyed, or None."""
+        return self._bundle
+
+    @property
+    def groups(self):
+        """Group runtimes by name."""
+        return self._groups
+
+    @property
+    def active(self):
+        """Number of requests and transactions that are not finished."""
+        return self._active + len(self._transactions)
+
+    @property
+    def draining(self):
+        """Whether the daemon takes no new requests."""
+        return self._draining
+
+    async def __aenter__(self):
+        self._tidier = asyncio.create_task(self._tidy())
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await cancel_all([self._tidier, *self._retired])
+        await self.end_groups()
+        self.metrics.close()
+
+    # Bundle and membership
+
+    async def obey(self, in_force):
+        """Obey a newer bundle: start new groups, replace changed ones, end the others."""
+        bundle = in_force.bundle
+        old = dict(self._groups)
+        groups = {}
+        for name, spec in bundle.groups.items():
+            if name in old and old[name].spec == spec:
+                groups[name] = old.pop(name)
+            else:
+                groups[name] = await self._start_group(spec)
+        self._groups = groups
+        self._bundle = bundle
+        self._include_primary = needs_primary(
+            one for one in bundle.classes.values() if one.kind is Kind.WRITE
+        )
+        self._databases = {
+            database: groups[spec.name]
+            for spec in bundle.groups.values()
+            for database in spec.databases
+        }
+        for group in old.values():
+            self._retire(group)
+
+    async def _start_group(self, spec):
+        group = GroupRuntime(spec, self._surroundings)
+        stack = AsyncExitStack()
+        await stack.enter_async_context(group)
+        self._stacks[group] = stack
+        if self._membership is not None:
+            self._apply_membership(group)
+        return group
+
+    def _retire(self, group):
+        task = asyncio.create_task(self._end_group(group))
+        self._retired.add(task)
+        task.add_done_callback(self._retired.discard)
+
+    async def _end_group(self, group):
+        """Close a group's connections once its requests have ended."""
+        deadline_at = self._clock() + IDLE_LIMIT
+        while self._clock() < deadline_at and any(
+            one.in_flight for one in group.parts.instances.values()
+        ):
+            await asyncio.sleep(DRAIN_POLL)
+        await self._stacks.pop(group).aclose()
+
+    def set_membership(self, membership):
+        """Take in who shares the connections and who is leaving."""
+        self._membership = membership
+        for group in self._groups.values():
+            self._apply_membership(group)
+
+    def _apply_membership(self, group):
+        membership = self._membership
+        group.set_members(len(membership.counted), membership.may_connect)
+        group.set_leaving(membership.leaving)
+
+    # Requests
+
+    def group_for(self, database):
+        """Return the group that holds a database; the first one if there is none.
+
+        Raises
+        ------
+        UnknownDatabase
+        ShuttingDown
+        """
+        if self._draining:
+            raise ShuttingDown("the daemon is shutting down", 0.1)
+        if self._bundle is None:
+            raise ShuttingDown("no bundle is in force yet", 1.0)
+        if database is None:
+            return next(iter(self._groups.values()))
+        group = self._databases.get(database)
+        if group is None:
+            raise UnknownDatabase(f"database {database} is in no group")
+        return group
+
+    def check_options(self, values, kind):
+        """Return the options of a request.
+
+        Raises
+        ------
+        BadRequest
+        """
+        if self._bundle is None:
+            raise ShuttingDown("no bundle is in force yet", 1.0)
+        match check_options(values, self._bundle, kind):
+            case Success(options):
+                return options
+            case Failure(error):
+                raise error
+
+    def read_token(self, text):
+        """Return the positions in a token.
+
+        Raises
+        ------
+        BadToken
+        """
+        match decode_token(self._token_key, text):
+            case Success(positions):
+                return positions
+            case Failure(error):
+                raise error
+
+    def make_token(self, positions):
+        """Return the token for positions by group."""
+        return encode_token(self._token_key, positions)
+
+    async def read(self, sql, options, session):
+        """Run a read and return its ReadAnswer.
+
+        Raises
+        ------
+        CallerError
+        """
+        async with self._counted(options):
+            group = self.group_for(session.database)
+            now = self._clock()
+            token = self._token_position(options, group)
+            request = ReadRequest(
+                sql=sql,
+                database=session.database,
+                caller=session.caller,
+                rule=make_rule(
+                    options,
+                    now,
+                    session.connected_at,
+                    session.positions.get(group.spec.name),
+                    token,
+                ),
+                token_position=token,
+                include_primary=self._include_primary,
+                priority=options.request_class.priority,
+                arrived_at=now,
+                deadline_at=now + options.deadline,
+            )
+            answer = await group.read(request)
+            role = "replica" if answer.replica else "primary"
+            self.metrics.reads.add(1, {"role": role, "group": group.spec.name})
+            return answer
+
+    def _token_position(self, options, group):
+        if options.token is None:
+            return None
+        return self.read_token(options.token).get(group.spec.name)
+
+    async def write(self, sql, options, session):
+        """Run a write, remember its position in the session and return its answer.
+
+        Raises
+        ------
+        CallerError
+        """
+        async with self._counted(options):
+            if session.database is None:
+                raise UnknownDatabase("a write needs a database")
+            group = self.group_for(session.database)
+            now = self._clock()
+            request_class = options.request_class
+            answer = await group.write(
+                WriteRequest(
+                    sql=sql,
+                    database=session.database,
+                    caller=session.caller,
+                    key=options.key,
+                    repeatable=request_class.repeatable,
+                    durability=request_class.durability,
+                    priority=request_class.priority,
+                    arrived_at=now,
+                    deadline_at=now + options.deadline,
+                )
+            )
+            session.note_write(group.spec.name, answer.position)
+            return answer.answer
+
+    async def begin(self, sql, options, session):
+        """Open a transaction and return it.
+
+        Raises
+        ------
+        CallerError
+        """
+        group = self.group_for(session.database)
+        request_class = options.request_class
+        transaction = await group.begin(
+            TransactionRequest(
+                begin_sql=sql,
+                database=session.database,
+                caller=session.caller,
+                key=options.key,
+                durability=request_class.durability,
+                priority=request_class.priority,
+                at_least=session.floor_in(group.spec.name, self, options),
+                arrived_at=self._clock(),
+                statement_deadline=options.deadline,
+            )
+        )
+        self._transactions.add(transaction)
+        return transaction, group.spec.name
+
+    def ended(self, transaction):
+        """Note that a transaction has ended."""
+        self._transactions.discard(transaction)
+
+    @asynccontextmanager
+    async def counted_commit(self, options):
+        """Count a commit as a request of its class."""
+        async with self._counted(options):
+            yield
+
+    @asynccontextmanager
+    async def _counted(self, options):
+        started = self._clock()
+        outcome = GOOD
+        self._active += 1
+        try:
+            yield
+        except CallerError as error:
+            outcome = type(error).__name__
+            raise
+        except asyncio.CancelledError:
+            outcome = "Cancelled"
+            raise
+        except Exception:
+            outcome = "InternalError"
+            raise
+        finally:
+            self._active -= 1
+            self._count(options.request_class.name, outcome, started)
+
+    def _count(self, name, outcome, started):
+        attributes = {"class": name, "outcome": outcome}
+        self.metrics.requests.add(1, attributes)
+        self.metrics.duration.record(self._clock() - started, {"class": name})
+        if outcome not in _CALLERS_FAULTS:
+            self.burn.record(name, outcome, time.time())
+
+    # Upkeep
+
+    async def _tidy(self):
+        while True:
+            await asyncio.sleep(TIDY_INTERVAL)
+            now = self._clock()
+            for group in self._groups.values():
+                group.trim(now)
+            for transaction in list(self._transactions):
+                if now - transaction.idle_since > IDLE_LIMIT:
+                    await transaction.abandon()
+
+    def refuse_new(self):
+        """Take no new requests from now on."""
+        self._draining = True
+
+    async def end_groups(self):
+        """Close all connections to instances."""
+        self._groups = {}
+        while self._stacks:
+            _, stack = self._stacks.popitem()
+            await stack.aclose()
+
+    async def drain(self, timeout):
+        """Take no new requests and wait for those that run; return whether all ended."""
+        self.refuse_new()
+        deadline_at = self._clock() + timeout
+        while self.active and self._clock() < deadline_at:
+            await asyncio.sleep(DRAIN_POLL)
+        return not self.active
+
+
+def _names(root):
+    yield root.__name__
+    for one in root.__subclasses__():
+        yield from _names(one)
+
+
+_CALLERS_FAULTS = frozenset([*_names(BadRequest), RefusedByInstance.__name__])
--- /dev/null
+++ b/cardamomdrift/settings.py
@@ -0,0 +1,216 @@
+"""
+Settings
+========
+
+Settings of one daemon, written as JSON with comments.  Models check what operators
+write; secrets lie in files that the settings name.
+"""
+
+import ssl
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+from returns.result import Failure, Success
+
+from cardamomdrift.errors import SettingsError
+from cardamomdrift.util import fault_lines, load_jsonc, seconds
+
+Name = Annotated[str, Field(pattern=r"^[a-z][a-z0-9_-]{0,62}$")]
+Port = Annotated[int, Field(ge=0, le=65535)]
+TOKEN_KEY_MINIMUM = 16  # bytes
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+
+class TlsModel(_Model):
+    """Certificate that callers see."""
+
+    certificate_file: str
+    key_file: str
+
+
+class CallersModel(_Model):
+    """How callers connect."""
+
+    address: str = "0.0.0.0"
+    port: Port = 3306
+    max_connections: int = Field(default=9000, ge=1, le=60000)
+    max_packet_bytes: int = Field(default=4 * 1024 * 1024, ge=1024, le=16 * 1024 * 1024 - 2)
+    users: dict[str, str] | None = None
+    allow_any_user: bool = False
+    tls: TlsModel | None = None
+    allow_plaintext: bool = False
+
+    @model_validator(mode="after")
+    def _check_protection(self):
+        if self.users is None and not self.allow_any_user:
+            raise ValueError("give users, or set allow_any_user")
+        if self.tls is None and not self.allow_plaintext:
+            raise ValueError("give tls, or set allow_plaintext")
+        return self
+
+
+class UpstreamsModel(_Model):
+    """How the daemon logs in to instances."""
+
+    user: str
+    password_file: str | None = None
+
+
+class PlatformModel(_Model):
+    """Where the platform's services are."""
+
+    url: str
+    table: str = "cardamomdrift"
+    bucket: str = "cardamomdrift"
+    region: str = "local"
+    access_key: str
+    secret_key_file: str | None = None
+
+
+class PeersModel(_Model):
+    """Where this daemon listens for peers, and which peers it asks at its start.
+
+    News goes over ``port``, questions over the port after it.
+    """
+
+    address: str
+    port: int = Field(ge=1, le=65534)
+    seeds: list[str] = Field(default_factory=list)
+
+
+class SettingsModel(_Model):
+    """All settings of a daemon."""
+
+    vm: Name
+    failure_domain: Name
+    deployment: Name
+    callers: CallersModel
+    upstreams: UpstreamsModel
+    platform: PlatformModel
+    peers: PeersModel
+    token_key_file: str
+    drain_timeout_ms: float = Field(default=10000, ge=0, le=600000)
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+@dataclass(frozen=True, slots=True)
+class Login:
+    """User and password for instances."""
+
+    user: str
+    password: str
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformOptions:
+    """Where the platform's services are, with credentials."""
+
+    url: str
+    table: str
+    bucket: str
+    region: str
+    access_key: str
+    secret_key: str
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """Checked settings of a daemon; times are in seconds.
+
+    Attributes
+    ----------
+    vm : str
+    failure_domain : str
+    deployment : str
+    callers : CallersModel
+    login : Login
+    platform : PlatformOptions
+    peer_address : str
+        ``ip:port`` for news.
+    seeds : tuple of str
+    token_key : bytes
+    drain_timeout : float
+    log_level : str
+    """
+
+    vm: str
+    failure_domain: str
+    deployment: str
+    callers: CallersModel
+    login: Login
+    platform: PlatformOptions
+    peer_address: str
+    seeds: tuple
+    token_key: bytes
+    drain_timeout: float
+    log_level: str
+
+    def make_tls(self):
+        """Return the TLS context for callers, or None."""
+        if self.callers.tls is None:
+            return None
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.load_cert_chain(
+            self.callers.tls.certificate_file, self.callers.tls.key_file
+        )
+        return context
+
+
+def _read_secret(path):
+    return "" if path is None else Path(path).read_text(encoding="utf-8").strip()
+
+
+def make_settings(model):
+    """Return the settings that a checked model describes, with secrets read.
+
+    Raises
+    ------
+    OSError
+        If a file that the settings name cannot be read.
+    SettingsError
+        If the token key is too short.
+    """
+    token_key = Path(model.token_key_file).read_bytes().strip()
+    if len(token_key) < TOKEN_KEY_MINIMUM:
+        raise SettingsError(
+            [f"{model.token_key_file}: token key needs {TOKEN_KEY_MINIMUM} bytes or more"]
+        )
+    platform = model.platform
+    return Settings(
+        vm=model.vm,
+        failure_domain=model.failure_domain,
+        deployment=model.deployment,
+        callers=model.callers,
+        login=Login(model.upstreams.user, _read_secret(model.upstreams.password_file)),
+        platform=PlatformOptions(
+            url=platform.url,
+            table=platform.table,
+            bucket=platform.bucket,
+            region=platform.region,
+            access_key=platform.access_key,
+            secret_key=_read_secret(platform.secret_key_file),
+        ),
+        peer_address=f"{model.peers.address}:{model.peers.port}",
+        seeds=tuple(model.peers.seeds),
+        token_key=token_key,
+        drain_timeout=seconds(model.drain_timeout_ms),
+        log_level=model.log_level,
+    )
+
+
+def load_settings(path):
+    """Return the settings in a file, as Success, or Failure of SettingsError."""
+    try:
+        model = SettingsModel.model_validate(load_jsonc(path))
+        return Success(make_settings(model))
+    except ValidationError as error:
+        return Failure(SettingsError(fault_lines(error, path)))
+    except SettingsError as error:
+        return Failure(error)
+    except (OSError, ValueError) as error:
+        return Failure(SettingsError([f"{path}: {error}"]))
--- /dev/null
+++ b/cardamomdrift/standins/deployment.py
@@ -0,0 +1,75 @@
+"""
+Stand-in deployment
+===================
+
+Starts stand-in instances for every group of a bundle, and a stand-in platform.
+"""
+
+from contextlib import AsyncExitStack
+
+from cardamomdrift.standins.instance import InstanceOptions, StandinGroup, StandinInstance
+from cardamomdrift.standins.platform import StandinPlatform
+
+
+class StandinDeployment:
+    """Everything outside the daemons; an async context manager.
+
+    Parameters
+    ----------
+    groups : dict of str to StandinGroup
+    platform : StandinPlatform
+    """
+
+    def __init__(self, groups, platform):
+        self._groups = groups
+        self._platform = platform
+        self._stack = AsyncExitStack()
+
+    @property
+    def groups(self):
+        """Stand-in groups by name."""
+        return self._groups
+
+    @property
+    def platform(self):
+        """The stand-in platform."""
+        return self._platform
+
+    async def __aenter__(self):
+        await self._stack.enter_async_context(self._platform)
+        for group in self._groups.values():
+            await self._stack.enter_async_context(group)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._stack.aclose()
+
+    def instances(self):
+        """Return all instances of all groups."""
+        return [one for group in self._groups.values() for one in group.instances.values()]
+
+
+def make_deployment(names, schema, seed=0, **options):
+    """Return stand-ins for some groups.
+
+    Parameters
+    ----------
+    names : dict of str to sequence of str
+        Instance names by group; the first of each leads.
+    schema : sequence of str
+        Statements that the primary of each group starts with.
+    seed : int
+    **options
+        See `InstanceOptions`.
+    """
+    groups = {
+        group: StandinGroup(
+            group,
+            [
+                StandinInstance(one, InstanceOptions(schema=tuple(schema), **options))
+                for one in instances
+            ],
+        )
+        for group, instances in names.items()
+    }
+    return StandinDeployment(groups, StandinPlatform(seed))
--- /dev/null
+++ b/cardamomdrift/standins/fleet.py
@@ -0,0 +1,181 @@
+"""
+Local fleet
+===========
+
+Daemons and stand-ins in one event loop, for the demo, the tests and the measurements.
+"""
+
+import socket
+from contextlib import AsyncExitStack
+from dataclasses import replace
+from datetime import UTC, datetime
+
+import asyncmy
+from aiohttp import ClientSession
+from returns.result import Success
+
+from cardamomdrift.bundle.model import check_value
+from cardamomdrift.bundle.registry import BundleRegistry
+from cardamomdrift.daemon import Daemon
+from cardamomdrift.platform.objects import Objects
+from cardamomdrift.platform.table import make_table
+from cardamomdrift.settings import CallersModel, Login, PlatformOptions, Settings
+
+TOKEN_KEY = b"local-fleet-token-key"
+OPERATOR = "local"
+
+
+def free_port():
+    """Return a pair of neighbouring ports that nobody listens on; the first of them."""
+    while True:
+        with socket.socket() as first, socket.socket() as second:
+            first.bind(("127.0.0.1", 0))
+            port = first.getsockname()[1]
+            try:
+                second.bind(("127.0.0.1", port + 1))
+            except (OSError, OverflowError):
+                continue
+            return port
+
+
+def fill_addresses(value, deployment):
+    """Return a bundle's plain values with the addresses of stand-ins."""
+    value = {**value, "groups": {name: dict(one) for name, one in value["groups"].items()}}
+    for name, group in value["groups"].items():
+        running = deployment.groups[name].instances
+        group["instances"] = {
+            instance: {**spec, "address": "127.0.0.1", "port": running[instance].port}
+            for instance, spec in group["instances"].items()
+        }
+    return value
+
+
+class LocalFleet:
+    """Daemons of one deployment before stand-ins; an async context manager.
+
+    Parameters
+    ----------
+    value : dict
+        A bundle as plain values; its addresses are filled in.
+    deployment : StandinDeployment
+    failure_domains : sequence of str
+        One for each daemon.
+    """
+
+    def __init__(self, value, deployment, failure_domains, policy=None):
+        self._value = value
+        self._deployment = deployment
+        self._domains = failure_domains
+        self._policy = policy
+        self._stack = AsyncExitStack()
+        self._peer_ports = [free_port() for _ in failure_domains]
+        self._settings = {}
+        self.daemons = {}
+        self.registry = None
+
+    @property
+    def deployment(self):
+        """The stand-ins."""
+        return self._deployment
+
+    @property
+    def value(self):
+        """The bundle as plain values, with addresses."""
+        return self._value
+
+    def _make_settings(self, index):
+        seeds = [
+            f"127.0.0.1:{port}" for i, port in enumerate(self._peer_ports) if i != index
+        ]
+        return Settings(
+            vm=f"vm-{index + 1}",
+            failure_domain=self._domains[index],
+            deployment=self._value["deployment"],
+            callers=CallersModel(
+                address="127.0.0.1", port=0, allow_any_user=True, allow_plaintext=True
+            ),
+            login=Login("proxy", ""),
+            platform=self.platform_options(),
+            peer_address=f"127.0.0.1:{self._peer_ports[index]}",
+            seeds=tuple(seeds),
+            token_key=TOKEN_KEY,
+            drain_timeout=10.0,
+            log_level="warning",
+        )
+
+    def platform_options(self):
+        """Return how to reach the stand-in platform."""
+        url = self._deployment.platform.url
+        return PlatformOptions(url, "cardamomdrift", "bundles", "local", "key", "secret")
+
+    async def __aenter__(self):
+        await self._stack.enter_async_context(self._deployment)
+        self._value = fill_addresses(self._value, self._deployment)
+        session = await self._stack.enter_async_context(ClientSession())
+        options = self.platform_options()
+        self.registry = BundleRegistry(
+            make_table(session, options),
+            Objects(session, options),
+            self._value["deployment"],
+        )
+        await self.roll_out(self._value)
+        for index in range(len(self._domains)):
+            await self.start_daemon(index)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        for vm in list(self.daemons):
+            await self.end_daemon(vm)
+        await self._stack.aclose()
+
+    async def roll_out(self, value):
+        """Sign a bundle off and roll it out; return the RollOut."""
+        model = check_value(value, "bundle").unwrap()
+        record = await self.registry.sign_off(model, OPERATOR, datetime.now(UTC))
+        newest = await self.registry.latest()
+        version = newest.version if newest else 0
+        result = await self.registry.roll_out(
+            record.digest, version, OPERATOR, datetime.now(UTC)
+        )
+        match result:
+            case Success(roll_out):
+                return roll_out
+            case _:
+                raise result.failure()
+
+    async def start_daemon(self, index):
+        """Start a daemon and return it."""
+        settings = self._make_settings(index)
+        previous = self._settings.get(settings.vm)
+        if previous is not None:
+            callers = settings.callers.model_copy(update={"port": previous})
+            settings = replace(settings, callers=callers)
+        daemon = Daemon(settings, self._policy)
+        await daemon.__aenter__()
+        self._settings[settings.vm] = daemon.port
+        self.daemons[settings.vm] = daemon
+        return daemon
+
+    async def end_daemon(self, vm):
+        """End a daemon at once."""
+        daemon = self.daemons.pop(vm)
+        daemon.abort()
+        await daemon.__aexit__(None, None, None)
+
+    async def stop_daemon(self, vm):
+        """Shut a daemon down gracefully; return whether it ended clean."""
+        daemon = self.daemons.pop(vm)
+        clean = await daemon.stop()
+        await daemon.__aexit__(None, None, None)
+        return clean
+
+    async def connect(self, vm, database, autocommit=None):
+        """Return a caller's connection to a daemon."""
+        return await asyncmy.connect(
+            host="127.0.0.1",
+            port=self.daemons[vm].port,
+            user="caller",
+            password="",
+            database=database,
+            autocommit=autocommit,
+        )
--- /dev/null
+++ b/cardamomdrift/telemetry/burn.py
@@ -0,0 +1,149 @@
+"""
+Service-level burn
+==================
+
+Counts, for each request class, the requests that met their objective and what failed
+the others, in buckets of a minute; reports how fast the error budget is being spent.
+"""
+
+from collections import Counter, OrderedDict
+from dataclasses import dataclass, field
+
+BUCKET = 60.0  # seconds
+SHORT_WINDOW = 300.0  # seconds
+LONG_WINDOW = 3600.0  # seconds
+KEPT = 6 * 3600.0  # seconds
+GOOD = "good"
+
+
+@dataclass(slots=True)
+class _Bucket:
+    """Counts of one class in one minute."""
+
+    good: int = 0
+    bad: Counter = field(default_factory=Counter)
+
+
+@dataclass(frozen=True, slots=True)
+class WindowBurn:
+    """Burn of one class over one window.
+
+    Attributes
+    ----------
+    seconds : float
+    total : int
+    bad : int
+    rate : float
+        Share of bad requests over the share that the objective allows; at 1.0 the
+        budget is spent just as fast as it is earned.
+    """
+
+    seconds: float
+    total: int
+    bad: int
+    rate: float
+
+
+@dataclass(frozen=True, slots=True)
+class ClassBurn:
+    """Burn of one class.
+
+    Attributes
+    ----------
+    name : str
+    objective : float
+    windows : tuple of WindowBurn
+    causes : tuple of (str, int)
+        What spent the budget over the longest window, most first.
+    """
+
+    name: str
+    objective: float
+    windows: tuple
+    causes: tuple
+
+
+class BurnBook:
+    """Counts of one daemon."""
+
+    def __init__(self):
+        self._classes = {}
+
+    def record(self, name, outcome, now):
+        """Count a request.
+
+        Parameters
+        ----------
+        name : str
+            Request class.
+        outcome : str
+            ``good`` or the type of its failure.
+        now : float
+        """
+        buckets = self._classes.setdefault(name, OrderedDict())
+        key = int(now // BUCKET)
+        bucket = buckets.get(key)
+        if bucket is None:
+            bucket = buckets[key] = _Bucket()
+            self._drop_old(buckets, now)
+        if outcome == GOOD:
+            bucket.good += 1
+        else:
+            bucket.bad[outcome] += 1
+
+    @staticmethod
+    def _drop_old(buckets, now):
+        oldest = int((now - KEPT) // BUCKET)
+        while buckets and next(iter(buckets)) < oldest:
+            buckets.popitem(last=False)
+
+    def report(self, objectives, now):
+        """Return the burn of each class.
+
+        Parameters
+        ----------
+        objectives : dict of str to float
+        now : float
+        """
+        return [
+            self._report_class(name, objective, now)
+            for name, objective in objectives.items()
+        ]
+
+    def _report_class(self, name, objective, now):
+        buckets = self._classes.get(name, {})
+        windows = tuple(
+            self._window(buckets, objective, length, now)
+            for length in (SHORT_WINDOW, LONG_WINDOW, KEPT)
+        )
+        causes = Counter()
+        for bucket in buckets.values():
+            causes.update(bucket.bad)
+        return ClassBurn(name, objective, windows, tuple(causes.most_common()))
+
+    @staticmethod
+    def _window(buckets, objective, length, now):
+        first = int((now - length) // BUCKET) + 1
+        inside = [one for key, one in buckets.items() if key >= first]
+        good = sum(one.good for one in inside)
+        bad = sum(sum(one.bad.values()) for one in inside)
+        total = good + bad
+        share = bad / total if total else 0.0
+        return WindowBurn(length, total, bad, share / (1 - objective))
+
+
+def format_burn(rows):
+    """Return the burn of some classes as text."""
+    lines = [
+        f"{'class':24} {'objective':>9} {'5 min':>8} {'1 h':>8} {'6 h':>8} "
+        f"{'bad/total 6 h':>16}  spent by"
+    ]
+    for row in rows:
+        rates = " ".join(f"{window['rate']:8.2f}" for window in row["windows"])
+        longest = row["windows"][-1]
+        counts = f"{longest['bad']}/{longest['total']}"
+        causes = ", ".join(f"{name} {count}" for name, count in row["causes"]) or "-"
+        lines.append(
+            f"{row['name']:24} {row['objective']:9.4f} {rates} {counts:>16}  {causes}"
+        )
+    return "\n".join(lines)
--- /dev/null
+++ b/cardamomdrift/telemetry/metrics.py
@@ -0,0 +1,59 @@
+"""
+Metrics
+=======
+
+OpenTelemetry instruments of one daemon.  They are read on demand through the daemon's
+port for questions, so that no thread exports them.
+"""
+
+import json
+
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import InMemoryMetricReader
+from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
+from opentelemetry.sdk.resources import Resource
+
+BOUNDS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+
+
+class Metrics:
+    """Instruments of one daemon."""
+
+    def __init__(self, vm):
+        self._reader = InMemoryMetricReader()
+        view = View(
+            instrument_name="cardamomdrift.request.duration",
+            aggregation=ExplicitBucketHistogramAggregation(BOUNDS),
+        )
+        self._provider = MeterProvider(
+            metric_readers=[self._reader],
+            resource=Resource({"service.name": "cardamomdrift", "host.name": vm}),
+            views=[view],
+            shutdown_on_exit=False,
+        )
+        meter = self._provider.get_meter("cardamomdrift")
+        self._meter = meter
+        self.requests = meter.create_counter(
+            "cardamomdrift.requests", unit="{request}", description="Requests by outcome"
+        )
+        self.duration = meter.create_histogram(
+            "cardamomdrift.request.duration", unit="s", description="Time to the answer"
+        )
+        self.reads = meter.create_counter(
+            "cardamomdrift.reads", unit="{read}", description="Reads by serving role"
+        )
+
+    def gauge(self, name, unit, description, callback):
+        """Add a gauge that is observed when the metrics are read."""
+        self._meter.create_observable_gauge(
+            name, callbacks=[callback], unit=unit, description=description
+        )
+
+    def collect(self):
+        """Return all metrics as JSON in OpenTelemetry's form."""
+        data = self._reader.get_metrics_data()
+        return b"{}" if data is None else json.dumps(json.loads(data.to_json())).encode()
+
+    def close(self):
+        """Stop the instruments."""
+        self._provider.shutdown()
--- a/cardamomdrift/util.py
+++ b/cardamomdrift/util.py
@@ -21,12 +21,12 @@
 
 def hash_number(*parts):
     """Return a 64-bit hash of some strings."""
-    return xxhash.xxh3_64_intdigest("\0".join(parts))
+    return xxhash.xxh3_64_intdigest("\0".join(parts).encode())
 
 
 def hash_text(text):
     """Return a 128-bit hash of a text, in hex."""
-    return xxhash.xxh3_128_hexdigest(text)
+    return xxhash.xxh3_128_hexdigest(text.encode())
 
 
 def load_jsonc(path):
