--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements on stand-ins."""
--- /dev/null
+++ b/cardamomdrift/bundle/__init__.py
@@ -0,0 +1,1 @@
+"""Bundles: their model, registry and follower."""
--- a/cardamomdrift/bundle/follower.py
+++ b/cardamomdrift/bundle/follower.py
@@ -2,8 +2,8 @@
 Bundle follower
 ===============
 
-Finds the newest bundle, from the platform or from peers, and hands it on.  Versions only
-rise.  At its start a daemon serves nothing until the platform has told it the newest
+Finds the newest bundle, from the platform or from peers, and hands it on.  Versions
+only rise.  At its start a daemon serves nothing until the platform has told it the newest
 version or, if the platform is down, most of its configured peers have.
 """
 
@@ -115,7 +115,7 @@
                 await self._take_hint()
 
     async def _take_hint(self):
-        """Fetch a newer bundle from the peer that has it, while the platform is down."""
+        """Fetch a newer bundle from the peer that has it; the platform is down."""
         hinted, self._hinted = self._hinted, None
         if hinted is None or hinted[0] <= self.version or hinted[2] is None:
             return
@@ -130,7 +130,9 @@
         try:
             body = await self._registry.fetch(newest.digest)
         except (BundleError, PlatformRefused) as error:
-            self._log.error("bundle not usable", version=newest.version, error=str(error))
+            self._log.error(
+                "bundle not usable", version=newest.version, error=str(error)
+            )
             return
         await self._take(newest.version, newest.digest, body)
 
--- /dev/null
+++ b/cardamomdrift/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side: sessions over the MySQL protocol."""
--- a/cardamomdrift/callers/session.py
+++ b/cardamomdrift/callers/session.py
@@ -145,7 +145,7 @@
 
     async def _write(self, statement, values):
         if statement.commits_implicitly and (values.get("key") or self._transaction):
-            raise BadRequest("the statement commits by itself; run it without key or transaction")
+            raise BadRequest("the statement commits by itself; no key or transaction")
         if not statement.commits_implicitly and await self._in_transaction_for(values):
             if "key" in values:
                 raise BadRequest("inside a transaction the key belongs to its BEGIN")
@@ -155,7 +155,9 @@
 
     async def _in_transaction_for(self, values):
         if self._transaction is None and not self._autocommit:
-            await self._begin("BEGIN", {k: v for k, v in values.items() if k == "token"})
+            await self._begin(
+                "BEGIN", {k: v for k, v in values.items() if k == "token"}
+            )
         return self._transaction is not None
 
     async def _begin(self, sql, values):
@@ -226,7 +228,9 @@
     def _make_token(self):
         positions = dict(self.positions)
         if "token" in self._values:
-            for group, position in self._service.read_token(self._values["token"]).items():
+            for group, position in self._service.read_token(
+                self._values["token"]
+            ).items():
                 positions[group] = max(positions.get(group, ORIGIN), position)
         return self._service.make_token(positions)
 
@@ -247,4 +251,3 @@
         stream, self._stream = self._stream, None
         if stream is not None:
             await stream.close()
-
--- /dev/null
+++ b/cardamomdrift/command.py
@@ -0,0 +1,307 @@
+"""
+Command line
+============
+
+The operators' tool ``cardamomdrift``: bundles, state, reports and settings.  It exits
+with 0 on success, 1 if the answer is no, 2 on bad input and 3 if nobody answered.
+"""
+
+import asyncio
+import getpass
+import json
+import sys
+from contextlib import asynccontextmanager
+from datetime import UTC, datetime
+
+import fire
+from aiohttp import ClientSession
+from returns.result import Failure, Success
+
+from cardamomdrift.bundle.model import check_value, encode_bundle
+from cardamomdrift.bundle.registry import BundleRegistry
+from cardamomdrift.errors import (
+    BundleConflict,
+    BundleError,
+    CardamomdriftError,
+    PlatformUnavailable,
+    SettingsError,
+)
+from cardamomdrift.peers.link import ask
+from cardamomdrift.peers.messages import (
+    BurnQuery,
+    DrainRequest,
+    MetricsQuery,
+    StatusQuery,
+)
+from cardamomdrift.platform.objects import Objects, digest_of
+from cardamomdrift.platform.table import make_table
+from cardamomdrift.settings import load_settings
+from cardamomdrift.telemetry.burn import format_burn
+from cardamomdrift.util import load_jsonc
+
+REFUSED = 1
+BAD_INPUT = 2
+NO_ANSWER = 3
+HISTORY_LIMIT = 20
+
+
+def _fail(error, code):
+    print(f"{type(error).__name__}: {error}", file=sys.stderr)
+    sys.exit(code)
+
+
+def _load_bundle(path):
+    """Return the checked bundle in a file, as Success, or Failure of BundleError."""
+    try:
+        value = load_jsonc(path)
+    except (OSError, ValueError) as error:
+        return Failure(BundleError([f"{path}: {error}"]))
+    return check_value(value, path)
+
+
+def _require(result):
+    match result:
+        case Success(value):
+            return value
+        case Failure(error):
+            _fail(error, BAD_INPUT)
+
+
+@asynccontextmanager
+async def _open_registry(settings):
+    async with ClientSession() as session:
+        yield BundleRegistry(
+            make_table(session, settings.platform),
+            Objects(session, settings.platform),
+            settings.deployment,
+        )
+
+
+def _run(coroutine):
+    """Run a coroutine and turn its failures into exit codes."""
+    try:
+        return asyncio.run(coroutine)
+    except PlatformUnavailable as error:
+        _fail(error, NO_ANSWER)
+    except (BundleError, SettingsError) as error:
+        _fail(error, BAD_INPUT)
+    except CardamomdriftError as error:
+        _fail(error, REFUSED)
+
+
+def _ask(address, query):
+    reply = asyncio.run(ask(address, query))
+    if reply is None:
+        print(f"no answer from {address}", file=sys.stderr)
+        sys.exit(NO_ANSWER)
+    return json.loads(reply.body)
+
+
+class BundleCommands:
+    """Bundles: check, sign off, roll out and look."""
+
+    def check(self, file):
+        """Check a bundle file and print its digest.
+
+        Parameters
+        ----------
+        file : str
+        """
+        model = _require(_load_bundle(file))
+        return f"ok {digest_of(encode_bundle(model))}"
+
+    def sign_off(self, file, settings, operator=None):
+        """Check a bundle, store it and record that you approve it.
+
+        Parameters
+        ----------
+        file : str
+        settings : str
+            Settings file of any daemon of the deployment.
+        operator : str
+            Who signs; default: the user who runs the command.
+        """
+        found = _require(load_settings(settings))
+        model = _require(_load_bundle(file))
+        if model.deployment != found.deployment:
+            places = [f"{file}: deployment: settings are for {found.deployment}"]
+            _fail(BundleError(places), BAD_INPUT)
+        return _run(self._sign_off(found, model, operator or getpass.getuser()))
+
+    async def _sign_off(self, settings, model, operator):
+        async with _open_registry(settings) as registry:
+            record = await registry.sign_off(model, operator, datetime.now(UTC))
+        return f"signed off {record.digest} by {record.operator}: {record.checks}"
+
+    def roll_out(self, digest, settings, expect, operator=None):
+        """Roll a signed-off bundle out as the version after the expected one.
+
+        Parameters
+        ----------
+        digest : str
+        settings : str
+        expect : int
+            Version that you believe to be in force; 0 before the first.
+        operator : str
+        """
+        found = _require(load_settings(settings))
+        name = operator or getpass.getuser()
+        return _run(self._roll_out(found, str(digest), int(expect), name))
+
+    async def _roll_out(self, settings, digest, expect, operator):
+        async with _open_registry(settings) as registry:
+            result = await registry.roll_out(
+                digest, expect, operator, datetime.now(UTC)
+            )
+        match result:
+            case Success(record):
+                return f"rolled out version {record.version} digest {record.digest}"
+            case Failure(BundleConflict() as error):
+                _fail(error, REFUSED)
+            case Failure(error):
+                raise error
+
+    def show(self, settings):
+        """Print the bundle that is in force.
+
+        Parameters
+        ----------
+        settings : str
+        """
+        return _run(self._show(_require(load_settings(settings))))
+
+    async def _show(self, settings):
+        async with _open_registry(settings) as registry:
+            newest = await registry.latest()
+            if newest is None:
+                return "no bundle was rolled out"
+            body = await registry.fetch(newest.digest)
+        text = json.dumps(json.loads(body), indent=2)
+        return f"// version {newest.version} by {newest.operator}\n{text}"
+
+    def history(self, settings):
+        """Print the newest roll-outs, newest first.
+
+        Parameters
+        ----------
+        settings : str
+        """
+        return _run(self._history(_require(load_settings(settings))))
+
+    async def _history(self, settings):
+        async with _open_registry(settings) as registry:
+            rows = await registry.history(HISTORY_LIMIT)
+        return "\n".join(
+            f"{one.version} {one.rolled_out_at} {one.operator} {one.digest}"
+            for one in rows
+        )
+
+
+class ReportCommands:
+    """Reports."""
+
+    def burn(self, address, as_json=False):
+        """Print how fast each request class spends its error budget.
+
+        Parameters
+        ----------
+        address : str
+            ``ip:port`` of a daemon's peer port, or several with commas between.
+        as_json : bool
+        """
+        rows = merge_burn([_ask(one, BurnQuery()) for one in _addresses(address)])
+        return json.dumps(rows, indent=2) if as_json else format_burn(rows)
+
+    def metrics(self, address):
+        """Print a daemon's OpenTelemetry metrics as JSON.
+
+        Parameters
+        ----------
+        address : str
+        """
+        return json.dumps(_ask(address, MetricsQuery()), indent=2)
+
+
+def _addresses(value):
+    """Return the addresses in an argument; fire turns commas into a tuple."""
+    return list(value) if isinstance(value, tuple | list) else str(value).split(",")
+
+
+def merge_burn(reports):
+    """Return the burn of several daemons as that of one.
+
+    Parameters
+    ----------
+    reports : list of list of dict
+        Reports of the daemons, as they come over the wire.
+    """
+    merged = {}
+    for row in (row for report in reports for row in report):
+        known = merged.get(row["name"])
+        merged[row["name"]] = row if known is None else _add_burn(known, row)
+    return list(merged.values())
+
+
+def _add_burn(first, second):
+    windows = []
+    for one, other in zip(first["windows"], second["windows"], strict=True):
+        total, bad = one["total"] + other["total"], one["bad"] + other["bad"]
+        share = bad / total if total else 0.0
+        rate = share / (1 - first["objective"])
+        windows.append({**one, "total": total, "bad": bad, "rate": rate})
+    causes = dict(first["causes"])
+    for name, count in second["causes"]:
+        causes[name] = causes.get(name, 0) + count
+    ordered = sorted(causes.items(), key=lambda pair: -pair[1])
+    return {**first, "windows": windows, "causes": ordered}
+
+
+class SettingsCommands:
+    """Settings files."""
+
+    def check(self, file):
+        """Check a settings file.
+
+        Parameters
+        ----------
+        file : str
+        """
+        found = _require(load_settings(file))
+        return f"ok {found.vm} in {found.failure_domain} of {found.deployment}"
+
+
+class Commands:
+    """The operators' tool."""
+
+    def __init__(self):
+        self.bundle = BundleCommands()
+        self.report = ReportCommands()
+        self.settings = SettingsCommands()
+
+    def status(self, address):
+        """Print a daemon's state as JSON.
+
+        Parameters
+        ----------
+        address : str
+            ``ip:port`` of the daemon's peer port.
+        """
+        return json.dumps(_ask(address, StatusQuery()), indent=2)
+
+    def drain(self, address):
+        """Tell a daemon to shut down gracefully.
+
+        Parameters
+        ----------
+        address : str
+        """
+        return json.dumps(_ask(address, DrainRequest()))
+
+
+def main():
+    """Entry point of ``cardamomdrift``."""
+    fire.Fire(Commands(), name="cardamomdrift")
+
+
+if __name__ == "__main__":
+    main()
--- a/cardamomdrift/daemon.py
+++ b/cardamomdrift/daemon.py
@@ -23,13 +23,14 @@
 from cardamomdrift.limits.admission import Adaptive
 from cardamomdrift.membership.keeper import LeaseKeeper
 from cardamomdrift.peers.board import PeerBoard
-from cardamomdrift.peers.link import PeerLink
+from cardamomdrift.peers.link import PeerLink, ask
 from cardamomdrift.peers.messages import (
     BundleQuery,
     BundleReply,
     BurnQuery,
     DrainRequest,
     GroupNews,
+    Hello,
     JsonReply,
     MetricsQuery,
     News,
@@ -107,6 +108,11 @@
         """Port for callers."""
         return self._server.port
 
+    @property
+    def peer_address(self):
+        """``ip:port`` for news."""
+        return self._settings.peer_address
+
     @property
     def drain_asked(self):
         """Set once an operator or a signal has asked for a graceful shutdown."""
@@ -143,6 +149,7 @@
                 settings.peer_address,
                 time.time,
                 self._on_membership,
+                self._say_hello,
                 self._log,
             )
         )
@@ -269,6 +276,12 @@
             may_connect=membership.may_connect,
         )
 
+    async def _say_hello(self, membership):
+        hello = Hello(self._settings.vm)
+        await asyncio.gather(
+            *(ask(address, hello) for address in membership.addresses.values())
+        )
+
     async def _on_bundle(self, in_force):
         await self._service.obey(in_force)
         self._news_wanted.set()
@@ -279,6 +292,9 @@
         match query:
             case BundleQuery():
                 return self._bundle_reply()
+            case Hello():
+                self._keeper.poke()
+                return JsonReply(msgspec.json.encode({"counted": False}))
             case StatusQuery():
                 return JsonReply(msgspec.json.encode(self.status()))
             case MetricsQuery():
@@ -298,7 +314,9 @@
     def _burn(self):
         bundle = self._service.bundle
         objectives = (
-            {name: one.objective for name, one in bundle.classes.items()} if bundle else {}
+            {name: one.objective for name, one in bundle.classes.items()}
+            if bundle
+            else {}
         )
         return self._service.burn.report(objectives, time.time())
 
--- a/cardamomdrift/errors.py
+++ b/cardamomdrift/errors.py
@@ -105,7 +105,9 @@
         self.retry_after = retry_after
 
     def __str__(self):
-        hint = f" retry_after_ms={self.retry_after * 1000:.0f}" if self.retry_after else ""
+        hint = (
+            f" retry_after_ms={self.retry_after * 1000:.0f}" if self.retry_after else ""
+        )
         return f"{type(self).__name__}: {self.reason}{hint}"
 
 
--- /dev/null
+++ b/cardamomdrift/failover/__init__.py
@@ -0,0 +1,1 @@
+"""Suspicion, promotion and the record of terms."""
--- a/cardamomdrift/failover/monitor.py
+++ b/cardamomdrift/failover/monitor.py
@@ -212,7 +212,10 @@
                 continue
             self.counts.repaired += 1
             self._log.info(
-                "instance told to follow", group=parts.spec.name, instance=name, term=term
+                "instance told to follow",
+                group=parts.spec.name,
+                instance=name,
+                term=term,
             )
             await call_instance(
                 parts.instances[name].spec,
--- /dev/null
+++ b/cardamomdrift/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, concurrency, retry budgets and connection shares."""
--- a/cardamomdrift/membership/keeper.py
+++ b/cardamomdrift/membership/keeper.py
@@ -15,6 +15,7 @@
 
 RENEW_INTERVAL = 5.0  # seconds
 JOIN_INTERVAL = 0.5  # seconds, until all others count this VM
+POKE_DELAY = 0.1  # seconds in which several pokes count as one
 LEASE_TIME = 20.0  # seconds
 GRACE = 3.0  # seconds for clocks that differ
 PLATFORM_PARTITION = "platform"
@@ -66,7 +67,9 @@
     return Membership(
         counted=counted,
         may_connect=previous.may_connect or may_connect(vm, leases, now, GRACE),
-        addresses={one.vm: one.address for one in leases if one.vm != vm and one.address},
+        addresses={
+            one.vm: one.address for one in leases if one.vm != vm and one.address
+        },
         leaving=listed_leaving,
     )
 
@@ -94,16 +97,22 @@
     wall_clock : callable
     on_change : callable
         Takes the new Membership.
+    on_waiting : coroutine function
+        Takes the Membership while the others do not count this VM yet.
     log : structlog logger
     """
 
-    def __init__(self, table, deployment, vm, address, wall_clock, on_change, log):
+    def __init__(
+        self, table, deployment, vm, address, wall_clock, on_change, on_waiting, log
+    ):
         self._table = table
         self._deployment = deployment
         self._vm = vm
         self._address = address
         self._wall_clock = wall_clock
         self._on_change = on_change
+        self._on_waiting = on_waiting
+        self._poked = asyncio.Event()
         self._log = log
         self._steady_since = None
         self._task = None
@@ -144,8 +153,24 @@
                 await self._renew()
             except PlatformUnavailable as error:
                 self._note_outage(error)
-            joined = self._membership.may_connect
-            await asyncio.sleep(RENEW_INTERVAL if joined else JOIN_INTERVAL)
+            if self._membership.may_connect:
+                await self._wait_for_poke(RENEW_INTERVAL)
+            else:
+                await self._on_waiting(self._membership)
+                await asyncio.sleep(JOIN_INTERVAL)
+
+    def poke(self):
+        """Read the leases soon, since a new VM waits to be counted."""
+        self._poked.set()
+
+    async def _wait_for_poke(self, interval):
+        try:
+            async with asyncio.timeout(interval):
+                await self._poked.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(POKE_DELAY)
+        self._poked.clear()
 
     def _note_outage(self, error):
         if self._steady_since is not None:
--- /dev/null
+++ b/cardamomdrift/peers/__init__.py
@@ -0,0 +1,1 @@
+"""What daemons tell each other."""
--- a/cardamomdrift/peers/board.py
+++ b/cardamomdrift/peers/board.py
@@ -2,8 +2,8 @@
 Peer board
 ==========
 
-What the peers' news say, with its age: the newest bundle, the highest term of each group
-and how long ago a peer heard from its primary.
+What the peers' news say, with its age: the newest bundle, the highest term of each
+group and how long ago a peer heard from its primary.
 """
 
 from dataclasses import dataclass
--- a/cardamomdrift/peers/messages.py
+++ b/cardamomdrift/peers/messages.py
@@ -56,6 +56,12 @@
     body: bytes
 
 
+class Hello(msgspec.Struct, array_like=True, frozen=True, tag="hello"):
+    """Tells a daemon that a new VM has written its lease and waits to be counted."""
+
+    vm: str
+
+
 class StatusQuery(msgspec.Struct, array_like=True, frozen=True, tag="status?"):
     """Asks a daemon for its state, for operators."""
 
@@ -78,7 +84,7 @@
     body: bytes
 
 
-Query = BundleQuery | StatusQuery | MetricsQuery | BurnQuery | DrainRequest
+Query = BundleQuery | Hello | StatusQuery | MetricsQuery | BurnQuery | DrainRequest
 Reply = BundleReply | JsonReply
 
 _ENCODER = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/cardamomdrift/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's table service and object store."""
--- /dev/null
+++ b/cardamomdrift/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Floors, choice of instances, reads, writes and transactions."""
--- a/cardamomdrift/routing/floor.py
+++ b/cardamomdrift/routing/floor.py
@@ -7,7 +7,7 @@
 of the group's instances reported to a probe begun at a known time.
 """
 
-from collections import deque
+from bisect import bisect_left
 from dataclasses import dataclass
 
 from cardamomdrift.bundle.model import Consistency, Durability
@@ -99,19 +99,24 @@
     """Recent samples of one group, oldest first."""
 
     def __init__(self):
-        self._samples = deque(maxlen=SAMPLE_LIMIT)
+        self._times = []
+        self._floors = []
 
     def add(self, sample):
         """Add a sample; one begun before the last one adds nothing."""
-        if self._samples and sample.begun_at <= self._samples[-1].begun_at:
+        if self._times and sample.begun_at <= self._times[-1]:
             return
-        self._samples.append(sample)
+        self._times.append(sample.begun_at)
+        self._floors.append(sample.floor)
+        if len(self._times) >= 2 * SAMPLE_LIMIT:
+            del self._times[:SAMPLE_LIMIT]
+            del self._floors[:SAMPLE_LIMIT]
 
     def find(self, rule):
         """Return the lowest known floor that suits a rule, or None."""
         if rule.since is None:
             return rule.at_least
-        for sample in self._samples:
-            if sample.begun_at >= rule.since:
-                return max(sample.floor, rule.at_least)
-        return None
+        index = bisect_left(self._times, rule.since)
+        if index == len(self._times):
+            return None
+        return max(self._floors[index], rule.at_least)
--- a/cardamomdrift/routing/group.py
+++ b/cardamomdrift/routing/group.py
@@ -174,6 +174,7 @@
         for runtime in self._parts.instances.values():
             if runtime.pool.limit != share:
                 runtime.set_share(share)
+                runtime.prober.want()
         self._parts.dispatcher.pump()
 
     def set_leaving(self, instances):
--- a/cardamomdrift/routing/hedge.py
+++ b/cardamomdrift/routing/hedge.py
@@ -3,7 +3,8 @@
 ============
 
 Runs a second attempt of a slow read elsewhere and takes the first answer.  The other
-attempt runs on in the background to its own deadline, so that its connection ends clean.
+attempt runs on in the background to its own deadline, so that its connection ends
+clean.
 """
 
 import asyncio
--- a/cardamomdrift/routing/reads.py
+++ b/cardamomdrift/routing/reads.py
@@ -23,9 +23,9 @@
 )
 from cardamomdrift.limits.admission import Ticket
 from cardamomdrift.position import Position
+from cardamomdrift.routing.answers import make_answer
 from cardamomdrift.routing.dispatch import ForRead
 from cardamomdrift.routing.hedge import Hedger
-from cardamomdrift.routing.answers import make_answer
 from cardamomdrift.sessions.statement import shape_of
 from cardamomdrift.wire import Rows
 
@@ -68,7 +68,7 @@
 
 
 class ReadAnswer:
-    """Answer of a read, where it came from, and the place that a long one still holds."""
+    """Answer of a read, its origin, and the place that a long one still holds."""
 
     def __init__(self, answer, instance, replica, stack=None):
         self.answer = answer
@@ -150,7 +150,10 @@
         parts = self._parts
         try:
             return await parts.watch.floor(
-                request.rule, parts.clock(), request.include_primary, request.deadline_at
+                request.rule,
+                parts.clock(),
+                request.include_primary,
+                request.deadline_at,
             )
         except TimeoutError:
             raise FloorUnknown("no majority of the group answered", 1.0) from None
@@ -204,7 +207,9 @@
 
     async def _prove(self, connection, place, floor, request):
         known = self._parts.view.instances[place.name]
-        fresh_connection = known.begun_at is None or connection.opened_at > known.begun_at
+        fresh_connection = (
+            known.begun_at is None or connection.opened_at > known.begun_at
+        )
         if known.position >= floor and not fresh_connection:
             return
         give_up_at = self._parts.clock() + PATIENCE
@@ -246,7 +251,9 @@
             async with asyncio.timeout_at(deadline_at):
                 rows = await connection.next_batch()
         except (UpstreamLost, TimeoutError) as error:
-            raise AnswerCut("the instance failed in the middle of the result") from error
+            raise AnswerCut(
+                "the instance failed in the middle of the result"
+            ) from error
         if not rows:
             return
         yield rows
--- a/cardamomdrift/routing/transactions.py
+++ b/cardamomdrift/routing/transactions.py
@@ -133,7 +133,9 @@
             await self._connection.execute(insert_key(key, hash_text(key), 0, 0))
         except StatementRefused as error:
             if error.code == DUPLICATE_KEY:
-                raise AlreadyDone("a transaction with this key was committed") from error
+                raise AlreadyDone(
+                    "a transaction with this key was committed"
+                ) from error
             raise
         self._wrote = True
 
@@ -220,4 +222,3 @@
         """Give the connection back, if it is still held."""
         stack, self._stack = self._stack, AsyncExitStack()
         await stack.aclose()
-
--- a/cardamomdrift/routing/view.py
+++ b/cardamomdrift/routing/view.py
@@ -58,7 +58,9 @@
     @property
     def term(self):
         """Highest term seen at any instance or heard of from peers."""
-        return max(self.heard_term, *(one.fence_term for one in self.instances.values()))
+        return max(
+            self.heard_term, *(one.fence_term for one in self.instances.values())
+        )
 
     @property
     def primary(self):
--- a/cardamomdrift/service.py
+++ b/cardamomdrift/service.py
@@ -28,6 +28,7 @@
 from cardamomdrift.sessions.options import check_options
 from cardamomdrift.sessions.token import decode_token, encode_token
 from cardamomdrift.telemetry.burn import GOOD, BurnBook
+from cardamomdrift.telemetry.instruments import add_instruments
 from cardamomdrift.telemetry.metrics import Metrics
 from cardamomdrift.util import cancel_all
 
@@ -59,8 +60,10 @@
         self._transactions = set()
         self._draining = False
         self._tidier = None
+        self._reads_by_role = {"replica": 0, "primary": 0}
         self.metrics = Metrics(surroundings.vm.name)
         self.burn = BurnBook()
+        add_instruments(self.metrics, self)
 
     @property
     def bundle(self):
@@ -82,6 +85,10 @@
         """Whether the daemon takes no new requests."""
         return self._draining
 
+    def reads_by_role(self):
+        """Return the number of reads that replicas and primaries served."""
+        return dict(self._reads_by_role)
+
     async def __aenter__(self):
         self._tidier = asyncio.create_task(self._tidy())
         return self
@@ -94,7 +101,7 @@
     # Bundle and membership
 
     async def obey(self, in_force):
-        """Obey a newer bundle: start new groups, replace changed ones, end the others."""
+        """Obey a newer bundle: start, replace and end groups."""
         bundle = in_force.bundle
         old = dict(self._groups)
         groups = {}
@@ -233,7 +240,7 @@
             )
             answer = await group.read(request)
             role = "replica" if answer.replica else "primary"
-            self.metrics.reads.add(1, {"role": role, "group": group.spec.name})
+            self._reads_by_role[role] += 1
             return answer
 
     def _token_position(self, options, group):
@@ -356,7 +363,7 @@
             await stack.aclose()
 
     async def drain(self, timeout):
-        """Take no new requests and wait for those that run; return whether all ended."""
+        """Take no new requests; return whether those that run ended in time."""
         self.refuse_new()
         deadline_at = self._clock() + timeout
         while self.active and self._clock() < deadline_at:
--- /dev/null
+++ b/cardamomdrift/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Statements, request options and session tokens."""
--- a/cardamomdrift/sessions/options.py
+++ b/cardamomdrift/sessions/options.py
@@ -100,7 +100,9 @@
         return Success(
             RequestOptions(
                 request_class=request_class,
-                deadline=_get_milliseconds(values, "deadline_ms", request_class.deadline),
+                deadline=_get_milliseconds(
+                    values, "deadline_ms", request_class.deadline
+                ),
                 max_age=age if kind is Kind.READ else None,
                 key=_get_key(values, kind),
                 token=values.get("token") or None,
--- a/cardamomdrift/sessions/statement.py
+++ b/cardamomdrift/sessions/statement.py
@@ -14,9 +14,13 @@
 SHAPE_CACHE = 4096  # statements
 OPTION_PREFIX = "cardamomdrift"
 
-_LEADING = re.compile(r"\s*(?:(?:/\*(?!!)(.*?)\*/|--[^\n]*\n|#[^\n]*\n)\s*)?", re.DOTALL)
+_LEADING = re.compile(
+    r"\s*(?:(?:/\*(?!!)(.*?)\*/|--[^\n]*\n|#[^\n]*\n)\s*)?", re.DOTALL
+)
 _VERB = re.compile(r"\(*\s*([A-Za-z]+)")
-_LITERAL = re.compile(r"'(?:[^'\\]|\\.|'')*'|\"(?:[^\"\\]|\\.|\"\")*\"|\b\d+(?:\.\d+)?\b")
+_LITERAL = re.compile(
+    r"'(?:[^'\\]|\\.|'')*'|\"(?:[^\"\\]|\\.|\"\")*\"|\b\d+(?:\.\d+)?\b"
+)
 _OPTION = re.compile(r"([a-z_]+)\s*=\s*(?:'([^']*)'|([^\s,;]+))")
 _SET_OPTION = re.compile(
     r"SET\s+(?:SESSION\s+|@@SESSION\.|@@)?cardamomdrift_([a-z_]+)\s*=\s*"
@@ -27,7 +31,9 @@
     r"SELECT\s+@@(?:SESSION\.)?cardamomdrift_([a-z_]+)\s*;?\s*$", re.IGNORECASE
 )
 _USE = re.compile(r"USE\s+`?([^`;\s]+)`?\s*;?\s*$", re.IGNORECASE)
-_AUTOCOMMIT = re.compile(r"SET\s+(?:SESSION\s+|@@)?AUTOCOMMIT\s*=\s*(\w+)", re.IGNORECASE)
+_AUTOCOMMIT = re.compile(
+    r"SET\s+(?:SESSION\s+|@@)?AUTOCOMMIT\s*=\s*(\w+)", re.IGNORECASE
+)
 _LOCKING = re.compile(
     r"\b(?:FOR\s+UPDATE|FOR\s+SHARE|LOCK\s+IN\s+SHARE\s+MODE|GET_LOCK\s*\("
     r"|RELEASE_LOCK\s*\(|INTO\s+(?:OUTFILE|DUMPFILE|@))",
@@ -120,7 +126,9 @@
     prefix, separator, text = comment.strip().partition(":")
     if not separator or prefix.strip() != OPTION_PREFIX:
         return ()
-    return tuple((m[1], m[2] if m[2] is not None else m[3]) for m in _OPTION.finditer(text))
+    return tuple(
+        (m[1], m[2] if m[2] is not None else m[3]) for m in _OPTION.finditer(text)
+    )
 
 
 def _parse_set(sql, text, options):
@@ -131,7 +139,9 @@
     match = _AUTOCOMMIT.match(text)
     if match:
         on = match[1].upper() in ("1", "ON", "TRUE")
-        return Statement(sql, Verb.AUTOCOMMIT_ON if on else Verb.AUTOCOMMIT_OFF, options)
+        return Statement(
+            sql, Verb.AUTOCOMMIT_ON if on else Verb.AUTOCOMMIT_OFF, options
+        )
     return Statement(sql, Verb.SET, options)
 
 
@@ -157,7 +167,9 @@
                 return Statement(sql, Verb.READ_OPTION, options, option[1].lower())
             if _LOCKING.search(text):
                 return Statement(sql, Verb.WRITE, options)
-        case Verb.ROLLBACK if re.match(r"ROLLBACK\s+(WORK\s+)?TO\b", text, re.IGNORECASE):
+        case Verb.ROLLBACK if re.match(
+            r"ROLLBACK\s+(WORK\s+)?TO\b", text, re.IGNORECASE
+        ):
             return Statement(sql, Verb.SAVEPOINT, options)
     return Statement(sql, verb, options)
 
--- a/cardamomdrift/settings.py
+++ b/cardamomdrift/settings.py
@@ -39,7 +39,9 @@
     address: str = "0.0.0.0"
     port: Port = 3306
     max_connections: int = Field(default=9000, ge=1, le=60000)
-    max_packet_bytes: int = Field(default=4 * 1024 * 1024, ge=1024, le=16 * 1024 * 1024 - 2)
+    max_packet_bytes: int = Field(
+        default=4 * 1024 * 1024, ge=1024, le=16 * 1024 * 1024 - 2
+    )
     users: dict[str, str] | None = None
     allow_any_user: bool = False
     tls: TlsModel | None = None
@@ -178,7 +180,7 @@
     token_key = Path(model.token_key_file).read_bytes().strip()
     if len(token_key) < TOKEN_KEY_MINIMUM:
         raise SettingsError(
-            [f"{model.token_key_file}: token key needs {TOKEN_KEY_MINIMUM} bytes or more"]
+            [f"{model.token_key_file}: token key is under {TOKEN_KEY_MINIMUM} bytes"]
         )
     platform = model.platform
     return Settings(
--- /dev/null
+++ b/cardamomdrift/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for everything outside the daemons."""
--- a/cardamomdrift/standins/deployment.py
+++ b/cardamomdrift/standins/deployment.py
@@ -7,7 +7,11 @@
 
 from contextlib import AsyncExitStack
 
-from cardamomdrift.standins.instance import InstanceOptions, StandinGroup, StandinInstance
+from cardamomdrift.standins.instance import (
+    InstanceOptions,
+    StandinGroup,
+    StandinInstance,
+)
 from cardamomdrift.standins.platform import StandinPlatform
 
 
@@ -46,7 +50,9 @@
 
     def instances(self):
         """Return all instances of all groups."""
-        return [one for group in self._groups.values() for one in group.instances.values()]
+        return [
+            one for group in self._groups.values() for one in group.instances.values()
+        ]
 
 
 def make_deployment(names, schema, seed=0, **options):
--- a/cardamomdrift/standins/fleet.py
+++ b/cardamomdrift/standins/fleet.py
@@ -40,7 +40,10 @@
 
 def fill_addresses(value, deployment):
     """Return a bundle's plain values with the addresses of stand-ins."""
-    value = {**value, "groups": {name: dict(one) for name, one in value["groups"].items()}}
+    value = {
+        **value,
+        "groups": {name: dict(one) for name, one in value["groups"].items()},
+    }
     for name, group in value["groups"].items():
         running = deployment.groups[name].instances
         group["instances"] = {
@@ -106,7 +109,9 @@
     def platform_options(self):
         """Return how to reach the stand-in platform."""
         url = self._deployment.platform.url
-        return PlatformOptions(url, "cardamomdrift", "bundles", "local", "key", "secret")
+        return PlatformOptions(
+            url, "cardamomdrift", "bundles", "local", "key", "secret"
+        )
 
     async def __aenter__(self):
         await self._stack.enter_async_context(self._deployment)
--- a/cardamomdrift/standins/instance.py
+++ b/cardamomdrift/standins/instance.py
@@ -19,7 +19,14 @@
 from cardamomdrift.errors import StatementRefused
 from cardamomdrift.position import ORIGIN, Position
 from cardamomdrift.standins.engine import Engine
-from cardamomdrift.wire import Ok, OpenIdentity, Rows, WireServer, WireVariables, make_column
+from cardamomdrift.wire import (
+    Ok,
+    OpenIdentity,
+    Rows,
+    WireServer,
+    WireVariables,
+    make_column,
+)
 
 READ_ONLY = 1290
 LOCK_WAIT_TIMEOUT = 1205
@@ -268,7 +275,9 @@
 
     def _row(self, accepted):
         source = self._source.address if self._source else ""
-        silence = (asyncio.get_running_loop().time() - self._source_heard) * MILLISECONDS
+        silence = (
+            asyncio.get_running_loop().time() - self._source_heard
+        ) * MILLISECONDS
         return (
             self._fence_term,
             self._fence_owner,
@@ -319,7 +328,9 @@
     async def work(self, sql):
         """Hold a slot for the service time of a statement."""
         match = _COST.search(sql)
-        seconds = float(match[1]) / MILLISECONDS if match else self._options.service_time
+        seconds = (
+            float(match[1]) / MILLISECONDS if match else self._options.service_time
+        )
         async with self._slots:
             self._statements += 1
             if seconds:
--- a/cardamomdrift/standins/platform.py
+++ b/cardamomdrift/standins/platform.py
@@ -134,7 +134,9 @@
         values = [value["S"] for value in payload["ExpressionAttributeValues"].values()]
         partition, prefix = values
         keys = sorted(
-            key for key in self._items if key[0] == partition and key[1].startswith(prefix)
+            key
+            for key in self._items
+            if key[0] == partition and key[1].startswith(prefix)
         )
         if not payload.get("ScanIndexForward", True):
             keys.reverse()
@@ -154,7 +156,10 @@
         await self._faulty()
         self._writes += 1
         body = await request.read()
-        if request.headers.get("If-None-Match") == "*" and request.path in self._objects:
+        if (
+            request.headers.get("If-None-Match") == "*"
+            and request.path in self._objects
+        ):
             return web.Response(status=412)
         self._objects[request.path] = body
         self._lose_answer(request)
--- /dev/null
+++ b/cardamomdrift/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and service-level burn."""
--- /dev/null
+++ b/cardamomdrift/telemetry/instruments.py
@@ -0,0 +1,90 @@
+"""
+Instruments of a service
+========================
+
+The table of counters and gauges that are read from a running service, with the function
+that reads each.
+"""
+
+
+def _reads(service):
+    for role, count in service.reads_by_role().items():
+        yield count, {"role": role}
+
+
+def _promotions(service):
+    for name, group in service.groups.items():
+        yield group.counts.promoted, {"group": name, "outcome": "succeeded"}
+        yield group.counts.failed, {"group": name, "outcome": "failed"}
+
+
+def _suspicions(service):
+    for name, group in service.groups.items():
+        yield group.counts.suspected, {"group": name}
+
+
+def _probes(service):
+    for name, instance, runtime in _instances(service):
+        yield runtime.prober.asked, {"group": name, "instance": instance}
+
+
+def _refusals(service):
+    for name, instance, runtime in _instances(service):
+        yield runtime.pool.refusals, {"group": name, "instance": instance}
+
+
+def _waiting(service):
+    for name, group in service.groups.items():
+        yield len(group.parts.dispatcher.queue), {"group": name}
+
+
+def _connections(service):
+    for name, instance, runtime in _instances(service):
+        yield runtime.pool.size, {"group": name, "instance": instance}
+
+
+def _terms(service):
+    for name, group in service.groups.items():
+        yield group.view.term, {"group": name}
+
+
+def _active(service):
+    yield service.active, {}
+
+
+def _instances(service):
+    for name, group in service.groups.items():
+        for instance, runtime in group.parts.instances.items():
+            yield name, instance, runtime
+
+
+COUNTERS = (
+    ("cardamomdrift.reads", "{read}", "Reads by serving role", _reads),
+    ("cardamomdrift.promotions", "{promotion}", "Promotions by outcome", _promotions),
+    ("cardamomdrift.suspicions", "{suspicion}", "Primaries suspected", _suspicions),
+    ("cardamomdrift.probes", "{probe}", "Status questions asked", _probes),
+    (
+        "cardamomdrift.connection.refusals",
+        "{refusal}",
+        "Connections refused as too many",
+        _refusals,
+    ),
+)
+GAUGES = (
+    ("cardamomdrift.waiting", "{request}", "Requests that wait", _waiting),
+    ("cardamomdrift.connections", "{connection}", "Open connections", _connections),
+    ("cardamomdrift.term", "1", "Highest term seen", _terms),
+    ("cardamomdrift.active", "{request}", "Requests not finished", _active),
+)
+
+
+def add_instruments(metrics, service):
+    """Add every instrument of the tables."""
+    for name, unit, description, read in COUNTERS:
+        metrics.observe_counter(name, unit, description, _bind(read, service))
+    for name, unit, description, read in GAUGES:
+        metrics.observe_gauge(name, unit, description, _bind(read, service))
+
+
+def _bind(read, service):
+    return lambda: read(service)
--- a/cardamomdrift/telemetry/log.py
+++ b/cardamomdrift/telemetry/log.py
@@ -21,7 +21,9 @@
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.LogfmtRenderer(
-                key_order=["timestamp", "level", "vm", "event"], drop_missing=True
+                key_order=["timestamp", "level", "vm", "event"],
+                drop_missing=True,
+                bool_as_flag=False,
             ),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
--- a/cardamomdrift/telemetry/metrics.py
+++ b/cardamomdrift/telemetry/metrics.py
@@ -8,6 +8,7 @@
 
 import json
 
+from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
@@ -16,6 +17,13 @@
 BOUNDS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
 
 
+def _make_callback(read):
+    def callback(_options):
+        return [Observation(value, attributes) for value, attributes in read()]
+
+    return callback
+
+
 class Metrics:
     """Instruments of one daemon."""
 
@@ -34,25 +42,39 @@
         meter = self._provider.get_meter("cardamomdrift")
         self._meter = meter
         self.requests = meter.create_counter(
-            "cardamomdrift.requests", unit="{request}", description="Requests by outcome"
+            "cardamomdrift.requests",
+            unit="{request}",
+            description="Requests by outcome",
         )
         self.duration = meter.create_histogram(
             "cardamomdrift.request.duration", unit="s", description="Time to the answer"
         )
-        self.reads = meter.create_counter(
-            "cardamomdrift.reads", unit="{read}", description="Reads by serving role"
+
+    def observe_counter(self, name, unit, description, read):
+        """Add a counter that is read when the metrics are.
+
+        Parameters
+        ----------
+        name, unit, description : str
+        read : callable
+            Returns pairs of a value and its attributes.
+        """
+        self._meter.create_observable_counter(
+            name, callbacks=[_make_callback(read)], unit=unit, description=description
         )
 
-    def gauge(self, name, unit, description, callback):
-        """Add a gauge that is observed when the metrics are read."""
+    def observe_gauge(self, name, unit, description, read):
+        """Add a gauge that is read when the metrics are; see `observe_counter`."""
         self._meter.create_observable_gauge(
-            name, callbacks=[callback], unit=unit, description=description
+            name, callbacks=[_make_callback(read)], unit=unit, description=description
         )
 
     def collect(self):
         """Return all metrics as JSON in OpenTelemetry's form."""
         data = self._reader.get_metrics_data()
-        return b"{}" if data is None else json.dumps(json.loads(data.to_json())).encode()
+        return (
+            b"{}" if data is None else json.dumps(json.loads(data.to_json())).encode()
+        )
 
     def close(self):
         """Stop the instruments."""
--- /dev/null
+++ b/cardamomdrift/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to instances and the contract with them."""
--- a/cardamomdrift/upstreams/prober.py
+++ b/cardamomdrift/upstreams/prober.py
@@ -18,7 +18,6 @@
 from cardamomdrift.util import cancel_all
 
 PROBE_TIMEOUT = 0.5  # seconds
-PROBE_INTERVAL = 0.003  # seconds between the beginnings of two questions
 RETRY_INTERVAL = 0.1  # seconds after a failure
 CONTROL_CONNECTIONS = 1
 
@@ -73,8 +72,8 @@
         while True:
             await self._wanted.wait()
             self._wanted.clear()
-            answered = await self._ask()
-            await asyncio.sleep(PROBE_INTERVAL if answered else RETRY_INTERVAL)
+            if not await self._ask():
+                await asyncio.sleep(RETRY_INTERVAL)
 
     async def _ask(self):
         if self._pool.limit < CONTROL_CONNECTIONS:
--- a/cardamomdrift/wire.py
+++ b/cardamomdrift/wire.py
@@ -147,8 +147,8 @@
 class BoundedReader(asyncio.StreamReader):
     """Stream reader that refuses packets above a bound.
 
-    The packet stream of `mysql_mimic` is compiled and cannot be subclassed, so the bound
-    is set where it reads: four bytes of header, then exactly the packet.
+    The packet stream of `mysql_mimic` is compiled and cannot be subclassed, so the
+    bound is set where it reads: four bytes of header, then exactly the packet.
     """
 
     def __init__(self, max_packet, loop):
@@ -324,7 +324,9 @@
 class WireServer:
     """Listener that gives each connection a session; an async context manager."""
 
-    def __init__(self, session_factory, identity, max_connections, max_packet, ssl=None):
+    def __init__(
+        self, session_factory, identity, max_connections, max_packet, ssl=None
+    ):
         self._session_factory = session_factory
         self._identity = identity
         self._max_connections = max_connections
