--- a/cardamomdrift/bundle/follower.py
+++ b/cardamomdrift/bundle/follower.py
@@ -3,8 +3,8 @@
 ===============
 
 Finds the newest bundle, from the platform or from peers, and hands it on.  Versions
-only rise.  At its start a daemon serves nothing until the platform has told it the newest
-version or, if the platform is down, most of its configured peers have.
+only rise.  At its start a daemon serves nothing until the platform has told it the
+newest version or, if the platform is down, most of its configured peers have.
 """
 
 import asyncio
--- a/cardamomdrift/demo.py
+++ b/cardamomdrift/demo.py
@@ -10,12 +10,14 @@
 import random
 import sys
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 
 import fire
 from asyncmy.errors import Error
 from hdrh.histogram import HdrHistogram
 
+from cardamomdrift.errors import OutcomeUnknown
 from cardamomdrift.standins.deployment import make_deployment
 from cardamomdrift.standins.fleet import LocalFleet
 from cardamomdrift.telemetry.log import setup_logging
@@ -49,7 +51,7 @@
 
     written: dict = field(default_factory=dict)
     unknown: int = 0
-    refused: int = 0
+    refused: Counter = field(default_factory=Counter)
     broken: list = field(default_factory=list)
     longest_write: float = 0.0
     short_times: HdrHistogram = field(
@@ -99,6 +101,10 @@
     async def _connect(self, database):
         return await self._fleet.connect(self._random.choice(self._vms), database)
 
+    def _refused(self, error):
+        kind, _, _ = str(error.args[1]).partition(":")
+        self.findings.refused[kind] += 1
+
     async def roaming_session(self, name, database):
         """Write and read on daemons that change; check that each write is seen."""
         seen = 0
@@ -118,10 +124,10 @@
         try:
             await query(connection, sql)
         except Error as error:
-            if error.args[0] == 50010:
+            if error.args[0] == OutcomeUnknown.code:
                 self.findings.unknown += 1
             else:
-                self.findings.refused += 1
+                self._refused(error)
             return False
         finally:
             connection.close()
@@ -135,8 +141,8 @@
         try:
             sql = f"SELECT MAX(number) FROM records WHERE session = '{name}'"
             rows = await query(connection, sql)
-        except Error:
-            self.findings.refused += 1
+        except Error as error:
+            self._refused(error)
             return
         finally:
             connection.close()
@@ -161,8 +167,8 @@
         started = time.monotonic()
         try:
             await query(connection, sql)
-        except Error:
-            self.findings.refused += 1
+        except Error as error:
+            self._refused(error)
             return
         elapsed = time.monotonic() - started
         self.findings.short_times.record_value(int(elapsed * MICROSECONDS))
@@ -177,8 +183,8 @@
                     f"SELECT /* cost_ms={LONG_COST} */ COUNT(*) FROM places"
                 )
                 await query(connection, sql)
-        except Error:
-            self.findings.refused += 1
+        except Error as error:
+            self._refused(error)
         finally:
             connection.close()
 
@@ -239,7 +245,10 @@
         database = self._roles.databases[-1]
         connection = await self._fleet.connect(vm, database)
         await query(connection, "BEGIN")
-        insert = "INSERT INTO records (session, number, text) VALUES ('stop', 1, 'all clear')"
+        insert = (
+            "INSERT INTO records (session, number, text) "
+            "VALUES ('stop', 1, 'all clear')"
+        )
         await query(connection, insert)
         stopping = asyncio.create_task(self._fleet.stop_daemon(vm))
         await asyncio.sleep(0.3)
@@ -326,7 +335,8 @@
     print(f"  longest write across the change  {findings.longest_write:.2f} s")
     print(f"  answered in time at the crest    {goodput:.1%}")
     print(f"  short statements, 99 of 100 in   {p99 * 1000:.0f} ms")
-    print(f"outcome unknown {findings.unknown}, not run {findings.refused}")
+    refusals = ", ".join(f"{name} {count}" for name, count in findings.refused.items())
+    print(f"outcome unknown {findings.unknown}; not answered: {refusals or 0}")
     for line in findings.broken:
         print(f"BROKEN PROMISE: {line}")
     if not findings.broken:
