Requests wait for evidence instead of retrying at a failed instance

Cause: after a crash, writes retried every 50 ms and each try spent retry budget; hedges spent the same budget. Change: a failed instance takes no requests until a probe begun after the failure is answered; hedges have a budget of their own; cancel_all asks again.

--- a/cardamomdrift/routing/group.py
+++ b/cardamomdrift/routing/group.py
@@ -25,6 +25,7 @@
 from cardamomdrift.util import hash_number
 
 QUEUE_LIMIT = 2000  # requests
+HEDGE_SHARE = 0.05  # hedges for each read
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +48,7 @@
     dispatcher: Dispatcher
     costs: CostBook
     budget: RetryBudget
+    hedge_budget: RetryBudget
     clock: object
 
 
@@ -115,6 +117,7 @@
             dispatcher=dispatcher,
             costs=costs,
             budget=RetryBudget(),
+            hedge_budget=RetryBudget(share=HEDGE_SHARE),
             clock=self._clock,
         )
         self._reads = ReadRunner(self._parts)
@@ -243,7 +246,7 @@
         runtime = self._parts.instances[name]
         was_usable = runtime.usable
         leader = self._parts.view.primary
-        runtime.silence.answered()
+        runtime.note_answer(begun_at)
         self._parts.watch.take(name, status, begun_at, now)
         if not was_usable or leader != self._parts.view.primary:
             self._parts.dispatcher.pump()
--- a/cardamomdrift/routing/instance.py
+++ b/cardamomdrift/routing/instance.py
@@ -27,6 +27,7 @@
         self._silence = SilenceClock()
         self._concurrency = ConcurrencyLimit()
         self._stack = AsyncExitStack()
+        self._failed_at = None
         self.in_flight = 0
         self.transactions = 0
         self.leaving = False
@@ -71,7 +72,18 @@
     def usable(self):
         """Whether new requests may go there."""
         silent = self._silence.unanswered(self._clock()) > SILENCE_LIMIT
-        return not self.leaving and not silent
+        return not self.leaving and not silent and self._failed_at is None
+
+    def note_failure(self):
+        """Send no new requests there until a probe begun from now on is answered."""
+        self._failed_at = self._clock()
+        self._prober.want()
+
+    def note_answer(self, begun_at):
+        """Take in that a probe was answered."""
+        self._silence.answered()
+        if self._failed_at is not None and begun_at >= self._failed_at:
+            self._failed_at = None
 
     def set_share(self, connections):
         """Change the number of connections."""
--- a/cardamomdrift/routing/reads.py
+++ b/cardamomdrift/routing/reads.py
@@ -20,6 +20,7 @@
     StatementRefused,
     UpstreamError,
     UpstreamLost,
+    UpstreamUnreachable,
 )
 from cardamomdrift.limits.admission import Ticket
 from cardamomdrift.position import Position
@@ -130,6 +131,7 @@
         """
         floor = await self._find_floor(request)
         self._parts.budget.earn()
+        self._parts.hedge_budget.earn()
         excluded = frozenset()
         failures = 0
         while failures < ATTEMPTS:
@@ -168,7 +170,7 @@
         delay = max(HEDGE_MINIMUM, HEDGE_FACTOR * costs.expected(shape))
 
         def second():
-            if attempt.place is None or not self._parts.budget.spend():
+            if attempt.place is None or not self._parts.hedge_budget.spend():
                 return None
             other = _Attempt(excluded | {attempt.place})
             return self._once(request, floor, other, shape)
@@ -192,11 +194,17 @@
             )
             attempt.place = place.name
             runtime = self._parts.instances[place.name]
-            connection = await stack.enter_async_context(
-                runtime.pool.connection(request.database, request.deadline_at)
-            )
-            await self._prove(connection, place, floor, request)
-            result = await self._execute(connection, runtime, request, shape, ticket)
+            try:
+                connection = await stack.enter_async_context(
+                    runtime.pool.connection(request.database, request.deadline_at)
+                )
+                await self._prove(connection, place, floor, request)
+                result = await self._execute(
+                    connection, runtime, request, shape, ticket
+                )
+            except (UpstreamUnreachable, UpstreamLost):
+                runtime.note_failure()
+                raise
             replica = place.name != self._parts.view.primary
             if result.complete:
                 return ReadAnswer(make_answer(result), place.name, replica)
--- a/cardamomdrift/routing/writes.py
+++ b/cardamomdrift/routing/writes.py
@@ -172,7 +172,11 @@
                     result, repeated = await self._run_on(connection, request, place)
                     parts.costs.learn(shape, parts.clock() - started)
             except UpstreamUnreachable as error:
+                runtime.note_failure()
                 raise _TryAgain() from error
+            except (_CommitUnknown, _TryAgain):
+                runtime.note_failure()
+                raise
         position = await prove_commit(
             parts, place, request.durability, request.deadline_at, request.key
         )
--- a/cardamomdrift/standins/fleet.py
+++ b/cardamomdrift/standins/fleet.py
@@ -5,6 +5,8 @@
 Daemons and stand-ins in one event loop, for the demo, the tests and the measurements.
 """
 
+import itertools
+import os
 import socket
 from contextlib import AsyncExitStack
 from dataclasses import replace
@@ -23,17 +25,25 @@
 
 TOKEN_KEY = b"local-fleet-token-key"
 OPERATOR = "local"
+FIRST_PORT = 20000
+PORT_COUNT = 12000
+
+
+_PORTS = itertools.count(FIRST_PORT + os.getpid() * 32 % PORT_COUNT, 2)
 
 
 def free_port():
-    """Return a pair of neighbouring ports that nobody listens on; the first of them."""
+    """Return a pair of neighbouring ports that nobody listens on; the first of them.
+
+    They lie below the ports that the system gives to outgoing connections.
+    """
     while True:
+        port = FIRST_PORT + next(_PORTS) % PORT_COUNT
         with socket.socket() as first, socket.socket() as second:
-            first.bind(("127.0.0.1", 0))
-            port = first.getsockname()[1]
             try:
+                first.bind(("127.0.0.1", port))
                 second.bind(("127.0.0.1", port + 1))
-            except (OSError, OverflowError):
+            except OSError:
                 continue
             return port
 
--- a/cardamomdrift/util.py
+++ b/cardamomdrift/util.py
@@ -12,6 +12,7 @@
 import xxhash
 
 MILLISECONDS = 1000.0  # per second
+CANCEL_INTERVAL = 0.5  # seconds
 
 
 def seconds(milliseconds):
@@ -52,7 +53,13 @@
 
 
 async def cancel_all(tasks):
-    """Cancel tasks and wait until they have ended."""
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+    """Cancel tasks and wait until they have ended.
+
+    A task that is just leaving a library call may lose its cancellation, so it is asked
+    again.
+    """
+    pending = {task for task in tasks if task is not asyncio.current_task()}
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=CANCEL_INTERVAL)
