Model of failover with ten mutants, each caught

hypothesis drives the real promotion, acknowledgement and floor decisions over a pure model with lost, repeated and reordered steps. 2 x 300 examples of 40 steps: no broken promise. Ten decisions broken on purpose: each is caught within 500 examples. The marker entry of a new term is shown to be needed by one fixed schedule.

--- /dev/null
+++ b/tests/test_promotion_model.py
@@ -0,0 +1,269 @@
+"""Failover under crashes, lost, repeated and reordered answers; and its mutants."""
+
+import unittest
+from dataclasses import dataclass, replace
+
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from cardamomdrift.failover.promotion import Promotion
+from cardamomdrift.position import Position
+from cardamomdrift.routing.floor import sample_floor
+from cardamomdrift.routing.proof import Pending, WriteProven, answer_write
+from tests.world import NAMES, RECORD_ORDERS, BrokenPromise, Decisions, World
+
+names = st.sampled_from(NAMES)
+pairs = st.permutations(NAMES).map(lambda names: names[:2])
+indexes = st.integers(0, 7)
+steps = st.tuples(indexes, st.booleans())
+rarely = st.sampled_from([False, False, False, True])
+
+PROOF = settings(
+    max_examples=300,
+    stateful_step_count=40,
+    derandomize=True,
+    database=None,
+    deadline=None,
+)
+HUNT = settings(PROOF, max_examples=500, phases=[Phase.generate])
+
+
+def make_machine(decisions):
+    """Return a state machine over the model with some decisions."""
+
+    class Machine(RuleBasedStateMachine):
+        def __init__(self):
+            super().__init__()
+            self.world = World(replace(decisions))
+
+        @rule(name=names)
+        def write(self, name):
+            self.world.write(name)
+
+        @rule(name=names)
+        def write_tail(self, name):
+            for _ in range(3):
+                self.world.write(name)
+
+        @rule(name=names, replica=names)
+        def acknowledge(self, name, replica):
+            self.world.acknowledge(name, replica)
+
+        @rule(pair=pairs)
+        def read(self, pair):
+            self.world.read(pair)
+
+        @precondition(lambda self: len(self.world.promotions) < 8)
+        @rule(pair=pairs, record=st.sampled_from(RECORD_ORDERS))
+        def promote(self, pair, record):
+            self.world.promote(pair, record)
+
+        @rule(name=names)
+        def repeat(self, name):
+            self.world.repeat(name)
+
+        @rule(name=names)
+        def pull(self, name):
+            self.world.pull(name)
+
+        @precondition(lambda self: self.world.acks)
+        @rule(index=indexes, name=names)
+        def probe_ack(self, index, name):
+            self.world.probe_ack(index, name)
+
+        @rule()
+        def begin_read(self):
+            self.world.begin_read()
+
+        @precondition(lambda self: self.world.reads)
+        @rule(index=indexes, name=names)
+        def probe_read(self, index, name):
+            self.world.probe_read(index, name)
+
+        @precondition(lambda self: len(self.world.promotions) < 6)
+        @rule(seen_at=names, record=st.sampled_from(RECORD_ORDERS))
+        def start_promotion(self, seen_at, record):
+            self.world.start_promotion(seen_at, record)
+
+        @precondition(lambda self: self.world.actions)
+        @rule(index=indexes, lost=rarely, keep=rarely)
+        def step(self, index, lost, keep):
+            self.world.step(index, lost, keep)
+
+        @precondition(lambda self: self.world.actions)
+        @rule(lost=rarely)
+        def step_newest(self, lost):
+            self.world.step(len(self.world.actions) - 1, lost, False)
+
+    return Machine
+
+
+def make_racing_machine(decisions):
+    """Return a state machine in which promoters race for one term besides."""
+
+    class Machine(make_machine(decisions)):
+        @precondition(lambda self: len(self.world.promotions) < 8)
+        @rule(seen_at=names, order=st.lists(steps, min_size=10, max_size=10))
+        def race(self, seen_at, order):
+            for record in RECORD_ORDERS:
+                self.world.start_promotion(seen_at, record)
+            for index, lost in order:
+                if self.world.actions:
+                    self.world.step(index, lost, False)
+
+    return Machine
+
+
+MACHINES = (make_machine, make_racing_machine)
+
+
+def _ack_without_term_check(question, statuses):
+    """Acknowledge on replication alone, whatever term the replica has seen."""
+    capped = {
+        name: replace(one, fence_term=min(one.fence_term, question.term))
+        for name, one in statuses.items()
+    }
+    return answer_write(question, capped)
+
+
+def _ack_without_replica(question, statuses):
+    """Acknowledge as soon as the primary has answered."""
+    own = statuses.get(question.primary)
+    if own is None or not own.primary or own.fence_term != question.term:
+        return Pending()
+    return WriteProven(own.position)
+
+
+def _ack_by_any_position(question, statuses):
+    """Acknowledge if a replica answers, wherever it is."""
+    proof = answer_write(question, statuses)
+    if isinstance(proof, Pending) and question.primary in statuses:
+        if len(statuses) >= question.majority:
+            return WriteProven(statuses[question.primary].position)
+    return proof
+
+
+def _floor_of_one(statuses, majority, include_primary):
+    """Take the floor that a single instance reports."""
+    return sample_floor(statuses, 1, include_primary)
+
+
+def _lowest_floor(statuses, majority, include_primary):
+    """Take the lowest position of a majority."""
+    if len(statuses) < majority:
+        return None
+    return min(one.position for one in statuses.values())
+
+
+@dataclass(slots=True)
+class LowestPromotion(Promotion):
+    """Promotes the fenced instance with the lowest position."""
+
+    def _promote(self):
+        self.chosen = min(
+            sorted(self.fenced), key=lambda name: self.fenced[name].position
+        )
+        return Promotion._promote(self)
+
+
+@dataclass(slots=True)
+class SequencePromotion(Promotion):
+    """Compares sequence numbers and ignores terms."""
+
+    def _promote(self):
+        self.chosen = max(
+            sorted(self.fenced), key=lambda name: self.fenced[name].position.sequence
+        )
+        return Promotion._promote(self)
+
+
+def _by_sequence(position, floor):
+    return position.sequence >= floor.sequence
+
+
+MUTANTS = {
+    "acknowledges without a term check": Decisions(
+        answer_write=_ack_without_term_check
+    ),
+    "acknowledges without a replica": Decisions(answer_write=_ack_without_replica),
+    "acknowledges by any position": Decisions(answer_write=_ack_by_any_position),
+    "takes the floor of one instance": Decisions(sample_floor=_floor_of_one),
+    "takes the lowest floor": Decisions(sample_floor=_lowest_floor),
+    "promotes the lowest position": Decisions(promotion=LowestPromotion),
+    "compares sequences only": Decisions(promotion=SequencePromotion),
+    "serves by sequence only": Decisions(include=_by_sequence),
+    "promotes without a majority": Decisions(promotion_majority=1),
+    "lets two owners share a term": Decisions(one_owner=False),
+}
+
+
+def _is_caught(machine):
+    try:
+        run_state_machine_as_test(machine, settings=HUNT)
+    except BrokenPromise:
+        return True
+    return False
+
+
+class PromotionModelTest(unittest.TestCase):
+    def test_promises_hold(self):
+        for make in MACHINES:
+            with self.subTest(make.__name__):
+                run_state_machine_as_test(make(Decisions()), settings=PROOF)
+
+    def test_every_mutant_is_caught(self):
+        for name, decisions in MUTANTS.items():
+            with self.subTest(name):
+                self.assertTrue(any(_is_caught(make(decisions)) for make in MACHINES))
+
+    def test_marker_entry_is_needed(self):
+        """A write of an old term, confirmed in a later one, must not be replaced."""
+        for marker in (True, False):
+            with self.subTest(marker=marker):
+                world = World(Decisions(marker=marker))
+                if marker:
+                    self._confirm_old_write(world)
+                else:
+                    with self.assertRaises(BrokenPromise):
+                        self._confirm_old_write(world)
+
+    @staticmethod
+    def _confirm_old_write(world):
+        """Drive the schedule in which a later leader would replace the write."""
+        one, two, three = (world.instances[name] for name in NAMES)
+        decisions = world.decisions
+        for other in (two, three):
+            other.pull(one)
+        one.append(7)  # term 1, not acknowledged
+        three.fence(2, "p", True)
+        two.fence(2, "p", True)
+        three.promote(2, "p", decisions)
+        three.append(8)  # term 2, on one instance only
+        one.fence(3, "q", True)
+        two.fence(3, "q", True)
+        one.promote(3, "q", decisions)
+        two.follow(3, "a")
+        while two.position != one.position:
+            two.pull(one)
+        world.next_write = 9
+        world.repeat("a")
+        for name in ("a", "b"):
+            world.probe_ack(0, name)
+        three.fence(4, "r", True)
+        two.fence(4, "r", True)
+        best = max((two, three), key=lambda instance: instance.position)
+        best.promote(4, "r", decisions)
+        world._check_kept()
+
+    def test_positions_order_by_term(self):
+        self.assertLess(Position(1, 9), Position(2, 3))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,335 @@
+"""A pure model of one group, driven by the real decisions, for the state machines."""
+
+from dataclasses import dataclass, field
+
+from cardamomdrift.bundle.model import Durability, RecordOrder
+from cardamomdrift.failover.promotion import (
+    Fenced,
+    FenceFailed,
+    FenceInstance,
+    FollowPrimary,
+    Phase,
+    Promoted,
+    PromoteFailed,
+    PromoteInstance,
+    Promotion,
+    Recorded,
+    RecordRefused,
+    RecordTerm,
+    RecordUnknown,
+)
+from cardamomdrift.position import ORIGIN, Position
+from cardamomdrift.routing.floor import sample_floor
+from cardamomdrift.routing.proof import WriteProven, WriteQuestion, answer_write
+from cardamomdrift.upstreams.contract import InstanceStatus
+
+NAMES = ("a", "b", "c")
+MAJORITY = 2
+
+
+@dataclass
+class Decisions:
+    """The decisions under test; mutants replace some."""
+
+    answer_write: object = answer_write
+    sample_floor: object = sample_floor
+    promotion: type = Promotion
+    promotion_majority: int = MAJORITY
+    marker: bool = True
+    one_owner: bool = True
+    include: object = staticmethod(lambda position, floor: position >= floor)
+
+
+@dataclass
+class ModelInstance:
+    """One instance that keeps the contract; its log holds (position, write) pairs."""
+
+    name: str
+    fence_term: int = 1
+    fence_owner: str = "start"
+    leads_term: int = 0
+    source: str = "a"
+    log: list = field(default_factory=list)
+
+    @property
+    def leads(self):
+        return self.leads_term == self.fence_term
+
+    @property
+    def position(self):
+        return self.log[-1][0] if self.log else ORIGIN
+
+    @property
+    def writes(self):
+        return {write for _, write in self.log if write is not None}
+
+    def status(self, accepted=True):
+        return InstanceStatus(
+            fence_term=self.fence_term,
+            fence_owner=self.fence_owner,
+            position=self.position,
+            primary=self.leads,
+            source=self.source,
+            source_silence=9.0,
+            accepted=accepted,
+        )
+
+    def append(self, write):
+        self.log.append((Position(self.leads_term, self.position.sequence + 1), write))
+
+    def fence(self, term, owner, one_owner):
+        same = term == self.fence_term and (owner == self.fence_owner or not one_owner)
+        accepted = term > self.fence_term or same
+        if accepted and not same:
+            self.fence_term, self.fence_owner = term, owner
+        return self.status(accepted)
+
+    def promote(self, term, owner, decisions):
+        accepted = term == self.fence_term and (
+            owner == self.fence_owner or not decisions.one_owner
+        )
+        if accepted and self.leads_term != term:
+            self.leads_term, self.source = term, ""
+            if decisions.marker:
+                self.append(None)
+        return self.status(accepted)
+
+    def follow(self, term, source):
+        if term < self.fence_term or (self.leads and term == self.fence_term):
+            return
+        if term > self.fence_term:
+            self.fence_term, self.fence_owner = term, ""
+        self.source = source
+
+    def pull(self, source):
+        """Copy one entry from the source, or discard what it does not have."""
+        if self.leads or not source.leads or source.leads_term < self.fence_term:
+            return
+        length = len(self.log)
+        if source.log[:length] != self.log:
+            self.log = []
+        elif length < len(source.log):
+            self.log.append(source.log[length])
+
+
+@dataclass
+class Ack:
+    """A committed write that waits for its proof."""
+
+    write: int
+    question: WriteQuestion
+    statuses: dict = field(default_factory=dict)
+
+
+@dataclass
+class Read:
+    """A read that collects statuses for its floor, and what it must see."""
+
+    must_see: frozenset
+    statuses: dict = field(default_factory=dict)
+
+
+class BrokenPromise(AssertionError):
+    """The checker found a broken promise."""
+
+
+class World:
+    """Instances, promoters, writes and reads of one group, with a checker."""
+
+    def __init__(self, decisions):
+        self.decisions = decisions
+        self.instances = {name: ModelInstance(name) for name in NAMES}
+        self.instances["a"].leads_term = 1
+        self.instances["a"].append(None)
+        self.promotions = []
+        self.actions = []
+        self.rows = {}
+        self.acks = []
+        self.reads = []
+        self.acknowledged = {}
+        self.highest_leader = 1
+        self.next_write = 1
+        self.now = 0.0
+
+    # Writes
+
+    def write(self, name):
+        instance = self.instances[name]
+        if not instance.leads:
+            return
+        instance.append(self.next_write)
+        question = WriteQuestion(
+            since=0.0,
+            majority=MAJORITY,
+            primary=name,
+            term=instance.leads_term,
+            durability=Durability.REPLICATED,
+        )
+        self.acks.append(Ack(self.next_write, question))
+        self.next_write += 1
+
+    def repeat(self, name):
+        """Ask a primary for a write that stands in its log, as a repeat by key does."""
+        instance = self.instances[name]
+        found = [w for w in instance.writes if w not in self.acknowledged]
+        if not instance.leads or not found:
+            return
+        question = WriteQuestion(
+            since=0.0,
+            majority=MAJORITY,
+            primary=name,
+            term=instance.leads_term,
+            durability=Durability.REPLICATED,
+        )
+        self.acks.append(Ack(min(found), question))
+
+    def probe_ack(self, index, name):
+        ack = self.acks[index % len(self.acks)]
+        ack.statuses[name] = self.instances[name].status()
+        proof = self.decisions.answer_write(ack.question, ack.statuses)
+        if isinstance(proof, WriteProven):
+            self.acks.remove(ack)
+            self._acknowledge(ack)
+
+    def _acknowledge(self, ack):
+        if ack.question.term < self.highest_leader:
+            # Allowed only if its proof was complete before the successor led.
+            for status in ack.statuses.values():
+                if status.fence_term > ack.question.term:
+                    raise BrokenPromise("a replaced primary acknowledged a write")
+        self.acknowledged[ack.write] = ack.question.term
+        self._check_kept()
+
+    def acknowledge(self, name, replica):
+        """Write at a primary, replicate and confirm, as on an ordinary day."""
+        if not self.instances[name].leads or replica == name:
+            return
+        self.write(name)
+        index = len(self.acks) - 1
+        for _ in self.instances[name].log:
+            self.pull(replica)
+        for asked in (name, replica):
+            if index < len(self.acks):
+                self.probe_ack(index, asked)
+
+    # Reads
+
+    def begin_read(self):
+        self.reads.append(Read(frozenset(self.acknowledged)))
+
+    def probe_read(self, index, name):
+        read = self.reads[index % len(self.reads)]
+        read.statuses[name] = self.instances[name].status()
+        floor = self.decisions.sample_floor(read.statuses, MAJORITY, False)
+        if floor is None:
+            return
+        self.reads.remove(read)
+        for instance in self.instances.values():
+            if not self.decisions.include(instance.position, floor):
+                continue
+            missing = read.must_see - instance.writes
+            if missing:
+                raise BrokenPromise(f"{instance.name} serves without {missing}")
+
+    def read(self, pair):
+        """Take the floor from two instances."""
+        self.begin_read()
+        index = len(self.reads) - 1
+        for asked in pair:
+            if index < len(self.reads):
+                self.probe_read(index, asked)
+
+    # Promotions
+
+    def start_promotion(self, seen_at, record):
+        term = self.instances[seen_at].fence_term + 1
+        promotion = self.decisions.promotion(
+            term=term,
+            owner=f"p{len(self.promotions)}",
+            instances=NAMES,
+            majority=self.decisions.promotion_majority,
+            record=record,
+            deadline_at=1e9,
+        )
+        self.promotions.append(promotion)
+        self._add(promotion, promotion.begin())
+
+    def _add(self, promotion, actions):
+        self.actions.extend((promotion, action) for action in actions)
+
+    def step(self, index, lost, keep):
+        """Carry an action out; its answer may be lost, and it may come again."""
+        place = index % len(self.actions)
+        promotion, action = self.actions[place]
+        if not keep:
+            self.actions.pop(place)
+        self.now += 1.0
+        event = self._carry_out(promotion, action, lost)
+        if event is not None:
+            self._add(promotion, promotion.handle(event, self.now))
+        self._check_kept()
+
+    def _carry_out(self, promotion, action, lost):
+        decisions = self.decisions
+        match action:
+            case FenceInstance(name):
+                one = self.instances[name]
+                status = one.fence(promotion.term, promotion.owner, decisions.one_owner)
+                return FenceFailed(name) if lost else Fenced(name, status)
+            case PromoteInstance(name):
+                one = self.instances[name]
+                status = one.promote(promotion.term, promotion.owner, decisions)
+                if status.primary and status.fence_term > self.highest_leader:
+                    self.highest_leader = status.fence_term
+                return PromoteFailed() if lost else Promoted(status)
+            case FollowPrimary(name, primary):
+                self.instances[name].follow(promotion.term, primary)
+            case RecordTerm():
+                owner = self.rows.setdefault(promotion.term, promotion.owner)
+                if lost:
+                    return RecordUnknown()
+                mine = owner == promotion.owner
+                return Recorded() if mine else RecordRefused()
+        return None
+
+    def promote(self, pair, record):
+        """Run a promotion that reaches two instances only."""
+        term = max(self.instances[name].fence_term for name in pair)
+        seen_at = next(n for n in pair if self.instances[n].fence_term == term)
+        self.start_promotion(seen_at, record)
+        promotion = self.promotions[-1]
+        actions = [action for owner, action in self.actions if owner is promotion]
+        self.actions = [one for one in self.actions if one[0] is not promotion]
+        while actions:
+            action = actions.pop(0)
+            cut = getattr(action, "instance", pair[0]) not in pair
+            if cut and isinstance(action, FenceInstance):
+                event = FenceFailed(action.instance)
+            else:
+                event = None if cut else self._carry_out(promotion, action, False)
+            self.now += 1.0
+            if event is not None:
+                actions.extend(promotion.handle(event, self.now))
+        self._check_kept()
+
+    def pull(self, name):
+        replica = self.instances[name]
+        if replica.source in self.instances:
+            replica.pull(self.instances[replica.source])
+
+    # Checks
+
+    def _check_kept(self):
+        """Each leader of a later term holds every write acknowledged before it."""
+        leading = [one for one in self.instances.values() if one.leads]
+        terms = [one.leads_term for one in leading]
+        if len(terms) != len(set(terms)):
+            raise BrokenPromise("two instances lead one term")
+        for one in leading:
+            for write, term in self.acknowledged.items():
+                if term <= one.leads_term and write not in one.writes:
+                    raise BrokenPromise(f"{one.name} leads without write {write}")
+
+
+RECORD_ORDERS = (RecordOrder.AFTER, RecordOrder.BEFORE)
+__all__ = ["NAMES", "RECORD_ORDERS", "BrokenPromise", "Decisions", "Phase", "World"]
