Long statements in lanes; hedging tried and taken out; tables for the decisions

Hedges add load just where there is too little room, so they went, and with them a task for each read. The deadline check already refuses what cannot finish, so the plainest order is the default.

--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,150 @@
+"""
+Load
+====
+
+Callers, histograms and table rows that the measurements share.
+"""
+
+import asyncio
+import time
+from collections import Counter
+from contextlib import asynccontextmanager
+
+from asyncmy.errors import Error
+from hdrh.histogram import HdrHistogram
+
+from cardamomdrift.standins.deployment import make_deployment
+from cardamomdrift.standins.fleet import LocalFleet
+from cardamomdrift.util import load_jsonc
+
+MICROSECONDS = 1_000_000  # per second
+LONGEST = 120 * MICROSECONDS
+READY_TIME = 20.0  # seconds
+SCHEMA = (
+    "CREATE TABLE records (id BIGINT AUTO_INCREMENT PRIMARY KEY, "
+    "session VARCHAR(32), number BIGINT)",
+    "CREATE TABLE places (id BIGINT PRIMARY KEY, text VARCHAR(200))",
+    *(f"INSERT INTO places (id, text) VALUES ({i}, 'valve {i}')" for i in range(50)),
+)
+SITES = {
+    "mittelland": "examples/mittelland.jsonc",
+    "vanua": "examples/vanua.jsonc",
+}
+
+
+class Times:
+    """Durations of requests, in seconds."""
+
+    def __init__(self):
+        self._histogram = HdrHistogram(1, LONGEST, 3)
+
+    @property
+    def count(self):
+        """Number of durations."""
+        return self._histogram.get_total_count()
+
+    def add(self, seconds):
+        """Add a duration."""
+        self._histogram.record_value(max(1, int(seconds * MICROSECONDS)))
+
+    def percentile(self, percent):
+        """Return a percentile in milliseconds."""
+        return self._histogram.get_value_at_percentile(percent) / 1000
+
+
+@asynccontextmanager
+async def run_site(site, daemons=4, policy=None, classes=None, **options):
+    """Run the daemons of one site before stand-ins with its link delays."""
+    value = load_jsonc(SITES[site])
+    value["classes"].update(classes or {})
+    names = {name: tuple(one["instances"]) for name, one in value["groups"].items()}
+    settings = {"connect_time": 0.012, "link_delay": 0.001, "service_time": 0.002}
+    settings["max_connections"] = next(iter(value["groups"].values()))["connections"]
+    deployment = make_deployment(names, SCHEMA, 0, **{**settings, **options})
+    domains = sorted(
+        {
+            one["failure_domain"]
+            for group in value["groups"].values()
+            for one in group["instances"].values()
+        }
+    )
+    chosen = [domains[i % len(domains)] for i in range(daemons)]
+    async with LocalFleet(value, deployment, chosen, policy) as fleet:
+        await _wait_until_ready(fleet)
+        yield fleet
+
+
+async def _wait_until_ready(fleet):
+    give_up_at = time.monotonic() + READY_TIME
+    while time.monotonic() < give_up_at:
+        ready = all(
+            daemon.keeper.membership.may_connect
+            and all(group.view.primary for group in daemon.service.groups.values())
+            for daemon in fleet.daemons.values()
+        )
+        if ready:
+            return
+        await asyncio.sleep(0.05)
+    raise TimeoutError("the fleet did not become ready")
+
+
+async def query(connection, sql):
+    """Run a statement and return its rows."""
+    async with connection.cursor() as cursor:
+        await cursor.execute(sql)
+        return await cursor.fetchall() if cursor.description else ()
+
+
+class Callers:
+    """Open-loop callers: requests start at their times, whatever became of others."""
+
+    def __init__(self, fleet, database, random_source):
+        self._fleet = fleet
+        self._database = database
+        self._random = random_source
+        self._idle = {vm: [] for vm in fleet.daemons}
+        self.times = {}
+        self.failures = Counter()
+
+    async def request(self, sql, label):
+        """Send one request over a free connection of a random daemon."""
+        vm = self._random.choice(sorted(self._idle))
+        idle = self._idle[vm]
+        connection = (
+            idle.pop() if idle else await self._fleet.connect(vm, self._database)
+        )
+        started = time.monotonic()
+        try:
+            await query(connection, sql)
+        except Error as error:
+            self.failures[label, str(error.args[1]).partition(":")[0]] += 1
+        else:
+            elapsed = time.monotonic() - started
+            self.times.setdefault(label, Times()).add(elapsed)
+        idle.append(connection)
+
+    async def warm(self, count):
+        """Open connections, so that the measurement does not."""
+        for vm, idle in self._idle.items():
+            while len(idle) < count:
+                idle.append(await self._fleet.connect(vm, self._database))
+
+    async def run(self, rate, seconds, make_request):
+        """Send requests at a rate; ``make_request`` gives statement and label."""
+        started = time.monotonic()
+        tasks = []
+        for number in range(int(rate * seconds)):
+            pause = started + number / rate - time.monotonic()
+            if pause > 0:
+                await asyncio.sleep(pause)
+            tasks.append(asyncio.create_task(self.request(*make_request(number))))
+        return tasks
+
+
+def print_table(title, columns, rows):
+    """Print a table in Markdown."""
+    print(f"\n### {title}\n")
+    print("| " + " | ".join(columns) + " |")
+    print("|" + " --- |" * len(columns))
+    for row in rows:
+        print("| " + " | ".join(str(one) for one in row) + " |", flush=True)
--- a/cardamomdrift/daemon.py
+++ b/cardamomdrift/daemon.py
@@ -20,7 +20,7 @@
 from cardamomdrift.bundle.follower import BundleFollower
 from cardamomdrift.bundle.registry import BundleRegistry
 from cardamomdrift.callers.session import CallerSession
-from cardamomdrift.limits.admission import Adaptive
+from cardamomdrift.limits.admission import Fifo
 from cardamomdrift.membership.keeper import LeaseKeeper
 from cardamomdrift.peers.board import PeerBoard
 from cardamomdrift.peers.link import PeerLink, ask
@@ -73,7 +73,7 @@
         self._board = PeerBoard()
         self._peer_addresses = {}
         self._members = (settings.vm,)
-        self._policy = policy or Adaptive()
+        self._policy = policy or Fifo()
         self._drain_asked = asyncio.Event()
         self._news_wanted = asyncio.Event()
         self._tasks = []
--- a/cardamomdrift/routing/choice.py
+++ b/cardamomdrift/routing/choice.py
@@ -37,6 +37,8 @@
         Expected seconds for this statement once it runs.
     long_allowed : bool
         Whether a long statement may go there now.
+    penalty : float
+        Seconds that the statement is expected to lose behind long ones.
     """
 
     name: str
@@ -48,6 +50,7 @@
     limit: int
     service_time: float
     long_allowed: bool = True
+    penalty: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +85,7 @@
     """Return the seconds until an instance is expected to have answered."""
     queue = candidate.in_flight / max(candidate.limit, 1)
     time = catch_up_time(candidate, floor) + candidate.service_time * (1 + queue)
+    time += candidate.penalty
     if candidate.primary:
         time += PRIMARY_COST
     if candidate.same_domain:
--- a/cardamomdrift/routing/cost.py
+++ b/cardamomdrift/routing/cost.py
@@ -14,6 +14,8 @@
 WEIGHT = 0.2
 LONG_FACTOR = 8.0
 LONG_MINIMUM = 0.05  # seconds
+LANE_MEMORY = 10.0  # seconds
+LANE_SHARE = 0.25  # of the time of a long statement
 PATIENCE = 1.0  # seconds
 PATIENCE_FACTOR = 20.0
 PATIENCE_GROWTH = 3.0
@@ -26,12 +28,28 @@
     def __init__(self):
         self._times = OrderedDict()
         self._typical = FIRST_GUESS
+        self._long_at = None
+        self._long_time = 0.0
 
     @property
     def typical(self):
         """Seconds that a short statement takes."""
         return self._typical
 
+    def lane_penalty(self, now):
+        """Return the seconds that a short statement is expected to lose in the lane.
+
+        The lane is the replica to which all VMs send long statements.
+        """
+        if self._long_at is None or now - self._long_at > LANE_MEMORY:
+            return 0.0
+        return self._long_time * LANE_SHARE
+
+    def note_long(self, elapsed, now):
+        """Take in that a long statement ran."""
+        self._long_at = now
+        self._long_time = elapsed
+
     def expected(self, shape):
         """Return the expected seconds of a shape."""
         return self._times.get(shape, self._typical)
@@ -67,6 +85,11 @@
     return max(PATIENCE, PATIENCE_FACTOR * expected) * PATIENCE_GROWTH**failures
 
 
+def lane_of(group, replicas):
+    """Return the replica that takes the long statements of every VM, or None."""
+    return rank(group, replicas)[0] if replicas else None
+
+
 def long_instances(group, replicas, vm, members):
     """Return the instances on which this VM may run long statements.
 
@@ -85,9 +108,9 @@
     """
     if not replicas:
         return frozenset()
-    ordered = rank(group, replicas)
-    allowed = {ordered[0]}
-    for replica in ordered[1:]:
+    lane = lane_of(group, replicas)
+    allowed = {lane}
+    for replica in replicas:
         if rank(f"{group}/{replica}", members)[0] == vm:
             allowed.add(replica)
     return frozenset(allowed)
--- a/cardamomdrift/routing/dispatch.py
+++ b/cardamomdrift/routing/dispatch.py
@@ -14,7 +14,7 @@
 from cardamomdrift.limits.admission import Refused
 from cardamomdrift.position import ORIGIN, Position
 from cardamomdrift.routing.choice import Candidate, Hold, Probe, Serve, choose
-from cardamomdrift.routing.cost import long_instances
+from cardamomdrift.routing.cost import lane_of, long_instances
 
 EXPIRY_INTERVAL = 0.05  # seconds
 
@@ -95,7 +95,7 @@
         self._members = members
         self._clock = clock
         self._expiry = None
-        self._long_cache = (None, frozenset())
+        self._long_cache = (None, (None, frozenset()))
 
     @property
     def queue(self):
@@ -228,7 +228,8 @@
 
     def _candidates(self, excluded, ticket):
         primary = self._view.primary
-        long_allowed = self._long_instances(primary) if ticket.long else frozenset()
+        lane, long_allowed = self._lanes(primary)
+        penalty = 0.0 if ticket.long else self._costs.lane_penalty(self._clock())
         found = []
         for name, runtime in self._instances.items():
             if name in excluded or not runtime.usable:
@@ -245,11 +246,13 @@
                     limit=runtime.limit,
                     service_time=ticket.cost,
                     long_allowed=name in long_allowed,
+                    penalty=penalty if name == lane else 0.0,
                 )
             )
         return found
 
-    def _long_instances(self, primary):
+    def _lanes(self, primary):
+        """Return the lane, and where this VM may run long statements."""
         members = self._members()
         usable = tuple(
             name
@@ -259,7 +262,8 @@
         key = (usable, members)
         if self._long_cache[0] != key:
             allowed = long_instances(self._group.name, usable, self._vm.name, members)
-            self._long_cache = (key, allowed or frozenset([primary]))
+            lanes = (lane_of(self._group.name, usable), allowed or frozenset([primary]))
+            self._long_cache = (key, lanes)
         return self._long_cache[1]
 
     async def _expire(self):
--- a/cardamomdrift/routing/group.py
+++ b/cardamomdrift/routing/group.py
@@ -11,7 +11,7 @@
 
 from cardamomdrift.failover.monitor import FailoverMonitor
 from cardamomdrift.failover.terms import TermRecord
-from cardamomdrift.limits.admission import Adaptive, AdmissionQueue
+from cardamomdrift.limits.admission import AdmissionQueue, Fifo
 from cardamomdrift.limits.budget import RetryBudget
 from cardamomdrift.limits.shares import share_of
 from cardamomdrift.routing.cost import CostBook
@@ -25,7 +25,6 @@
 from cardamomdrift.util import hash_number
 
 QUEUE_LIMIT = 2000  # requests
-HEDGE_SHARE = 0.05  # hedges for each read
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +47,6 @@
     dispatcher: Dispatcher
     costs: CostBook
     budget: RetryBudget
-    hedge_budget: RetryBudget
     clock: object
 
 
@@ -79,7 +77,7 @@
     contacts: object
     clock: object
     log: object
-    policy: object = Adaptive()
+    policy: object = Fifo()
 
 
 class GroupRuntime:
@@ -118,7 +116,6 @@
             dispatcher=dispatcher,
             costs=costs,
             budget=RetryBudget(),
-            hedge_budget=RetryBudget(share=HEDGE_SHARE),
             clock=self._clock,
         )
         self._reads = ReadRunner(self._parts)
@@ -158,7 +155,6 @@
             await self._stack.enter_async_context(runtime)
         await self._stack.enter_async_context(self._parts.dispatcher)
         await self._stack.enter_async_context(self._monitor)
-        self._stack.push_async_callback(self._reads.close)
         return self
 
     async def __aexit__(self, *exc_info):
--- a/cardamomdrift/routing/reads.py
+++ b/cardamomdrift/routing/reads.py
@@ -27,7 +27,6 @@
 from cardamomdrift.routing.answers import make_answer
 from cardamomdrift.routing.cost import attempt_patience
 from cardamomdrift.routing.dispatch import ForRead
-from cardamomdrift.routing.hedge import Hedger
 from cardamomdrift.sessions.statement import shape_of
 from cardamomdrift.wire import Rows
 
@@ -35,8 +34,6 @@
 RETRY_PAUSE = 0.02  # seconds
 CATCH_UP_PAUSE = 0.002  # seconds
 PATIENCE = 0.01  # seconds that a replica may take to reach the floor
-HEDGE_FACTOR = 4.0
-HEDGE_MINIMUM = 0.03  # seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,11 +81,6 @@
         if stack is not None:
             await stack.aclose()
 
-    def discard(self):
-        """Close in the background, for an answer that nobody reads."""
-        if self._stack is not None:
-            asyncio.ensure_future(self.close())
-
 
 class _ReplicaBehind(Exception):
     """The instance has not reached the floor in the time that it was given."""
@@ -98,15 +90,6 @@
         self.name = name
 
 
-@dataclass(slots=True)
-class _Attempt:
-    """One attempt; ``place`` is set once it runs at an instance."""
-
-    excluded: frozenset
-    patience: float
-    place: str | None = None
-
-
 class ReadRunner:
     """Runs the reads of one group.
 
@@ -118,11 +101,6 @@
 
     def __init__(self, parts):
         self._parts = parts
-        self._hedger = Hedger()
-
-    async def close(self):
-        """Stop the attempts that nobody waits for."""
-        await self._hedger.close()
 
     async def run(self, request):
         """Return the answer to a read.
@@ -133,14 +111,16 @@
         """
         floor = await self._find_floor(request)
         self._parts.budget.earn()
-        self._parts.hedge_budget.earn()
         excluded = frozenset()
         failures = 0
         while failures < ATTEMPTS:
             try:
-                return await self._hedged(request, floor, excluded, failures)
+                return await self._once(request, floor, excluded, failures)
             except _ReplicaBehind as behind:
                 excluded |= {behind.name}
+                if len(excluded) == len(self._parts.instances):
+                    excluded = frozenset()  # a new primary may have caught up by now
+                    await asyncio.sleep(RETRY_PAUSE)
             except TimeoutError:
                 break
             except UpstreamError:
@@ -162,26 +142,10 @@
         except TimeoutError:
             raise FloorUnknown("no majority of the group answered", 1.0) from None
 
-    async def _hedged(self, request, floor, excluded, failures):
+    async def _once(self, request, floor, excluded, failures):
         costs = self._parts.costs
         shape = shape_of(request.sql)
         patience = attempt_patience(costs.expected(shape), failures)
-        attempt = _Attempt(excluded, patience)
-        first = self._once(request, floor, attempt, shape)
-        if costs.is_long(shape):
-            return await first
-        delay = max(HEDGE_MINIMUM, HEDGE_FACTOR * costs.expected(shape))
-
-        def second():
-            if attempt.place is None or not self._parts.hedge_budget.spend():
-                return None
-            other = _Attempt(excluded | {attempt.place}, patience)
-            return self._once(request, floor, other, shape)
-
-        return await self._hedger.run(first, second, delay)
-
-    async def _once(self, request, floor, attempt, shape):
-        costs = self._parts.costs
         ticket = Ticket(
             caller=request.caller,
             priority=request.priority,
@@ -191,11 +155,10 @@
             long=costs.is_long(shape),
         )
         async with AsyncExitStack() as stack:
-            need = ForRead(floor, attempt.excluded)
+            need = ForRead(floor, excluded)
             place = await stack.enter_async_context(
                 self._parts.dispatcher.place(need, ticket)
             )
-            attempt.place = place.name
             runtime = self._parts.instances[place.name]
             try:
                 connection = await stack.enter_async_context(
@@ -203,7 +166,7 @@
                 )
                 await self._prove(connection, place, floor, request)
                 result = await self._execute(
-                    connection, runtime, request, shape, ticket, attempt.patience
+                    connection, runtime, request, shape, ticket, patience
                 )
             except (UpstreamUnreachable, UpstreamLost):
                 runtime.note_failure()
@@ -253,7 +216,9 @@
             raise RefusedByInstance(error.code, error.message) from error
         elapsed = self._parts.clock() - started
         self._parts.costs.learn(shape, elapsed)
-        if not ticket.long:
+        if ticket.long:
+            self._parts.costs.note_long(elapsed, self._parts.clock())
+        else:
             runtime.concurrency.learn(elapsed, in_flight)
         return result
 
