--- a/bench/measures.py
+++ b/bench/measures.py
@@ -106,6 +106,25 @@
     return read
 
 
+def _public_reader(fleet, database, class_name, random_source):
+    """Return a reader that keeps its connections and never writes."""
+    connections = {}
+    locks = {vm: asyncio.Lock() for vm in fleet.daemons}
+
+    async def read(_name):
+        vm = random_source.choice(sorted(fleet.daemons))
+        async with locks[vm]:
+            if vm not in connections:
+                connections[vm] = await fleet.connect(vm, database)
+            comment = f"/* cardamomdrift: class={class_name} */"
+            place = random_source.randrange(50)
+            sql = f"{comment} SELECT text FROM places WHERE id = {place}"
+            await query(connections[vm], sql)
+        return ROUNDS
+
+    return read
+
+
 def _direct_reader(fleet, tally, random_source, by_lag_figure):
     """Return a baseline: all to the primary, or replicas whose lag figure is low."""
     group = next(iter(fleet.deployment.groups.values()))
@@ -145,14 +164,16 @@
     rows = []
     for lag in LAGS:
         async with run_site(site, classes=LAG_CLASSES, lag=lag) as fleet:
-            for number, strategy in enumerate(
-                (*classes, "all to primary", "lag figure")
-            ):
+            public = f"{classes[1]}, kept connections"
+            strategies = (*classes, public, "all to primary", "lag figure")
+            for number, strategy in enumerate(strategies):
                 source = random.Random(seed)
                 tally = _Tally()
                 _, database = _first_group(fleet)
                 if number < len(classes):
                     read = _proxy_reader(fleet, database, strategy, source)
+                elif strategy == public:
+                    read = _public_reader(fleet, database, classes[1], source)
                 else:
                     read = _direct_reader(
                         fleet, tally, source, strategy == "lag figure"
--- a/cardamomdrift/failover/monitor.py
+++ b/cardamomdrift/failover/monitor.py
@@ -19,6 +19,7 @@
 from cardamomdrift.util import cancel_all
 
 TICK = 0.05  # seconds
+QUIET_TICK = 0.5  # seconds, while everything answers
 RANK_DELAY = 0.25  # seconds for each VM that comes first
 JITTER = 0.1  # seconds
 RETRY_DELAY = 0.3  # seconds
@@ -71,6 +72,7 @@
         self._repaired_at = 0.0
         self._probed_at = 0.0
         self._task = None
+        self._woken = asyncio.Event()
         self.counts = FailoverCounts()
 
     async def __aenter__(self):
@@ -94,11 +96,28 @@
                 await self._promote()
             elif self._parts.view.primary is not None:
                 await self._repair(now)
+            await self._pause(now)
+
+    def wake(self):
+        """Look again at once, because an instance did not answer."""
+        self._woken.set()
+
+    async def _pause(self, now):
+        if self._is_troubled(now):
             await asyncio.sleep(TICK)
+            return
+        self._woken.clear()
+        try:
+            async with asyncio.timeout(QUIET_TICK):
+                await self._woken.wait()
+        except TimeoutError:
+            return
+
+    def _is_troubled(self, now):
+        return self._leaderless_since is not None or self._unanswered(now) > 0
 
     def _heartbeat(self, now):
-        troubled = self._leaderless_since is not None or self._unanswered(now) > 0
-        interval = TICK if troubled else HEARTBEAT
+        interval = TICK if self._is_troubled(now) else HEARTBEAT
         if now - self._probed_at < interval:
             return
         self._probed_at = now
--- a/cardamomdrift/routing/dispatch.py
+++ b/cardamomdrift/routing/dispatch.py
@@ -95,6 +95,7 @@
         self._members = members
         self._clock = clock
         self._expiry = None
+        self._waited = asyncio.Event()
         self._long_cache = (None, (None, frozenset()))
 
     @property
@@ -146,6 +147,7 @@
         match self._queue.offer(ticket, now, self._servers()):
             case Refused(reason, retry_after):
                 raise Overloaded(reason, retry_after)
+        self._waited.set()
         self.pump()
         try:
             return await waiting.future
@@ -268,6 +270,10 @@
 
     async def _expire(self):
         while True:
+            await self._waited.wait()
+            if not len(self._queue):
+                self._waited.clear()
+                continue
             await asyncio.sleep(EXPIRY_INTERVAL)
             for ticket in self._queue.expired(self._clock()):
                 waiting = ticket.payload
--- a/cardamomdrift/routing/group.py
+++ b/cardamomdrift/routing/group.py
@@ -246,6 +246,8 @@
         runtime.note_answer(begun_at)
         self._parts.watch.take(name, status, begun_at, now)
         self._follow_leader()
+        if leader is not None and self._parts.view.primary is None:
+            self._monitor.wake()
         if not was_usable or leader != self._parts.view.primary:
             self._parts.dispatcher.pump()
 
@@ -267,6 +269,7 @@
         """Note that an instance did not answer."""
         runtime = self._parts.instances[name]
         runtime.silence.failed(now, refused)
+        self._monitor.wake()
         if refused:
             runtime.pool.drop_idle()
         self._parts.watch.retry(name)
