Leaving upstreams: noticed within 2 s, and a leaving primary hands over

Cause: the list of VMs was read with the lease, every 5 s, against a target of 3 s; and a primary that was marked as leaving kept its group without writes until it stopped. Now the list is read every 2 s, and once a replica holds all of the log after 4 s without new writes the staying instances are fenced and one is promoted.

--- a/cardamomdrift/failover/monitor.py
+++ b/cardamomdrift/failover/monitor.py
@@ -25,6 +25,7 @@
 RETRY_DELAY = 0.3  # seconds
 HEARTBEAT = 1.0  # seconds between probes of an idle group
 RECENT = 2.0  # seconds for which a status counts as evidence
+LEAVING_TIME = 4.0  # seconds until every VM knows that an instance leaves
 LEADERLESS_TIME = 1.0  # seconds
 PROMOTION_TIME = 6.0  # seconds
 REPAIR_INTERVAL = 0.5  # seconds
@@ -67,6 +68,7 @@
         self._random = random.Random(seed)
         self._leaderless_since = None
         self._suspected_since = None
+        self._leaving_since = None
         self._delay = 0.0
         self._not_before = 0.0
         self._repaired_at = 0.0
@@ -114,6 +116,8 @@
             return
 
     def _is_troubled(self, now):
+        if self._leaving_since is not None:
+            return True
         return self._leaderless_since is not None or self._unanswered(now) > 0
 
     def _heartbeat(self, now):
@@ -151,8 +155,35 @@
         if primary is None:
             return self._is_leaderless(now)
         self._leaderless_since = None
+        if self._is_handed_over(primary, now):
+            return True
         return is_dead(self._evidence(primary, now))
 
+    def _is_handed_over(self, primary, now):
+        """Whether a leaving primary gets no more writes and a replica has them all."""
+        if not self._parts.instances[primary].leaving:
+            self._leaving_since = None
+            return False
+        if self._leaving_since is None:
+            self._leaving_since = now
+        if now - self._leaving_since < LEAVING_TIME:
+            return False
+        instances = self._parts.view.instances
+        reached = instances[primary].position
+        return any(
+            one.position >= reached and not self._parts.instances[name].leaving
+            for name, one in instances.items()
+            if name != primary
+        )
+
+    def _candidates(self):
+        """Return the instances to fence; those that leave only if they are needed."""
+        staying = tuple(
+            name for name, one in self._parts.instances.items() if not one.leaving
+        )
+        enough = len(staying) >= self._parts.spec.majority
+        return staying if enough else self._parts.spec.names
+
     def _is_leaderless(self, now):
         """Whether a majority has answered for a while and none of them leads."""
         answering = self._parts.watch.recent(now - RECENT)
@@ -186,7 +217,7 @@
         promotion = Promotion(
             term=term,
             owner=f"{parts.vm.name}/{self._random.getrandbits(32):08x}",
-            instances=parts.spec.names,
+            instances=self._candidates(),
             majority=parts.spec.majority,
             record=parts.spec.record,
             deadline_at=parts.clock() + PROMOTION_TIME,
--- a/cardamomdrift/membership/keeper.py
+++ b/cardamomdrift/membership/keeper.py
@@ -7,13 +7,14 @@
 """
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from cardamomdrift.errors import PlatformUnavailable
 from cardamomdrift.limits.shares import Lease, count_members, may_connect
 from cardamomdrift.util import cancel_all
 
 RENEW_INTERVAL = 5.0  # seconds
+LOOK_INTERVAL = 2.0  # seconds between two looks at who is leaving
 JOIN_INTERVAL = 0.5  # seconds, until all others count this VM
 POKE_DELAY = 0.1  # seconds in which several pokes count as one
 LEASE_TIME = 20.0  # seconds
@@ -113,6 +114,7 @@
         self._on_change = on_change
         self._on_waiting = on_waiting
         self._poked = asyncio.Event()
+        self._renew_at = 0.0
         self._log = log
         self._steady_since = None
         self._task = None
@@ -150,15 +152,38 @@
     async def _run(self):
         while True:
             try:
-                await self._renew()
+                await self._renew_or_look()
             except PlatformUnavailable as error:
                 self._note_outage(error)
             if self._membership.may_connect:
-                await self._wait_for_poke(RENEW_INTERVAL)
+                await self._wait_for_poke(LOOK_INTERVAL)
             else:
                 await self._on_waiting(self._membership)
                 await asyncio.sleep(JOIN_INTERVAL)
 
+    async def _renew_or_look(self):
+        now = self._wall_clock()
+        steady = self._membership.may_connect and self._steady_since is not None
+        if steady and not self._poked.is_set() and now < self._renew_at:
+            await self._look()
+            return
+        self._poked.clear()
+        await self._renew()
+        self._renew_at = now + RENEW_INTERVAL
+
+    async def _look(self):
+        """Read only who is leaving."""
+        leaving = await self._read_leaving()
+        if leaving != self._membership.leaving:
+            self._membership = replace(self._membership, leaving=leaving)
+            self._on_change(self._membership)
+
+    async def _read_leaving(self):
+        rows = await self._table.list(PLATFORM_PARTITION, "vm#")
+        return frozenset(
+            row["sk"].partition("#")[2] for row in rows if row["state"] == LEAVING
+        )
+
     def poke(self):
         """Read the leases soon, since a new VM waits to be counted."""
         self._poked.set()
@@ -170,7 +195,6 @@
         except TimeoutError:
             return
         await asyncio.sleep(POKE_DELAY)
-        self._poked.clear()
 
     def _note_outage(self, error):
         if self._steady_since is not None:
@@ -180,13 +204,10 @@
     async def _renew(self):
         await self._write(self._membership.counted)
         rows = await self._table.list(self._deployment, "lease#")
-        listed = await self._table.list(PLATFORM_PARTITION, "vm#")
+        leaving = await self._read_leaving()
         now = self._wall_clock()
         if self._steady_since is None:
             self._steady_since = now
-        leaving = frozenset(
-            row["sk"].partition("#")[2] for row in listed if row["state"] == LEAVING
-        )
         leases = [_parse_lease(row) for row in rows]
         membership = decide_membership(
             self._vm.name, leases, self._membership, leaving, now, self._steady_since
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -385,6 +385,17 @@
             after = fleet.deployment.groups["g"].instances["b"].statements
             self.assertEqual(after, before)
 
+    async def test_leaving_primary_hands_over_and_loses_nothing(self):
+        async with running_fleet() as fleet:
+            connection = await fleet.connect("vm-1", "d")
+            await query(connection, keyed("k1"))
+            fleet.deployment.platform.put_vm("a", "127.0.0.1", "leaving")
+            group = fleet.deployment.groups["g"]
+            await until(lambda: group.primary.name != "a")
+            await query(connection, keyed("k2"))
+            self.assertEqual(await query(connection, COUNT), [(2,)])
+            self.assertTrue(group.instances["a"].running)
+
     async def test_connections_stay_within_the_limit_of_an_instance(self):
         async with running_fleet(daemons=4, max_connections=16) as fleet:
             connections = await connect_all(fleet, 40)
