--- /dev/null
+++ b/tests/test_command.py
@@ -0,0 +1,167 @@
+"""Settings and bundle files with faults, and the command line's answers."""
+
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from returns.result import Failure
+
+from cardamomdrift.bundle.model import check_value, decode_bundle, encode_bundle
+from cardamomdrift.command import BAD_INPUT, NO_ANSWER, Commands, merge_burn
+from cardamomdrift.settings import load_settings
+from tests.values import BUNDLE
+
+SETTINGS = {
+    "vm": "vm-1",
+    "failure_domain": "za",
+    "deployment": "test",
+    "callers": {"allow_any_user": True, "allow_plaintext": True},
+    "upstreams": {"user": "proxy"},
+    "platform": {"url": "http://127.0.0.1:9", "access_key": "k"},
+    "peers": {"address": "127.0.0.1", "port": 4000},
+}
+BAD_SETTINGS = (
+    ("colour", {"colour": "red"}, "colour"),
+    ("vm", {"vm": "VM 1"}, "vm"),
+    (
+        "callers.port",
+        {"callers": {**SETTINGS["callers"], "port": 70000}},
+        "callers.port",
+    ),
+    ("no protection", {"callers": {"allow_any_user": True}}, "allow_plaintext"),
+    ("no users", {"callers": {"allow_plaintext": True}}, "allow_any_user"),
+    ("peers", {"peers": {"address": "127.0.0.1"}}, "peers.port"),
+)
+
+
+def _group(**changes):
+    return {"groups": {"g": {**BUNDLE["groups"]["g"], **changes}}}
+
+
+BAD_BUNDLES = (
+    ("unknown key", {"colour": "red"}, "colour"),
+    ("no groups", {"groups": {}}, "groups"),
+    ("slots", _group(slots=0), "groups.g.slots"),
+    ("text for a number", _group(slots="2"), "groups.g.slots"),
+    ("record", _group(record="never"), "groups.g.record"),
+    (
+        "age of a write",
+        {"classes": {**BUNDLE["classes"], "w": {"kind": "write", "max_age_ms": 5}}},
+        "classes.w",
+    ),
+    ("default of the wrong kind", {"defaults": {"read": "w", "write": "w"}}, "read"),
+    (
+        "database in two groups",
+        {"groups": {"g": BUNDLE["groups"]["g"], "h": BUNDLE["groups"]["g"]}},
+        "two groups",
+    ),
+)
+
+
+class FileCase(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        (self.folder / "token.key").write_text("sixteen bytes key")
+
+    def write(self, name, value, note="// a comment\n"):
+        path = self.folder / name
+        path.write_text(note + json.dumps(value))
+        return str(path)
+
+    def settings(self, **changes):
+        value = {**SETTINGS, "token_key_file": str(self.folder / "token.key")}
+        return self.write("vm-1.jsonc", {**value, **changes})
+
+    def run_command(self, function, *arguments):
+        """Return the exit code and what was said on standard error."""
+        said = io.StringIO()
+        with contextlib.redirect_stderr(said), self.assertRaises(SystemExit) as exit_:
+            function(*arguments)
+        return exit_.exception.code, said.getvalue()
+
+
+class SettingsTest(FileCase):
+    def test_good_settings(self):
+        self.assertEqual(load_settings(self.settings()).unwrap().vm, "vm-1")
+        self.assertIn("ok vm-1", Commands().settings.check(self.settings()))
+
+    def test_each_fault_is_named_with_file_and_key(self):
+        for name, changes, key in BAD_SETTINGS:
+            with self.subTest(name):
+                path = self.settings(**changes)
+                result = load_settings(path)
+                self.assertIsInstance(result, Failure)
+                (line,) = result.failure().faults
+                self.assertIn(path, line)
+                self.assertIn(key, line)
+
+    def test_unreadable_files(self):
+        broken = self.folder / "broken.jsonc"
+        broken.write_text("{ not json")
+        short = self.folder / "short.key"
+        short.write_text("short")
+        for path in (
+            str(broken),
+            str(self.folder / "absent.jsonc"),
+            self.settings(token_key_file=str(short)),
+            self.settings(token_key_file=str(self.folder / "absent.key")),
+        ):
+            with self.subTest(path):
+                code, said = self.run_command(Commands().settings.check, path)
+                self.assertEqual(code, BAD_INPUT)
+                self.assertIn("SettingsError", said)
+
+
+class BundleTest(FileCase):
+    def test_good_bundle_round_trip(self):
+        model = check_value(BUNDLE, "t").unwrap()
+        bundle = decode_bundle(encode_bundle(model)).unwrap()
+        self.assertEqual(bundle.group_of("d").name, "g")
+        self.assertIn("ok ", Commands().bundle.check(self.write("b.jsonc", BUNDLE)))
+
+    def test_each_fault_is_named(self):
+        for name, changes, key in BAD_BUNDLES:
+            with self.subTest(name):
+                path = self.write("b.jsonc", {**BUNDLE, **changes})
+                code, said = self.run_command(Commands().bundle.check, path)
+                self.assertEqual(code, BAD_INPUT)
+                self.assertIn(key, said)
+                self.assertIn(path, said)
+
+    def test_bundle_of_another_deployment_is_not_signed_off(self):
+        path = self.write("b.jsonc", {**BUNDLE, "deployment": "other"})
+        sign_off = Commands().bundle.sign_off
+        code, said = self.run_command(sign_off, path, self.settings())
+        self.assertEqual(code, BAD_INPUT)
+        self.assertIn("deployment", said)
+
+    def test_silent_platform(self):
+        code, said = self.run_command(Commands().bundle.show, self.settings())
+        self.assertEqual(code, NO_ANSWER)
+        self.assertIn("PlatformUnavailable", said)
+
+    def test_silent_daemon(self):
+        code, _ = self.run_command(Commands().status, "127.0.0.1:9")
+        self.assertEqual(code, NO_ANSWER)
+
+    def test_burn_of_several_daemons_adds_up(self):
+        def row(bad):
+            window = {"seconds": 300, "total": 100, "bad": bad, "rate": 0}
+            causes = [["NoPrimary", bad]]
+            return [
+                {"name": "w", "objective": 0.99, "windows": [window], "causes": causes}
+            ]
+
+        (merged,) = merge_burn([row(1), row(3)])
+        self.assertEqual(merged["windows"][0]["bad"], 4)
+        self.assertAlmostEqual(merged["windows"][0]["rate"], 2.0)
+        self.assertEqual(merged["causes"], [("NoPrimary", 4)])
+
+
+if __name__ == "__main__":
+    unittest.main()
