--- a/bench/measures.py
+++ b/bench/measures.py
@@ -214,7 +214,11 @@
                     f"/* cardamomdrift: key={number}-{count}-{time.time()} */ "
                     f"INSERT INTO records (session, number) VALUES ('w{number}', 1)",
                 )
-            except Error:
+            except (Error, RuntimeError):
+                connection.close()
+                await asyncio.sleep(0.02)
+                vm = random.choice(sorted(fleet.daemons))
+                connection = await fleet.connect(vm, database)
                 continue
             acknowledged.append(time.monotonic())
             await asyncio.sleep(0.01)
--- a/cardamomdrift/callers/session.py
+++ b/cardamomdrift/callers/session.py
@@ -176,7 +176,7 @@
         transaction = self._transaction
         group = self._transaction_group
         try:
-            async with self._service.counted_commit(self._transaction_options):
+            with self._service.counted(self._transaction_options):
                 position = await transaction.commit()
         finally:
             self._leave_transaction()
--- a/cardamomdrift/routing/dispatch.py
+++ b/cardamomdrift/routing/dispatch.py
@@ -7,12 +7,11 @@
 """
 
 import asyncio
-from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 from cardamomdrift.errors import DeadlinePassed, NoPrimary, Overloaded
 from cardamomdrift.limits.admission import Refused
-from cardamomdrift.position import ORIGIN, Position
+from cardamomdrift.position import Position
 from cardamomdrift.routing.choice import Candidate, Hold, Probe, Serve, choose
 from cardamomdrift.routing.cost import lane_of, long_instances
 
@@ -111,9 +110,8 @@
         self._expiry.cancel()
         await asyncio.gather(self._expiry, return_exceptions=True)
 
-    @asynccontextmanager
-    async def place(self, need, ticket):
-        """Wait for a place and hold it.
+    def place(self, need, ticket):
+        """Return a context manager that waits for a place and holds it.
 
         Parameters
         ----------
@@ -126,17 +124,18 @@
         DeadlinePassed
         NoPrimary
         """
-        place = await self._wait(need, ticket)
+        return _HeldPlace(self, need, ticket)
+
+    def leave(self, place, need):
+        """Give a place up."""
         runtime = self._instances[place.name]
-        try:
-            yield place
-        finally:
-            runtime.in_flight -= 1
-            if isinstance(need, ForTransaction):
-                runtime.transactions -= 1
-            self.pump()
+        runtime.in_flight -= 1
+        if isinstance(need, ForTransaction):
+            runtime.transactions -= 1
+        self.pump()
 
-    async def _wait(self, need, ticket):
+    async def wait(self, need, ticket):
+        """Return a place that must be left; see `place`."""
         now = self._clock()
         place = None if len(self._queue) else self._find(need, ticket)
         if place is not None:
@@ -159,11 +158,7 @@
         self._queue.remove(ticket)
         future = waiting.future
         if future.done() and not future.cancelled() and future.exception() is None:
-            runtime = self._instances[future.result().name]
-            runtime.in_flight -= 1
-            if isinstance(waiting.need, ForTransaction):
-                runtime.transactions -= 1
-            self.pump()
+            self.leave(future.result(), waiting.need)
 
     def _servers(self):
         return sum(one.limit for one in self._instances.values() if one.usable)
@@ -287,4 +282,19 @@
         return DeadlinePassed("no instance became free", 0.1)
 
 
-NO_FLOOR = ORIGIN
+class _HeldPlace:
+    """A place that one request holds."""
+
+    __slots__ = ("_dispatcher", "_need", "_place", "_ticket")
+
+    def __init__(self, dispatcher, need, ticket):
+        self._dispatcher = dispatcher
+        self._need = need
+        self._ticket = ticket
+
+    async def __aenter__(self):
+        self._place = await self._dispatcher.wait(self._need, self._ticket)
+        return self._place
+
+    async def __aexit__(self, *exc_info):
+        self._dispatcher.leave(self._place, self._need)
--- a/cardamomdrift/routing/floor.py
+++ b/cardamomdrift/routing/floor.py
@@ -13,7 +13,8 @@
 from cardamomdrift.bundle.model import Consistency, Durability
 from cardamomdrift.position import ORIGIN, Position
 
-SAMPLE_LIMIT = 256  # samples
+SAMPLE_LIMIT = 512  # samples
+SPACING = 0.05  # seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +107,10 @@
         """Add a sample; one begun before the last one adds nothing."""
         if self._times and sample.begun_at <= self._times[-1]:
             return
+        if len(self._times) > 1 and self._times[-1] - self._times[-2] < SPACING:
+            # Close together they would push out the old ones, which serve aged reads.
+            self._times.pop()
+            self._floors.pop()
         self._times.append(sample.begun_at)
         self._floors.append(sample.floor)
         if len(self._times) >= 2 * SAMPLE_LIMIT:
--- a/cardamomdrift/service.py
+++ b/cardamomdrift/service.py
@@ -9,7 +9,7 @@
 import asyncio
 import time
 from collections import Counter
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack
 
 from returns.result import Failure, Success
 
@@ -223,7 +223,7 @@
         ------
         CallerError
         """
-        async with self._counted(options):
+        with self.counted(options):
             group = self.group_for(session.database)
             now = self._clock()
             token = self._token_position(options, group)
@@ -261,7 +261,7 @@
         ------
         CallerError
         """
-        async with self._counted(options):
+        with self.counted(options):
             if session.database is None:
                 raise UnknownDatabase("a write needs a database")
             group = self.group_for(session.database)
@@ -312,33 +312,26 @@
         """Note that a transaction has ended."""
         self._transactions.discard(transaction)
 
-    @asynccontextmanager
-    async def counted_commit(self, options):
-        """Count a commit as a request of its class."""
-        async with self._counted(options):
-            yield
+    def counted(self, options):
+        """Return a context manager that counts what runs in it as one request."""
+        return _CountedRequest(self, options.request_class.name, self._clock)
 
-    @asynccontextmanager
-    async def _counted(self, options):
-        started = self._clock()
-        outcome = GOOD
+    def begin_count(self):
+        """Note that a request has begun."""
         self._active += 1
-        try:
-            yield
-        except CallerError as error:
-            outcome = type(error).__name__
-            raise
-        except asyncio.CancelledError:
-            outcome = "Cancelled"
-            raise
-        except Exception:
-            outcome = "InternalError"
-            raise
-        finally:
-            self._active -= 1
-            self._count(options.request_class.name, outcome, started)
 
-    def _count(self, name, outcome, started):
+    def end_count(self, name, outcome, started):
+        """Count a request that has ended.
+
+        Parameters
+        ----------
+        name : str
+            Request class.
+        outcome : str
+            ``good`` or the type of its failure.
+        started : float
+        """
+        self._active -= 1
         self._outcomes[name, outcome] += 1
         self.metrics.duration.record(self._clock() - started, {"class": name})
         if outcome not in _CALLERS_FAULTS:
@@ -376,6 +369,30 @@
         return not self.active
 
 
+class _CountedRequest:
+    """Counts one request and its outcome."""
+
+    __slots__ = ("_clock", "_name", "_service", "_started")
+
+    def __init__(self, service, name, clock):
+        self._service = service
+        self._name = name
+        self._clock = clock
+
+    def __enter__(self):
+        self._started = self._clock()
+        self._service.begin_count()
+
+    def __exit__(self, error_type, error, traceback):
+        if error_type is None:
+            outcome = GOOD
+        elif issubclass(error_type, CallerError | asyncio.CancelledError):
+            outcome = error_type.__name__
+        else:
+            outcome = "InternalError"
+        self._service.end_count(self._name, outcome, self._started)
+
+
 def _names(root):
     yield root.__name__
     for one in root.__subclasses__():
--- a/cardamomdrift/standins/platform.py
+++ b/cardamomdrift/standins/platform.py
@@ -87,7 +87,10 @@
 
     @web.middleware
     async def _count_bytes(self, request, handler):
-        response = await handler(request)
+        try:
+            response = await handler(request)
+        except ConnectionResetError:
+            return web.Response(status=400)  # nobody is there to read it
         lines = [len(name) + len(value) + 4 for name, value in request.raw_headers]
         body = len(response.body or b"") if isinstance(response, web.Response) else 0
         self._bytes += sum(lines) + (request.content_length or 0) + body + HEAD_SIZE
--- a/cardamomdrift/upstreams/pool.py
+++ b/cardamomdrift/upstreams/pool.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections import deque
-from contextlib import asynccontextmanager
 
 from cardamomdrift.errors import (
     DeadlinePassed,
@@ -100,9 +99,8 @@
         while self._idle and now - self._idle[0].idle_since > IDLE_LIMIT:
             self._idle.popleft().close()
 
-    @asynccontextmanager
-    async def connection(self, database, deadline_at):
-        """Hold a connection with a database selected.
+    def connection(self, database, deadline_at):
+        """Return a context manager that holds a connection to a database.
 
         Raises
         ------
@@ -110,17 +108,7 @@
             No connection could be had; nothing was sent.
         DeadlinePassed
         """
-        connection = await self.acquire(deadline_at)
-        try:
-            try:
-                async with asyncio.timeout_at(deadline_at):
-                    await connection.use(database)
-            except (UpstreamError, TimeoutError) as error:
-                connection.close()
-                raise UpstreamUnreachable("database could not be selected") from error
-            yield connection
-        finally:
-            self.release(connection)
+        return _HeldConnection(self, database, deadline_at)
 
     async def acquire(self, deadline_at):
         """Return a connection that must be released."""
@@ -194,3 +182,35 @@
             if not waiter.done():
                 waiter.set_result(None)
                 return
+
+
+class _HeldConnection:
+    """A connection that one request holds, with its database selected."""
+
+    __slots__ = ("_connection", "_database", "_deadline_at", "_pool")
+
+    def __init__(self, pool, database, deadline_at):
+        self._pool = pool
+        self._database = database
+        self._deadline_at = deadline_at
+
+    async def __aenter__(self):
+        self._connection = await self._pool.acquire(self._deadline_at)
+        if self._database and self._connection.database != self._database:
+            await self._select()
+        return self._connection
+
+    async def __aexit__(self, *exc_info):
+        self._pool.release(self._connection)
+
+    async def _select(self):
+        try:
+            async with asyncio.timeout_at(self._deadline_at):
+                await self._connection.use(self._database)
+        except BaseException as error:
+            self._connection.close()
+            self._pool.release(self._connection)
+            if isinstance(error, UpstreamError | TimeoutError):
+                reason = "database could not be selected"
+                raise UpstreamUnreachable(reason) from error
+            raise
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -133,6 +133,15 @@
         self.assertIsNone(history.find(FloorRule(3.5, ORIGIN)))
         self.assertEqual(history.find(FloorRule(None, P(1, 4))), P(1, 4))
 
+    def test_history_reaches_back_however_often_samples_come(self):
+        history = FloorHistory()
+        for number in range(20_000):
+            history.add(Sample(number / 1000, P(1, number)))
+        floor = history.find(FloorRule(10.0, ORIGIN))
+        self.assertGreaterEqual(floor, P(1, 10_000))
+        self.assertLess(floor, P(1, 10_200))
+        self.assertEqual(history.find(FloorRule(19.999, ORIGIN)), P(1, 19_999))
+
 
 class ViewTest(unittest.TestCase):
     def test_an_older_answer_changes_no_position(self):
