--- a/bench/measures.py
+++ b/bench/measures.py
@@ -41,6 +41,7 @@
 STRAGGLER_COST = 200  # milliseconds; the short ones take 2
 SHORT_RATE = 250  # requests per second
 SHORT_TIME = 6.0  # seconds
+LEARNING_TIME = 3.0  # seconds
 
 
 def _first_group(fleet):
@@ -408,6 +409,10 @@
                     text = f"text FROM places WHERE id = {number % 50}"
                     return f"/* cardamomdrift: class={low} */ SELECT {text}", "short"
 
+                # What is long has to be learned first.
+                tasks = await callers.run(SHORT_RATE, LEARNING_TIME, request)
+                await asyncio.gather(*tasks)
+                callers.times.clear()
                 tasks = await callers.run(SHORT_RATE, SHORT_TIME, request)
                 await asyncio.gather(*tasks)
         short = callers.times["short"]
--- a/cardamomdrift/limits/admission.py
+++ b/cardamomdrift/limits/admission.py
@@ -9,8 +9,10 @@
 
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
+from itertools import islice
 
-SCAN_LIMIT = 16  # tickets tried on each pass
+SCAN_LIMIT = 16  # turns tried on each pass
+CALLER_SCAN = 3  # requests tried in each turn
 OVERLOAD_WAIT = 0.1  # seconds
 OVERLOAD_INTERVAL = 0.2  # seconds
 
@@ -60,6 +62,11 @@
     long: bool = False
     payload: object = None
 
+    @property
+    def turn(self):
+        """Whose turn the request takes; long ones must not hold up short ones."""
+        return self.caller, self.long
+
 
 @dataclass(frozen=True, slots=True)
 class Queued:
@@ -142,7 +149,7 @@
         if now + wait + ticket.cost > ticket.deadline_at:
             return Refused("the request cannot finish before its deadline", wait)
         level = self._levels.setdefault(ticket.priority, _Level())
-        level.callers.setdefault(ticket.caller, deque()).append(ticket)
+        level.callers.setdefault(ticket.turn, deque()).append(ticket)
         level.size += 1
         self._size += 1
         self._work += ticket.cost
@@ -176,12 +183,12 @@
     def remove(self, ticket):
         """Take a request out of the queue; return whether it was there."""
         level = self._levels.get(ticket.priority)
-        waiting = level.callers.get(ticket.caller) if level else None
+        waiting = level.callers.get(ticket.turn) if level else None
         if waiting is None or ticket not in waiting:
             return False
         waiting.remove(ticket)
         if not waiting:
-            del level.callers[ticket.caller]
+            del level.callers[ticket.turn]
         level.size -= 1
         self._size -= 1
         self._work = max(0.0, self._work - ticket.cost) if self._size else 0.0
@@ -203,16 +210,21 @@
                 if tried >= SCAN_LIMIT:
                     return None
                 tried += 1
-                ticket = self._pick(level.callers[caller])
-                if admissible(ticket):
+                ticket = self._first(level.callers[caller], admissible)
+                if ticket is not None:
                     level.callers.move_to_end(caller)
                     self.remove(ticket)
                     self._note_wait(now - ticket.arrived_at, now)
                     return ticket
         return None
 
-    def _pick(self, waiting):
-        return waiting[-1] if self._newest_first() else waiting[0]
+    def _first(self, waiting, admissible):
+        """Return the first of a caller's requests that can start, or None."""
+        ordered = reversed(waiting) if self._newest_first() else waiting
+        for ticket in islice(ordered, CALLER_SCAN):
+            if admissible(ticket):
+                return ticket
+        return None
 
     def _newest_first(self):
         match self._policy:
--- a/cardamomdrift/routing/cost.py
+++ b/cardamomdrift/routing/cost.py
@@ -11,7 +11,9 @@
 from cardamomdrift.membership.rendezvous import rank
 
 SHAPE_LIMIT = 2048  # shapes
-WEIGHT = 0.2
+FALL_WEIGHT = 0.9
+RISE_WEIGHT = 0.02
+TYPICAL_WEIGHT = 0.05
 LONG_FACTOR = 8.0
 LONG_MINIMUM = 0.05  # seconds
 LANE_MEMORY = 10.0  # seconds
@@ -62,14 +64,20 @@
         return expected > max(LONG_MINIMUM, LONG_FACTOR * self._typical)
 
     def learn(self, shape, elapsed):
-        """Take in the seconds that a statement took."""
+        """Take in the seconds that a statement took.
+
+        A short statement that had to wait behind a long one must not be taken for long
+        itself, so the estimate falls fast and rises slowly.
+        """
         known = self._times.pop(shape, None)
-        time = elapsed if known is None else known + WEIGHT * (elapsed - known)
-        self._times[shape] = time
+        if known is None:
+            known = elapsed
+        weight = FALL_WEIGHT if elapsed < known else RISE_WEIGHT
+        self._times[shape] = known + weight * (elapsed - known)
         if len(self._times) > SHAPE_LIMIT:
             self._times.popitem(last=False)
         if elapsed <= max(LONG_MINIMUM, LONG_FACTOR * self._typical):
-            self._typical += WEIGHT * (elapsed - self._typical) / 4
+            self._typical += TYPICAL_WEIGHT * (elapsed - self._typical)
 
 
 def attempt_patience(expected, failures):
--- a/cardamomdrift/routing/dispatch.py
+++ b/cardamomdrift/routing/dispatch.py
@@ -126,10 +126,11 @@
         """
         return _HeldPlace(self, need, ticket)
 
-    def leave(self, place, need):
+    def leave(self, place, need, long):
         """Give a place up."""
         runtime = self._instances[place.name]
         runtime.in_flight -= 1
+        runtime.long_in_flight -= long
         if isinstance(need, ForTransaction):
             runtime.transactions -= 1
         self.pump()
@@ -139,7 +140,7 @@
         now = self._clock()
         place = None if len(self._queue) else self._find(need, ticket)
         if place is not None:
-            self._occupy(place, need)
+            self._occupy(place, need, ticket.long)
             return place
         waiting = Waiting(need, asyncio.get_running_loop().create_future())
         ticket.payload = waiting
@@ -158,7 +159,7 @@
         self._queue.remove(ticket)
         future = waiting.future
         if future.done() and not future.cancelled() and future.exception() is None:
-            self.leave(future.result(), waiting.need)
+            self.leave(future.result(), waiting.need, ticket.long)
 
     def _servers(self):
         return sum(one.limit for one in self._instances.values() if one.usable)
@@ -180,12 +181,13 @@
                 return
             if ticket.payload.future.done():
                 continue
-            self._occupy(found, ticket.payload.need)
+            self._occupy(found, ticket.payload.need, ticket.long)
             ticket.payload.future.set_result(found)
 
-    def _occupy(self, place, need):
+    def _occupy(self, place, need, long):
         runtime = self._instances[place.name]
         runtime.in_flight += 1
+        runtime.long_in_flight += long
         if isinstance(need, ForTransaction):
             runtime.transactions += 1
 
@@ -242,12 +244,26 @@
                     in_flight=runtime.in_flight,
                     limit=runtime.limit,
                     service_time=ticket.cost,
-                    long_allowed=name in long_allowed,
+                    long_allowed=self._takes_long(name, lane, long_allowed),
                     penalty=penalty if name == lane else 0.0,
                 )
             )
         return found
 
+    def _takes_long(self, name, lane, allowed):
+        """Whether an instance may take one more long statement from this VM.
+
+        Outside the lane one slot always stays free for short ones, and the lane is
+        filled first.
+        """
+        if name not in allowed:
+            return False
+        if name == lane or lane is None:
+            return True
+        slots = self._group.slots
+        lane_full = self._instances[lane].long_in_flight >= slots
+        return lane_full and self._instances[name].long_in_flight < slots - 1
+
     def _lanes(self, primary):
         """Return the lane, and where this VM may run long statements."""
         members = self._members()
@@ -297,4 +313,4 @@
         return self._place
 
     async def __aexit__(self, *exc_info):
-        self._dispatcher.leave(self._place, self._need)
+        self._dispatcher.leave(self._place, self._need, self._ticket.long)
--- a/cardamomdrift/routing/instance.py
+++ b/cardamomdrift/routing/instance.py
@@ -30,6 +30,7 @@
         self._failed_at = None
         self.in_flight = 0
         self.transactions = 0
+        self.long_in_flight = 0
         self.leaving = False
 
     @property
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -231,6 +231,13 @@
         self.assertFalse(costs.is_long("short"))
         self.assertLess(costs.typical, 0.005)
 
+    def test_short_shape_that_waits_behind_long_ones_stays_short(self):
+        costs = CostBook()
+        for number in range(200):
+            costs.learn("short", 0.2 if number % 5 == 0 else 0.002)
+            if number:
+                self.assertFalse(costs.is_long("short"), number)
+
 
 def ticket(caller="x", priority=1, arrived=0.0, deadline=10.0, cost=0.1):
     return Ticket(caller, priority, arrived, deadline, cost)
@@ -302,6 +309,14 @@
         self.assertEqual(len(queue), min(queued, 15))
         self.assertEqual(len(self.drain(queue)), min(queued, 15))
 
+    def test_long_ones_that_cannot_start_hold_up_no_short_ones(self):
+        queue = AdmissionQueue(100, Fifo())
+        for _ in range(10):
+            queue.offer(replace(ticket(), long=True), 0.0, 4)
+        short = ticket()
+        queue.offer(short, 0.0, 4)
+        self.assertIs(queue.take(0.0, lambda one: not one.long), short)
+
     def test_expired_requests_leave(self):
         queue = AdmissionQueue(10, Fifo())
         late, early = ticket(deadline=1.0), ticket(deadline=9.0)
