--- a/bench/measures.py
+++ b/bench/measures.py
@@ -30,6 +30,7 @@
     # Replicas 30 s behind cannot confirm a replicated write in time.
     "bench-write": {"kind": "write", "durability": "current_term"}
 }
+SETTLE_TIME = 6.0  # seconds in which kept connections grow older than their age
 LAG_FIGURE_LIMIT = 2.0  # seconds, of the baseline that trusts a lag figure
 GAP_REPEATS = 3
 CREST_SERVICE = 0.04  # seconds
@@ -107,22 +108,24 @@
     return read
 
 
-def _public_reader(fleet, database, class_name, random_source):
+async def _public_reader(fleet, database, class_name, random_source):
     """Return a reader that keeps its connections and never writes."""
-    connections = {}
+    connections = {vm: await fleet.connect(vm, database) for vm in fleet.daemons}
     locks = {vm: asyncio.Lock() for vm in fleet.daemons}
 
     async def read(_name):
         vm = random_source.choice(sorted(fleet.daemons))
         async with locks[vm]:
-            if vm not in connections:
-                connections[vm] = await fleet.connect(vm, database)
             comment = f"/* cardamomdrift: class={class_name} */"
             place = random_source.randrange(50)
             sql = f"{comment} SELECT text FROM places WHERE id = {place}"
             await query(connections[vm], sql)
         return ROUNDS
 
+    settled_at = time.monotonic() + SETTLE_TIME
+    while time.monotonic() < settled_at:
+        await read("")
+        await asyncio.sleep(0.02)
     return read
 
 
@@ -174,7 +177,7 @@
                 if number < len(classes):
                     read = _proxy_reader(fleet, database, strategy, source)
                 elif strategy == public:
-                    read = _public_reader(fleet, database, classes[1], source)
+                    read = await _public_reader(fleet, database, classes[1], source)
                 else:
                     read = _direct_reader(
                         fleet, tally, source, strategy == "lag figure"
--- a/bench/probe.py
+++ b/bench/probe.py
@@ -101,15 +101,18 @@
     proxy, _ = _ports(folder)
     opened = []
     base = resident_bytes(pid)
-    print("| idle callers | daemon MB | KB for each |")
-    print("| --- | --- | --- |")
-    print(f"| 0 | {base / 1e6:.1f} | |")
+    print("| idle callers | daemon MB | KB for each | µs to open one |")
+    print("| --- | --- | --- | --- |")
+    print(f"| 0 | {base / 1e6:.1f} | | |")
     for target in (500, 1000, 2000):
+        before, had = processor_seconds(pid), len(opened)
         while len(opened) < target:
             opened.append(await _connect(proxy))
+        spent = (processor_seconds(pid) - before) / (target - had) * 1e6
         await asyncio.sleep(SETTLE_TIME)
         held = resident_bytes(pid)
-        print(f"| {target} | {held / 1e6:.1f} | {(held - base) / target / 1000:.1f} |")
+        each = (held - base) / target / 1000
+        print(f"| {target} | {held / 1e6:.1f} | {each:.1f} | {spent:.0f} |")
     for one in opened:
         one.close()
 
--- a/cardamomdrift/routing/floor.py
+++ b/cardamomdrift/routing/floor.py
@@ -7,6 +7,7 @@
 of the group's instances reported to a probe begun at a known time.
 """
 
+import math
 from bisect import bisect_left
 from dataclasses import dataclass
 
@@ -103,6 +104,11 @@
         self._times = []
         self._floors = []
 
+    @property
+    def newest(self):
+        """When the newest sample was begun; minus infinity before the first."""
+        return self._times[-1] if self._times else -math.inf
+
     def add(self, sample):
         """Add a sample; one begun before the last one adds nothing."""
         if self._times and sample.begun_at <= self._times[-1]:
--- a/cardamomdrift/routing/watch.py
+++ b/cardamomdrift/routing/watch.py
@@ -19,6 +19,9 @@
     wanted_instances,
 )
 
+SAMPLES_IN_AGE = 8
+REFRESH_TIME = 1.0  # seconds
+
 
 @dataclass(frozen=True, slots=True)
 class _Answer:
@@ -46,6 +49,7 @@
         self._answers = {}
         self._questions = {}
         self._floors = FloorHistory()
+        self._refresh = None
 
     @property
     def open_questions(self):
@@ -110,6 +114,30 @@
         finally:
             self._questions.pop(id(question), None)
 
+    def _refresh_ahead(self, rule, now, include_primary):
+        """Take a sample that later reads of a stated age will be served from.
+
+        A read may use the oldest sample within its age, and the older that is, the more
+        replicas have reached it; so samples have to come more often than the age.
+        """
+        if rule.since is None or now - self._floors.newest < (
+            (now - rule.since) / SAMPLES_IN_AGE
+        ):
+            return
+        if self._refresh is not None:
+            if now - self._refresh.since < REFRESH_TIME and self._is_open(
+                self._refresh
+            ):
+                return
+            self._questions.pop(id(self._refresh), None)
+        self._refresh = FloorQuestion(now, self._spec.majority, include_primary)
+        future = asyncio.get_running_loop().create_future()
+        self._questions[id(self._refresh)] = (self._refresh, future)
+        self._try(self._refresh)
+
+    def _is_open(self, question):
+        return id(question) in self._questions
+
     async def floor(self, rule, now, include_primary, deadline_at):
         """Return the floor that a rule gives.
 
@@ -120,6 +148,7 @@
         """
         known = self._floors.find(rule)
         if known is not None:
+            self._refresh_ahead(rule, now, include_primary)
             return known
         question = FloorQuestion(now, self._spec.majority, include_primary)
         proven = await self.ask(question, deadline_at)
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,74 @@
+"""Questions to the instances: one status answers all that waited for it."""
+
+import asyncio
+import unittest
+
+from cardamomdrift.position import ORIGIN, Position
+from cardamomdrift.routing.floor import FloorRule
+from cardamomdrift.routing.view import make_view
+from cardamomdrift.routing.watch import StatusWatch
+from cardamomdrift.upstreams.contract import InstanceStatus
+from tests.values import bundle
+
+
+def status(sequence):
+    return InstanceStatus(1, "o", Position(1, sequence), False, "a", 0.0)
+
+
+class WatchTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        spec = bundle().groups["g"]
+        self.wanted = []
+        self.watch = StatusWatch(spec, make_view(spec), self.wanted.append)
+
+    def answer(self, begun_at, sequence):
+        for name in ("a", "b"):
+            self.watch.take(name, status(sequence), begun_at, begun_at + 0.01)
+
+    def ask(self, since, now):
+        deadline_at = asyncio.get_running_loop().time() + 60
+        rule = FloorRule(since, ORIGIN)
+        return asyncio.ensure_future(self.watch.floor(rule, now, False, deadline_at))
+
+    async def test_statuses_begun_before_the_question_do_not_count(self):
+        question = self.ask(10.0, 10.0)
+        await asyncio.sleep(0)
+        self.answer(9.9, 5)
+        await asyncio.sleep(0)
+        self.assertFalse(question.done())
+        self.answer(10.1, 6)
+        self.assertEqual(await question, Position(1, 6))
+
+    async def test_one_probe_answers_all_that_wait(self):
+        questions = [self.ask(10.0 + i / 100, 10.0 + i / 100) for i in range(20)]
+        await asyncio.sleep(0)
+        self.answer(11.0, 6)
+        floors = await asyncio.gather(*questions)
+        self.assertEqual(set(floors), {Position(1, 6)})
+        self.assertEqual(self.watch.open_questions, 0)
+
+    async def test_aged_reads_sample_ahead_without_waiting(self):
+        first = self.ask(8.0, 10.0)
+        await asyncio.sleep(0)
+        self.answer(10.1, 1)
+        await first
+        self.wanted.clear()
+        self.assertEqual(await self.ask(8.1, 10.1), Position(1, 1))
+        self.assertEqual(self.wanted, [])
+        self.assertEqual(await self.ask(8.5, 10.5), Position(1, 1))
+        self.assertEqual(self.wanted, ["a", "b", "c"])
+        self.assertEqual(await self.ask(8.6, 10.6), Position(1, 1))
+        self.assertEqual(self.watch.open_questions, 1)
+        self.answer(10.7, 2)
+        self.assertEqual(self.watch.open_questions, 0)
+        self.assertEqual(await self.ask(10.4, 12.4), Position(1, 2))
+
+    async def test_a_question_without_answer_ends(self):
+        rule = FloorRule(10.0, ORIGIN)
+        with self.assertRaises(TimeoutError):
+            await self.watch.floor(rule, 10.0, False, asyncio.get_running_loop().time())
+        self.assertEqual(self.watch.open_questions, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
