--- a/cardamomdrift/standins/deployment.py
+++ b/cardamomdrift/standins/deployment.py
@@ -7,11 +7,8 @@
 
 from contextlib import AsyncExitStack
 
-from cardamomdrift.standins.instance import (
-    InstanceOptions,
-    StandinGroup,
-    StandinInstance,
-)
+from cardamomdrift.standins.group import StandinGroup
+from cardamomdrift.standins.instance import InstanceOptions, StandinInstance
 from cardamomdrift.standins.platform import StandinPlatform
 
 
--- /dev/null
+++ b/cardamomdrift/standins/group.py
@@ -0,0 +1,56 @@
+"""
+Stand-in group
+==============
+
+The instances of one database group, and how they find each other by address.
+"""
+
+from contextlib import AsyncExitStack
+
+from cardamomdrift.standins.instance import StandinInstance, forget, register
+
+
+class StandinGroup:
+    """The instances of one database group; an async context manager."""
+
+    def __init__(self, name, instances):
+        self._name = name
+        self._instances = instances
+        self._stack = AsyncExitStack()
+
+    @property
+    def name(self):
+        """Name of the group."""
+        return self._name
+
+    @property
+    def instances(self):
+        """The instances, by name."""
+        return {instance.name: instance for instance in self._instances}
+
+    @property
+    def primary(self):
+        """The instance that leads the highest term, or None."""
+        leading = [one for one in self._instances if one.leads and one.running]
+        return max(leading, key=lambda one: one._leads_term, default=None)
+
+    async def __aenter__(self):
+        for instance in self._instances:
+            await self._stack.enter_async_context(instance)
+            register(instance)
+        first, *others = self._instances
+        first.bootstrap(first.options.schema)
+        for other in others:
+            other.follow_at_start(first)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        for instance in self._instances:
+            forget(instance)
+        await self._stack.aclose()
+
+
+def make_group(name, instance_names, options_factory):
+    """Return a group of stand-in instances; the first one leads."""
+    instances = [StandinInstance(one, options_factory()) for one in instance_names]
+    return StandinGroup(name, instances)
--- a/cardamomdrift/standins/instance.py
+++ b/cardamomdrift/standins/instance.py
@@ -11,25 +11,17 @@
 import asyncio
 import math
 import re
-from contextlib import AsyncExitStack
 from dataclasses import dataclass, field, replace
 
-from mysql_mimic.errors import MysqlError
-from mysql_mimic.results import infer_type
-
 from cardamomdrift.errors import StatementRefused
 from cardamomdrift.position import ORIGIN, Position
 from cardamomdrift.standins.engine import Engine
+from cardamomdrift.standins.session import READ_ONLY, StandinSession
 from cardamomdrift.wire import (
-    Ok,
     OpenIdentity,
-    Rows,
     WireServer,
-    WireVariables,
-    make_column,
 )
 
-READ_ONLY = 1290
 LOCK_WAIT_TIMEOUT = 1205
 LOCK_WAIT = 5.0  # seconds
 PULL_INTERVAL = 0.02  # seconds
@@ -41,21 +33,8 @@
     "CREATE TABLE cardamomdrift_requests (request_key VARCHAR(128) PRIMARY KEY, "
     "request_digest VARCHAR(32) NOT NULL, affected_rows BIGINT, insert_id BIGINT)"
 )
-STATUS_COLUMNS = (
-    "fence_term",
-    "fence_owner",
-    "position_term",
-    "position_sequence",
-    "primary",
-    "source",
-    "source_silence_ms",
-    "accepted",
-)
 
-_CALL = re.compile(r"\s*CALL\s+cardamomdrift_(\w+)\s*\((.*)\)\s*$", re.IGNORECASE)
 _COST = re.compile(r"/\*\s*cost_ms=(\d+(?:\.\d+)?)\s*\*/")
-_VERB = re.compile(r"\s*(?:/\*.*?\*/\s*)*(\w+)", re.DOTALL)
-_WRITES = {"INSERT", "UPDATE", "DELETE", "REPLACE", "CREATE", "DROP", "ALTER"}
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,7 +155,7 @@
 
     async def _listen(self):
         server = WireServer(
-            lambda: StandinSession(self),
+            lambda: StandinSession(self, find_instance),
             OpenIdentity(),
             self._options.max_connections,
             MAX_PACKET,
@@ -412,210 +391,19 @@
         return source._log[length - 1].position == self._log[-1].position
 
 
-class StandinSession:
-    """One connection to a stand-in instance."""
+_INSTANCES = {}
 
-    def __init__(self, instance):
-        self.variables = WireVariables()
-        self.username = None
-        self.database = None
-        self.client = ""
-        self.silent = False
-        self._instance = instance
-        self._in_transaction = False
-        self._writing = False
-        self._aborted = False
 
-    @property
-    def in_transaction(self):
-        """Whether a transaction is open."""
-        return self._in_transaction
-
-    async def init(self, connection):
-        """Finish the connection after its handshake."""
-        self._instance.attach(self)
-        self.client = connection.client_connect_attrs.get("program_name", "")
-        delay = self._instance.options.connect_time + self._instance.options.link_delay
-        if delay:
-            await asyncio.sleep(delay)
-        await self._instance.reachable(self)
-
-    async def close(self):
-        """Roll the open transaction back."""
-        self._instance.detach(self)
-        self._end(commit=False)
-
-    async def reset(self):
-        """Roll the open transaction back."""
-        self._end(commit=False)
-
-    async def use(self, database):
-        """Select a database."""
-        self.database = database
-
-    def abort(self):
-        """Roll back because the instance was fenced."""
-        self._aborted = True
-        self._instance.release_writer(commit=False)
-        self._writing = False
-
-    def _end(self, commit):
-        self._in_transaction = False
-        if self._writing:
-            self._writing = False
-            self._instance.release_writer(commit)
-
-    async def handle_query(self, sql, attrs):
-        """Run a statement after the link delay and answer after it."""
-        await self._travel()
-        try:
-            answer = await self._run(sql)
-        except StatementRefused as error:
-            await self._travel()
-            raise MysqlError(error.message, error.code) from error
-        await self._travel()
-        return answer
-
-    async def _travel(self):
-        await self._instance.reachable(self)
-        if self._instance.options.link_delay:
-            await asyncio.sleep(self._instance.options.link_delay)
-            await self._instance.reachable(self)
-
-    async def _run(self, sql):
-        call = _CALL.match(sql)
-        if call:
-            return self._call(call[1].lower(), call[2])
-        verb = _VERB.match(sql)
-        match verb[1].upper() if verb else "":
-            case "BEGIN" | "START":
-                self._end(commit=True)
-                self._in_transaction = True
-                self._aborted = False
-            case "COMMIT":
-                self._check_not_aborted()
-                self._end(commit=True)
-            case "ROLLBACK":
-                self._aborted = False
-                self._end(commit=False)
-            case "SET" | "USE":
-                pass
-            case word if word in _WRITES or sql.upper().rstrip().endswith("FOR UPDATE"):
-                return await self._write(sql)
-            case _:
-                return await self._read(sql)
-        return Ok()
-
-    def _check_not_aborted(self):
-        if self._aborted:
-            self._aborted = False
-            self._in_transaction = False
-            raise StatementRefused(READ_ONLY, "transaction rolled back by a fence")
-
-    def _call(self, name, arguments):
-        values = [value.strip().strip("'") for value in arguments.split(",") if value]
-        instance = self._instance
-        match name:
-            case "status":
-                row = instance.status()
-            case "fence":
-                row = instance.fence(int(values[0]), values[1])
-            case "promote":
-                row = instance.promote(int(values[0]), values[1])
-            case "follow":
-                source = find_instance(values[1])
-                row = instance.follow(int(values[0]), source)
-            case _:
-                raise StatementRefused(1305, f"no procedure {name}")
-        return _make_rows(STATUS_COLUMNS, [row])
-
-    async def _write(self, sql):
-        self._check_not_aborted()
-        if not self._writing:
-            await self._instance.take_writer(self)
-            self._writing = True
-        try:
-            await self._instance.work(sql)
-            self._check_not_aborted()
-            result = self._instance.write(sql)
-        except BaseException:
-            if not self._in_transaction:
-                self._end(commit=False)
-            raise
-        if not self._in_transaction:
-            self._end(commit=True)
-        return _make_answer(result)
-
-    async def _read(self, sql):
-        await self._instance.work(sql)
-        read = self._instance.write if self._writing else self._instance.read
-        return _make_answer(read(sql))
-
-
-def _make_answer(result):
-    if result.names:
-        return _make_rows(result.names, result.rows)
-    return Ok(result.affected_rows, result.insert_id)
-
-
-def _make_rows(names, rows):
-    first = rows[0] if rows else (None,) * len(names)
-    columns = tuple(
-        make_column(name, infer_type("" if value is None else value))
-        for name, value in zip(names, first, strict=True)
-    )
-    return Rows(columns, rows)
+def register(instance):
+    """Make an instance known under its address."""
+    _INSTANCES[instance.address] = instance
 
 
-_INSTANCES = {}
+def forget(instance):
+    """Undo `register`."""
+    _INSTANCES.pop(instance.address, None)
 
 
 def find_instance(address):
     """Return the running stand-in at ``ip:port``."""
     return _INSTANCES[address]
-
-
-class StandinGroup:
-    """The instances of one database group; an async context manager."""
-
-    def __init__(self, name, instances):
-        self._name = name
-        self._instances = instances
-        self._stack = AsyncExitStack()
-
-    @property
-    def name(self):
-        """Name of the group."""
-        return self._name
-
-    @property
-    def instances(self):
-        """The instances, by name."""
-        return {instance.name: instance for instance in self._instances}
-
-    @property
-    def primary(self):
-        """The instance that leads the highest term, or None."""
-        leading = [one for one in self._instances if one.leads and one.running]
-        return max(leading, key=lambda one: one._leads_term, default=None)
-
-    async def __aenter__(self):
-        for instance in self._instances:
-            await self._stack.enter_async_context(instance)
-            _INSTANCES[instance.address] = instance
-        first, *others = self._instances
-        first.bootstrap(first.options.schema)
-        for other in others:
-            other.follow_at_start(first)
-        return self
-
-    async def __aexit__(self, *exc_info):
-        for instance in self._instances:
-            _INSTANCES.pop(instance.address, None)
-        await self._stack.aclose()
-
-
-def make_group(name, instance_names, options_factory):
-    """Return a group of stand-in instances; the first one leads."""
-    instances = [StandinInstance(one, options_factory()) for one in instance_names]
-    return StandinGroup(name, instances)
--- /dev/null
+++ b/cardamomdrift/standins/session.py
@@ -0,0 +1,191 @@
+"""
+Stand-in session
+================
+
+One connection to a stand-in instance: callers' statements and the procedures of
+docs/UPSTREAM.md.
+"""
+
+import asyncio
+import re
+
+from mysql_mimic.errors import MysqlError
+from mysql_mimic.results import infer_type
+
+from cardamomdrift.columns import make_column
+from cardamomdrift.errors import StatementRefused
+from cardamomdrift.wire import Ok, Rows, WireVariables
+
+READ_ONLY = 1290
+NO_SUCH_PROCEDURE = 1305
+
+STATUS_COLUMNS = (
+    "fence_term",
+    "fence_owner",
+    "position_term",
+    "position_sequence",
+    "primary",
+    "source",
+    "source_silence_ms",
+    "accepted",
+)
+
+_CALL = re.compile(r"\s*CALL\s+cardamomdrift_(\w+)\s*\((.*)\)\s*$", re.IGNORECASE)
+_VERB = re.compile(r"\s*(?:/\*.*?\*/\s*)*(\w+)", re.DOTALL)
+_WRITES = {"INSERT", "UPDATE", "DELETE", "REPLACE", "CREATE", "DROP", "ALTER"}
+
+
+class StandinSession:
+    """One connection to a stand-in instance."""
+
+    def __init__(self, instance, find_instance):
+        self.variables = WireVariables()
+        self.username = None
+        self.database = None
+        self.client = ""
+        self.silent = False
+        self._instance = instance
+        self._find_instance = find_instance
+        self._in_transaction = False
+        self._writing = False
+        self._aborted = False
+
+    @property
+    def in_transaction(self):
+        """Whether a transaction is open."""
+        return self._in_transaction
+
+    async def init(self, connection):
+        """Finish the connection after its handshake."""
+        self._instance.attach(self)
+        self.client = connection.client_connect_attrs.get("program_name", "")
+        delay = self._instance.options.connect_time + self._instance.options.link_delay
+        if delay:
+            await asyncio.sleep(delay)
+        await self._instance.reachable(self)
+
+    async def close(self):
+        """Roll the open transaction back."""
+        self._instance.detach(self)
+        self._end(commit=False)
+
+    async def reset(self):
+        """Roll the open transaction back."""
+        self._end(commit=False)
+
+    async def use(self, database):
+        """Select a database."""
+        self.database = database
+
+    def abort(self):
+        """Roll back because the instance was fenced."""
+        self._aborted = True
+        self._instance.release_writer(commit=False)
+        self._writing = False
+
+    def _end(self, commit):
+        self._in_transaction = False
+        if self._writing:
+            self._writing = False
+            self._instance.release_writer(commit)
+
+    async def handle_query(self, sql, attrs):
+        """Run a statement after the link delay and answer after it."""
+        await self._travel()
+        try:
+            answer = await self._run(sql)
+        except StatementRefused as error:
+            await self._travel()
+            raise MysqlError(error.message, error.code) from error
+        await self._travel()
+        return answer
+
+    async def _travel(self):
+        await self._instance.reachable(self)
+        if self._instance.options.link_delay:
+            await asyncio.sleep(self._instance.options.link_delay)
+            await self._instance.reachable(self)
+
+    async def _run(self, sql):
+        call = _CALL.match(sql)
+        if call:
+            return self._call(call[1].lower(), call[2])
+        verb = _VERB.match(sql)
+        match verb[1].upper() if verb else "":
+            case "BEGIN" | "START":
+                self._end(commit=True)
+                self._in_transaction = True
+                self._aborted = False
+            case "COMMIT":
+                self._check_not_aborted()
+                self._end(commit=True)
+            case "ROLLBACK":
+                self._aborted = False
+                self._end(commit=False)
+            case "SET" | "USE":
+                pass
+            case word if word in _WRITES or sql.upper().rstrip().endswith("FOR UPDATE"):
+                return await self._write(sql)
+            case _:
+                return await self._read(sql)
+        return Ok()
+
+    def _check_not_aborted(self):
+        if self._aborted:
+            self._aborted = False
+            self._in_transaction = False
+            raise StatementRefused(READ_ONLY, "transaction rolled back by a fence")
+
+    def _call(self, name, arguments):
+        values = [value.strip().strip("'") for value in arguments.split(",") if value]
+        instance = self._instance
+        match name:
+            case "status":
+                row = instance.status()
+            case "fence":
+                row = instance.fence(int(values[0]), values[1])
+            case "promote":
+                row = instance.promote(int(values[0]), values[1])
+            case "follow":
+                source = self._find_instance(values[1])
+                row = instance.follow(int(values[0]), source)
+            case _:
+                raise StatementRefused(NO_SUCH_PROCEDURE, f"no procedure {name}")
+        return _make_rows(STATUS_COLUMNS, [row])
+
+    async def _write(self, sql):
+        self._check_not_aborted()
+        if not self._writing:
+            await self._instance.take_writer(self)
+            self._writing = True
+        try:
+            await self._instance.work(sql)
+            self._check_not_aborted()
+            result = self._instance.write(sql)
+        except BaseException:
+            if not self._in_transaction:
+                self._end(commit=False)
+            raise
+        if not self._in_transaction:
+            self._end(commit=True)
+        return _make_answer(result)
+
+    async def _read(self, sql):
+        await self._instance.work(sql)
+        read = self._instance.write if self._writing else self._instance.read
+        return _make_answer(read(sql))
+
+
+def _make_answer(result):
+    if result.names:
+        return _make_rows(result.names, result.rows)
+    return Ok(result.affected_rows, result.insert_id)
+
+
+def _make_rows(names, rows):
+    first = rows[0] if rows else (None,) * len(names)
+    columns = tuple(
+        make_column(name, infer_type("" if value is None else value))
+        for name, value in zip(names, first, strict=True)
+    )
+    return Rows(columns, rows)
--- a/cardamomdrift/upstreams/connection.py
+++ b/cardamomdrift/upstreams/connection.py
@@ -13,6 +13,7 @@
 from asyncmy.cursors import SSCursor
 from asyncmy.errors import Error, InterfaceError, MySQLError
 
+from cardamomdrift.columns import make_column
 from cardamomdrift.errors import (
     StatementRefused,
     UpstreamBusy,
@@ -20,7 +21,7 @@
     UpstreamUnreachable,
 )
 from cardamomdrift.upstreams.contract import STATUS, parse_status
-from cardamomdrift.wire import ROW_BATCH, make_column
+from cardamomdrift.wire import ROW_BATCH
 
 TOO_MANY_CONNECTIONS = 1040
 CLIENT_ERRORS = range(2000, 3000)
--- a/cardamomdrift/wire.py
+++ b/cardamomdrift/wire.py
@@ -12,21 +12,17 @@
 import struct
 from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass
-from functools import lru_cache
 
-from asyncmy.converters import convert_date, convert_datetime, convert_timedelta
 from mysql_mimic import packets
 from mysql_mimic.auth import IdentityProvider, NativePasswordAuthPlugin, User
-from mysql_mimic.charset import CharacterSet
 from mysql_mimic.connection import Connection
 from mysql_mimic.control import LocalControl
 from mysql_mimic.errors import ErrorCode, MysqlError
 from mysql_mimic.prepared import PreparedStatement
-from mysql_mimic.results import ResultColumn, ResultSet
+from mysql_mimic.results import ResultSet
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
 from mysql_mimic.types import (
     Capabilities,
-    ColumnType,
     ServerStatus,
     read_uint_4,
     read_uint_len,
@@ -40,7 +36,6 @@
 READ_BUFFER = 16 * 1024  # bytes
 PREPARED_LIMIT = 1000  # statements of one connection
 ROW_BATCH = 500  # rows
-BINARY_CHARSET_NUMBER = 63
 SQLSTATE_SLICE = slice(4, 9)
 SERVER_VERSION = "8.0.36-cardamomdrift"
 
@@ -67,64 +62,6 @@
     rows: Sequence | AsyncIterator
 
 
-def _integer_encoder(layout):
-    bits = struct.calcsize(layout) * 8
-    mask = (1 << bits) - 1
-    unsigned = layout.upper()
-
-    def encode(_column, value):
-        return struct.pack(unsigned, int(value) & mask)
-
-    return encode
-
-
-def _float_encoder(layout):
-    def encode(_column, value):
-        return struct.pack(layout, float(value))
-
-    return encode
-
-
-def _parsed_encoder(parse, column_type):
-    plain = ResultColumn("", column_type)
-
-    def encode(_column, value):
-        if isinstance(value, bytes):
-            value = parse(value.decode())
-        return plain.binary_encoder(plain, value)
-
-    return encode
-
-
-_BINARY_ENCODERS = {
-    ColumnType.TINY: _integer_encoder("<b"),
-    ColumnType.SHORT: _integer_encoder("<h"),
-    ColumnType.YEAR: _integer_encoder("<h"),
-    ColumnType.LONG: _integer_encoder("<i"),
-    ColumnType.INT24: _integer_encoder("<i"),
-    ColumnType.LONGLONG: _integer_encoder("<q"),
-    ColumnType.FLOAT: _float_encoder("<f"),
-    ColumnType.DOUBLE: _float_encoder("<d"),
-    ColumnType.DATETIME: _parsed_encoder(convert_datetime, ColumnType.DATETIME),
-    ColumnType.TIMESTAMP: _parsed_encoder(convert_datetime, ColumnType.DATETIME),
-    ColumnType.DATE: _parsed_encoder(convert_date, ColumnType.DATE),
-    ColumnType.TIME: _parsed_encoder(convert_timedelta, ColumnType.TIME),
-}
-
-
-@lru_cache(maxsize=4096)
-def make_column(name, type_code, charset_number=0):
-    """Return a result column that passes text values through as bytes."""
-    column_type = ColumnType(type_code)
-    binary = charset_number == BINARY_CHARSET_NUMBER
-    return ResultColumn(
-        name,
-        column_type,
-        character_set=CharacterSet.binary if binary else CharacterSet.utf8mb4,
-        binary_encoder=_BINARY_ENCODERS.get(column_type),
-    )
-
-
 class WireVariables:
     """The few session variables that the handshake and the encoders read."""
 
--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -18,7 +18,8 @@
 from cardamomdrift.platform.objects import Objects, digest_of
 from cardamomdrift.platform.table import NotTaken, StillUnknown, Taken, make_table
 from cardamomdrift.settings import Login, PlatformOptions
-from cardamomdrift.standins.instance import InstanceOptions, make_group
+from cardamomdrift.standins.group import make_group
+from cardamomdrift.standins.instance import InstanceOptions
 from cardamomdrift.standins.platform import StandinPlatform
 from cardamomdrift.upstreams.connection import open_connection
 from cardamomdrift.upstreams.contract import (
