--- a/cardamomdrift/routing/cost.py
+++ b/cardamomdrift/routing/cost.py
@@ -7,11 +7,13 @@
 """
 
 from collections import OrderedDict
+from dataclasses import dataclass
 
 from cardamomdrift.membership.rendezvous import rank
 
 SHAPE_LIMIT = 2048  # shapes
 FALL_WEIGHT = 0.9
+RECENT_WEIGHT = 0.2
 RISE_WEIGHT = 0.02
 TYPICAL_WEIGHT = 0.05
 LONG_FACTOR = 8.0
@@ -24,6 +26,14 @@
 FIRST_GUESS = 0.005  # seconds
 
 
+@dataclass(slots=True)
+class _Shape:
+    """Seconds of one statement shape: by itself, and under the load of late."""
+
+    alone: float
+    recent: float
+
+
 class CostBook:
     """Expected service times by statement shape, the least recent dropped first."""
 
@@ -53,15 +63,16 @@
         self._long_time = elapsed
 
     def expected(self, shape):
-        """Return the expected seconds of a shape."""
-        return self._times.get(shape, self._typical)
+        """Return the expected seconds of a shape under the load of late."""
+        known = self._times.get(shape)
+        return self._typical if known is None else known.recent
 
     def is_long(self, shape):
         """Whether statements of the shape run many times longer than usual."""
-        expected = self._times.get(shape)
-        if expected is None:
+        known = self._times.get(shape)
+        if known is None:
             return False
-        return expected > max(LONG_MINIMUM, LONG_FACTOR * self._typical)
+        return known.alone > max(LONG_MINIMUM, LONG_FACTOR * self._typical)
 
     def learn(self, shape, elapsed):
         """Take in the seconds that a statement took.
@@ -69,11 +80,11 @@
         A short statement that had to wait behind a long one must not be taken for long
         itself, so the estimate falls fast and rises slowly.
         """
-        known = self._times.pop(shape, None)
-        if known is None:
-            known = elapsed
-        weight = FALL_WEIGHT if elapsed < known else RISE_WEIGHT
-        self._times[shape] = known + weight * (elapsed - known)
+        known = self._times.pop(shape, None) or _Shape(elapsed, elapsed)
+        weight = FALL_WEIGHT if elapsed < known.alone else RISE_WEIGHT
+        known.alone += weight * (elapsed - known.alone)
+        known.recent += RECENT_WEIGHT * (elapsed - known.recent)
+        self._times[shape] = known
         if len(self._times) > SHAPE_LIMIT:
             self._times.popitem(last=False)
         if elapsed <= max(LONG_MINIMUM, LONG_FACTOR * self._typical):
