Requests need one and a half times their expected time before the deadline

Cause: at a crest, requests started just before their deadline and were cut by it after they had used a slot.

--- a/cardamomdrift/limits/admission.py
+++ b/cardamomdrift/limits/admission.py
@@ -13,6 +13,7 @@
 
 SCAN_LIMIT = 16  # turns tried on each pass
 CALLER_SCAN = 3  # requests tried in each turn
+FINISH_MARGIN = 1.5  # of the expected time, left before the deadline
 OVERLOAD_WAIT = 0.1  # seconds
 OVERLOAD_INTERVAL = 0.2  # seconds
 
@@ -146,7 +147,7 @@
         wait = self._expected_wait(ticket, servers)
         if self._size >= self._limit and not self._evict_below(ticket.priority):
             return Refused("the queue is full", wait)
-        if now + wait + ticket.cost > ticket.deadline_at:
+        if now + wait + FINISH_MARGIN * ticket.cost > ticket.deadline_at:
             return Refused("the request cannot finish before its deadline", wait)
         level = self._levels.setdefault(ticket.priority, _Level())
         level.callers.setdefault(ticket.turn, deque()).append(ticket)
@@ -257,7 +258,7 @@
             for level in self._levels.values()
             for waiting in level.callers.values()
             for ticket in waiting
-            if now + ticket.cost > ticket.deadline_at
+            if now + FINISH_MARGIN * ticket.cost > ticket.deadline_at
         ]
         for ticket in late:
             self.remove(ticket)
