--- a/cardamomdrift/limits/admission.py
+++ b/cardamomdrift/limits/admission.py
@@ -69,6 +69,26 @@
         return self.caller, self.long
 
 
+def make_ticket(request, cost, long=False):
+    """Return the ticket of a request.
+
+    Parameters
+    ----------
+    request : ReadRequest or WriteRequest or TransactionRequest
+    cost : float
+        Expected seconds of service.
+    long : bool
+    """
+    return Ticket(
+        caller=request.caller,
+        priority=request.priority,
+        arrived_at=request.arrived_at,
+        deadline_at=request.deadline_at,
+        cost=cost,
+        long=long,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Queued:
     """The request waits."""
--- a/cardamomdrift/routing/reads.py
+++ b/cardamomdrift/routing/reads.py
@@ -22,7 +22,7 @@
     UpstreamLost,
     UpstreamUnreachable,
 )
-from cardamomdrift.limits.admission import Ticket
+from cardamomdrift.limits.admission import make_ticket
 from cardamomdrift.position import Position
 from cardamomdrift.routing.answers import make_answer
 from cardamomdrift.routing.cost import attempt_patience
@@ -146,14 +146,7 @@
         costs = self._parts.costs
         shape = shape_of(request.sql)
         patience = attempt_patience(costs.expected(shape), failures)
-        ticket = Ticket(
-            caller=request.caller,
-            priority=request.priority,
-            arrived_at=request.arrived_at,
-            deadline_at=request.deadline_at,
-            cost=costs.expected(shape),
-            long=costs.is_long(shape),
-        )
+        ticket = make_ticket(request, costs.expected(shape), costs.is_long(shape))
         async with AsyncExitStack() as stack:
             need = ForRead(floor, excluded)
             place = await stack.enter_async_context(
--- a/cardamomdrift/routing/transactions.py
+++ b/cardamomdrift/routing/transactions.py
@@ -21,7 +21,7 @@
     TransactionLost,
     UpstreamError,
 )
-from cardamomdrift.limits.admission import Ticket
+from cardamomdrift.limits.admission import make_ticket
 from cardamomdrift.routing.answers import make_answer
 from cardamomdrift.routing.dispatch import ForTransaction
 from cardamomdrift.routing.floor import FloorRule
@@ -52,6 +52,11 @@
     arrived_at: float
     statement_deadline: float
 
+    @property
+    def deadline_at(self):
+        """When the transaction must have been opened."""
+        return self.arrived_at + self.statement_deadline
+
 
 class Transaction:
     """One open transaction; an async context manager that rolls back when left."""
@@ -84,14 +89,8 @@
         CallerError
         """
         request = self._request
-        deadline_at = request.arrived_at + request.statement_deadline
-        ticket = Ticket(
-            caller=request.caller,
-            priority=request.priority,
-            arrived_at=request.arrived_at,
-            deadline_at=deadline_at,
-            cost=BEGIN_COST,
-        )
+        deadline_at = request.deadline_at
+        ticket = make_ticket(request, BEGIN_COST)
         try:
             await self._take_connection(ticket, deadline_at)
             await self._begin(deadline_at)
--- a/cardamomdrift/routing/writes.py
+++ b/cardamomdrift/routing/writes.py
@@ -23,7 +23,7 @@
     UpstreamLost,
     UpstreamUnreachable,
 )
-from cardamomdrift.limits.admission import Ticket
+from cardamomdrift.limits.admission import make_ticket
 from cardamomdrift.position import Position
 from cardamomdrift.routing.answers import make_answer
 from cardamomdrift.routing.cost import attempt_patience
@@ -154,13 +154,7 @@
     async def _once(self, request, failures):
         parts = self._parts
         shape = shape_of(request.sql)
-        ticket = Ticket(
-            caller=request.caller,
-            priority=request.priority,
-            arrived_at=request.arrived_at,
-            deadline_at=request.deadline_at,
-            cost=parts.costs.expected(shape),
-        )
+        ticket = make_ticket(request, parts.costs.expected(shape))
         async with parts.dispatcher.place(ForWrite(), ticket) as place:
             runtime = parts.instances[place.name]
             try:
