--- a/cardamomdrift/daemon.py
+++ b/cardamomdrift/daemon.py
@@ -48,6 +48,7 @@
 NEWS_INTERVAL = 1.0  # seconds
 NEWS_MINIMUM = 0.1  # seconds between two news
 PLATFORM_CONNECTIONS = 4
+FAREWELL_TIME = 0.1  # seconds for the last news to leave
 GOODBYE_TIME = 1.0  # seconds in which idle callers still get a typed refusal
 
 
@@ -211,6 +212,8 @@
         await self._server.close()
         await self._service.end_groups()
         await self._keeper.give_up()
+        await self._link.publish(self._make_news())
+        await asyncio.sleep(FAREWELL_TIME)
         return clean
 
     def abort(self):
@@ -227,6 +230,8 @@
         if news.vm == self._settings.vm:
             return
         self._board.take(news, self._clock())
+        if news.leaving:
+            self._keeper.poke()  # its share is free once its lease is gone
         address = self._peer_addresses.get(news.vm)
         self._follower.hint(news.bundle_version, news.bundle_digest, address)
         for name, known in news.groups.items():
@@ -333,6 +338,10 @@
             "may_connect": membership.may_connect,
             "callers": self._server.connections if self._server else 0,
             "active": self._service.active,
+            "news_bytes": {
+                "sent": self._link.sent_bytes,
+                "received": self._link.received_bytes,
+            },
             "groups": {
                 name: group.status() for name, group in self._service.groups.items()
             },
--- a/cardamomdrift/errors.py
+++ b/cardamomdrift/errors.py
@@ -12,10 +12,6 @@
     """Base of all errors of this package."""
 
 
-class MalformedPosition(CardamomdriftError):
-    """A log position that is not written as ``term:sequence``."""
-
-
 class SettingsError(CardamomdriftError):
     """A settings file with faults; ``faults`` holds one line for each."""
 
--- a/cardamomdrift/limits/shares.py
+++ b/cardamomdrift/limits/shares.py
@@ -27,7 +27,6 @@
     address : str
         Where peers reach it, as ``ip:port``.
     failure_domain : str
-    leaving : bool
     """
 
     vm: str
@@ -35,7 +34,6 @@
     counted: frozenset
     address: str = ""
     failure_domain: str = ""
-    leaving: bool = False
 
 
 def live_leases(leases, now, grace):
--- a/cardamomdrift/membership/keeper.py
+++ b/cardamomdrift/membership/keeper.py
@@ -48,8 +48,9 @@
 def decide_membership(vm, leases, previous, listed_leaving, now, steady_since):
     """Return the membership that some lease rows give.
 
-    A VM is dropped only after the platform has answered for a whole lease time, since
-    during an outage nobody can renew.
+    A VM whose lease has run out is dropped only after the platform has answered for a
+    whole lease time, since during an outage nobody can renew.  A VM that left deletes
+    its row after its last connection, so it is dropped at once.
 
     Parameters
     ----------
@@ -64,7 +65,7 @@
     """
     counted = count_members(vm, leases, now, GRACE)
     if now - steady_since < LEASE_TIME:
-        counted |= previous.counted
+        counted |= previous.counted & {lease.vm for lease in leases}
     return Membership(
         counted=counted,
         may_connect=previous.may_connect or may_connect(vm, leases, now, GRACE),
--- a/cardamomdrift/position.py
+++ b/cardamomdrift/position.py
@@ -8,8 +8,6 @@
 
 from dataclasses import dataclass
 
-from cardamomdrift.errors import MalformedPosition
-
 
 @dataclass(frozen=True, order=True, slots=True)
 class Position:
@@ -31,17 +29,3 @@
 
 
 ORIGIN = Position(0, 0)
-
-
-def parse_position(text):
-    """Return the position written as ``term:sequence``.
-
-    Raises
-    ------
-    MalformedPosition
-        If the text has another form.
-    """
-    term, separator, sequence = text.partition(":")
-    if not separator or not term.isdigit() or not sequence.isdigit():
-        raise MalformedPosition(text)
-    return Position(int(term), int(sequence))
--- a/cardamomdrift/upstreams/pool.py
+++ b/cardamomdrift/upstreams/pool.py
@@ -54,11 +54,6 @@
         """Largest number of connections."""
         return self._limit
 
-    @property
-    def in_use(self):
-        """Number of connections that are held."""
-        return len(self._in_use)
-
     @property
     def size(self):
         """Number of connections that are open or being opened."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -19,10 +19,11 @@
     UnknownClass,
     UnknownDatabase,
 )
+from cardamomdrift.membership.keeper import LEASE_TIME
 from cardamomdrift.position import Position
 from cardamomdrift.sessions.token import encode_token
 from cardamomdrift.standins.fleet import TOKEN_KEY
-from tests.values import BUNDLE, query, running_fleet, until
+from tests.values import BUNDLE, PATIENCE, query, running_fleet, until
 
 INSERT = "INSERT INTO t (v) VALUES ('x')"
 COUNT = "SELECT COUNT(*) FROM t"
@@ -319,6 +320,10 @@
             await query(busy, "COMMIT")
             self.assertTrue(await stopping)
             other = await fleet.connect("vm-2", "d")
+            # The others hear of it and take the share before the lease would run out.
+            keeper = fleet.daemons["vm-2"].keeper
+            self.assertGreater(LEASE_TIME, PATIENCE - 1)
+            await until(lambda: keeper.membership.counted == {"vm-2"})
             self.assertEqual(await query(other, COUNT), [(1,)])
 
     async def test_racing_operators_one_wins_and_the_other_learns_who(self):
