TLS for callers works, and plaintext is refused unless it is allowed

Cause: the library's upgrade loses TLS bytes that came together with the request for it, so every handshake with the driver here timed out; and a caller that did not ask for TLS was let in although allow_plaintext was false. Both found by writing the test. Change: bytes read ahead are given to the TLS layer; a listener that requires TLS refuses the login of others.

--- a/cardamomdrift/daemon.py
+++ b/cardamomdrift/daemon.py
@@ -189,6 +189,7 @@
             callers.max_connections,
             callers.max_packet_bytes,
             self._settings.make_tls(),
+            require_tls=not callers.allow_plaintext,
         )
         await self._stack.enter_async_context(self._server)
         await self._server.open(callers.address, callers.port)
--- /dev/null
+++ b/cardamomdrift/tls.py
@@ -0,0 +1,63 @@
+"""
+TLS upgrade
+===========
+
+Upgrades a packet stream to TLS in the middle of the MySQL handshake.  A caller may
+send its first TLS bytes together with the request for TLS, so what has been read ahead
+goes to the TLS layer; the library's own upgrade would lose it.
+"""
+
+import asyncio
+
+
+class TlsStream:
+    """Packet stream that can be upgraded; everything else is the stream's own."""
+
+    def __init__(self, stream):
+        self._stream = stream
+        self._upgraded = False
+
+    def __getattr__(self, name):
+        return getattr(self._stream, name)
+
+    @property
+    def upgraded(self):
+        """Whether the stream runs over TLS."""
+        return self._upgraded
+
+    async def start_tls(self, context):
+        """Run the TLS handshake as its server.
+
+        Raises
+        ------
+        OSError
+            If the handshake fails.
+        """
+        reader, writer = self._stream.reader, self._stream.writer
+        transport = writer.transport
+        ahead = bytes(reader._buffer)
+        reader._buffer.clear()
+        loop = asyncio.get_running_loop()
+        upgrade = asyncio.ensure_future(
+            loop.start_tls(
+                transport, transport.get_protocol(), context, server_side=True
+            )
+        )
+        await asyncio.sleep(0)  # the TLS protocol is set
+        await asyncio.sleep(0)  # and connected
+        if ahead and not upgrade.done():
+            _feed(transport.get_protocol(), ahead)
+        upgraded = await upgrade
+        writer._transport = upgraded
+        reader._transport = upgraded
+        self._upgraded = True
+
+
+def _feed(protocol, data):
+    """Give a buffered protocol some bytes as its transport would."""
+    while data:
+        buffer = protocol.get_buffer(len(data))
+        size = min(len(buffer), len(data))
+        buffer[:size] = data[:size]
+        protocol.buffer_updated(size)
+        data = data[size:]
--- a/cardamomdrift/wire.py
+++ b/cardamomdrift/wire.py
@@ -31,6 +31,7 @@
 
 from cardamomdrift.errors import CallerError, PacketTooLarge
 from cardamomdrift.sessions.parameters import bind, split_parameters
+from cardamomdrift.tls import TlsStream
 
 HANDSHAKE_TIMEOUT = 5.0  # seconds
 READ_BUFFER = 16 * 1024  # bytes
@@ -126,9 +127,17 @@
 class WireConnection(Connection):
     """One connection of a peer that speaks MySQL as a client."""
 
+    require_tls = False
+
     async def authenticate(self, **kwargs):
         """Authenticate the peer; a refused peer is disconnected."""
         self.session.username = None
+        if self.require_tls and not self.stream.upgraded:
+            refusal = self.error(
+                msg="TLS is required", code=ErrorCode.ACCESS_DENIED_ERROR
+            )
+            await self.stream.write(refusal)
+            raise ConnectionClosed()
         await super().authenticate(**kwargs)
         if self.session.username is None:
             await self.stream.drain()
@@ -306,16 +315,36 @@
 
 
 class WireServer:
-    """Listener that gives each connection a session; an async context manager."""
+    """Listener that gives each connection a session; an async context manager.
+
+    Parameters
+    ----------
+    session_factory : callable
+    identity : IdentityProvider
+    max_connections : int
+    max_packet : int
+        Bytes.
+    ssl : SSLContext or None
+        Offers TLS.
+    require_tls : bool
+        Refuses peers that do not ask for it.
+    """
 
     def __init__(
-        self, session_factory, identity, max_connections, max_packet, ssl=None
+        self,
+        session_factory,
+        identity,
+        max_connections,
+        max_packet,
+        ssl=None,
+        require_tls=False,
     ):
         self._session_factory = session_factory
         self._identity = identity
         self._max_connections = max_connections
         self._max_packet = max_packet
         self._ssl = ssl
+        self._require_tls = require_tls
         self._control = LocalControl(server_id=1)
         self._server = None
         self._tasks = {}
@@ -398,13 +427,15 @@
 
     async def _serve(self, reader, writer):
         session = self._session_factory()
+        stream = MysqlStream(reader, writer)
         connection = WireConnection(
-            stream=MysqlStream(reader, writer),
+            stream=stream if self._ssl is None else TlsStream(stream),
             session=session,
             control=self._control,
             identity_provider=self._identity,
             ssl=self._ssl,
         )
+        connection.require_tls = self._require_tls
         connection.connection_id = await self._control.add(connection)
         try:
             # Runs without the task of its own that Connection.start would make.
--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -1,8 +1,10 @@
 """Contracts of the wire server, the platform's clients and the instances."""
 
 import asyncio
+import ssl
 import unittest
 from contextlib import asynccontextmanager
+from pathlib import Path
 
 import asyncmy
 from aiohttp import ClientSession
@@ -37,6 +39,7 @@
 )
 from tests.values import SCHEMA, bundle, until
 
+DATA = Path(__file__).parent / "data"
 LOGIN = Login("proxy", "")
 STREAM = ("test", "bundle")
 
@@ -63,9 +66,14 @@
 
 
 @asynccontextmanager
-async def wire_server(identity=None, max_connections=10, max_packet=1024):
+async def wire_server(identity=None, max_connections=10, max_packet=1024, tls=None):
     server = WireServer(
-        EchoSession, identity or OpenIdentity(), max_connections, max_packet
+        EchoSession,
+        identity or OpenIdentity(),
+        max_connections,
+        max_packet,
+        tls,
+        require_tls=tls is not None,
     )
     async with server:
         await server.open("127.0.0.1", 0)
@@ -94,6 +102,18 @@
                     await connect(server, user=user, password=password)
             await until(lambda: server.connections == 0)
 
+    async def test_callers_may_use_tls(self):
+        server_side = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        server_side.load_cert_chain(DATA / "loopback.pem", DATA / "loopback.key")
+        caller_side = ssl.create_default_context(cafile=DATA / "loopback.pem")
+        async with wire_server(tls=server_side) as server:
+            connection = await connect(server, ssl=caller_side)
+            await connection.query("SELECT 1")
+            connection.close()
+            with self.assertRaises(Error) as caught:
+                await connect(server)
+            self.assertEqual(caught.exception.args[0], 1045)
+
     async def test_oversized_packet_ends_that_connection_only(self):
         async with wire_server() as server:
             one, two = await connect(server), await connect(server)
