Read once more: twins merged, dead state out, work done twice done once

- Both ways of answering a statement share one function; both ways of listing recent statuses are one; tasks are ended by cancel_all everywhere.
- The pieces of a prepared statement are split once, not at each execution; a statement's expected time is looked up once for each attempt.
Behaviour and checks are as before.

--- a/bench/messages.py
+++ b/bench/messages.py
@@ -27,7 +27,7 @@
     print("| --- | --- | --- | --- | --- |")
     for size in SIZES:
         groups = {f"group-{i:04}": GroupNews(7, 900) for i in range(size)}
-        news = News("vm-0001", 1234, "d" * 64, groups)
+        news = News("vm-0001", 1234, groups)
         data = encode(news)
         spent = _microseconds(lambda n=news, d=data: (encode(n), decode_news(d)), 200)
         body = encode_bundle(check_value(make_value(size), "bench").unwrap())
--- a/cardamomdrift/bundle/follower.py
+++ b/cardamomdrift/bundle/follower.py
@@ -95,10 +95,10 @@
     async def __aexit__(self, *exc_info):
         await cancel_all([self._task])
 
-    def hint(self, version, digest, address):
+    def hint(self, version, address):
         """Take in that a peer obeys a version; a newer one is fetched at once."""
         if version > self.version:
-            self._hinted = (version, digest, address)
+            self._hinted = (version, address)
             self._hint.set()
 
     async def _run(self):
@@ -117,9 +117,9 @@
     async def _take_hint(self):
         """Fetch a newer bundle from the peer that has it; the platform is down."""
         hinted, self._hinted = self._hinted, None
-        if hinted is None or hinted[0] <= self.version or hinted[2] is None:
+        if hinted is None or hinted[0] <= self.version or hinted[1] is None:
             return
-        reply = await ask(hinted[2], BundleQuery())
+        reply = await ask(hinted[1], BundleQuery())
         if isinstance(reply, BundleReply):
             await self._take(reply.version, reply.digest, reply.body)
 
--- a/cardamomdrift/daemon.py
+++ b/cardamomdrift/daemon.py
@@ -234,18 +234,16 @@
         if news.leaving:
             self._keeper.poke()  # its share is free once its lease is gone
         address = self._peer_addresses.get(news.vm)
-        self._follower.hint(news.bundle_version, news.bundle_digest, address)
+        self._follower.hint(news.bundle_version, address)
         for name, known in news.groups.items():
             group = self._service.groups.get(name)
             if group is not None and known.term > group.view.term:
                 group.hear_term(known.term)
 
     def _make_news(self):
-        in_force = self._follower.in_force
         return News(
             vm=self._settings.vm,
-            bundle_version=in_force.version,
-            bundle_digest=in_force.digest,
+            bundle_version=self._follower.version,
             groups={
                 name: GroupNews(group.view.term, self._own_contact_age(group))
                 for name, group in self._service.groups.items()
--- a/cardamomdrift/peers/messages.py
+++ b/cardamomdrift/peers/messages.py
@@ -31,7 +31,6 @@
     ----------
     vm : str
     bundle_version : int
-    bundle_digest : str
     groups : dict of str to GroupNews
     leaving : bool
         Whether the daemon is shutting down.
@@ -39,7 +38,6 @@
 
     vm: str
     bundle_version: int
-    bundle_digest: str
     groups: dict[str, GroupNews]
     leaving: bool = False
 
--- a/cardamomdrift/routing/dispatch.py
+++ b/cardamomdrift/routing/dispatch.py
@@ -7,13 +7,14 @@
 """
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from cardamomdrift.errors import DeadlinePassed, NoPrimary, Overloaded
 from cardamomdrift.limits.admission import Refused
 from cardamomdrift.position import Position
 from cardamomdrift.routing.choice import Candidate, Hold, Probe, Serve, choose
 from cardamomdrift.routing.cost import lane_of, long_instances
+from cardamomdrift.util import cancel_all
 
 EXPIRY_INTERVAL = 0.05  # seconds
 
@@ -45,13 +46,10 @@
     name : str
     term : int
         Highest term seen when it was placed.
-    proven : bool
-        Whether the instance is known to have reached the floor.
     """
 
     name: str
     term: int
-    proven: bool = True
 
 
 @dataclass(slots=True, eq=False)
@@ -59,7 +57,7 @@
     """A queued request: its need, and the future that gets its place."""
 
     need: object
-    future: asyncio.Future = field(default=None)
+    future: asyncio.Future
 
     def evicted(self):
         """Refuse the request because one of higher priority needs its room."""
@@ -107,8 +105,7 @@
         return self
 
     async def __aexit__(self, *exc_info):
-        self._expiry.cancel()
-        await asyncio.gather(self._expiry, return_exceptions=True)
+        await cancel_all([self._expiry])
 
     def place(self, need, ticket):
         """Return a context manager that waits for a place and holds it.
@@ -216,12 +213,9 @@
 
     def _find_for_read(self, floor, excluded, ticket):
         candidates = self._candidates(excluded, ticket)
-        term = self._view.term
         match choose(candidates, floor, ticket.long):
-            case Serve(name):
-                return Place(name, term, self._view.position_of(name) >= floor)
-            case Probe(name):
-                return Place(name, term, proven=False)
+            case Serve(name) | Probe(name):
+                return Place(name, self._view.term)
             case Hold():
                 return None
 
--- a/cardamomdrift/routing/reads.py
+++ b/cardamomdrift/routing/reads.py
@@ -69,9 +69,8 @@
 class ReadAnswer:
     """Answer of a read, its origin, and the place that a long one still holds."""
 
-    def __init__(self, answer, instance, replica, stack=None):
+    def __init__(self, answer, replica, stack=None):
         self.answer = answer
-        self.instance = instance
         self.replica = replica
         self._stack = stack
 
@@ -145,8 +144,9 @@
     async def _once(self, request, floor, excluded, failures):
         costs = self._parts.costs
         shape = shape_of(request.sql)
-        patience = attempt_patience(costs.expected(shape), failures)
-        ticket = make_ticket(request, costs.expected(shape), costs.is_long(shape))
+        expected = costs.expected(shape)
+        patience = attempt_patience(expected, failures)
+        ticket = make_ticket(request, expected, costs.is_long(shape))
         async with AsyncExitStack() as stack:
             need = ForRead(floor, excluded)
             place = await stack.enter_async_context(
@@ -166,11 +166,9 @@
                 raise
             replica = place.name != self._parts.view.primary
             if result.complete:
-                return ReadAnswer(make_answer(result), place.name, replica)
+                return ReadAnswer(make_answer(result), replica)
             rows = _stream(result, connection, request.deadline_at)
-            return ReadAnswer(
-                Rows(result.columns, rows), place.name, replica, stack.pop_all()
-            )
+            return ReadAnswer(Rows(result.columns, rows), replica, stack.pop_all())
 
     async def _prove(self, connection, place, floor, request):
         known = self._parts.view.instances[place.name]
--- a/cardamomdrift/routing/watch.py
+++ b/cardamomdrift/routing/watch.py
@@ -68,24 +68,21 @@
     def retry(self, name):
         """Ask an instance again, after a failure, if a question still wants it."""
         for question, _ in self._questions.values():
-            statuses = self._since(question.since)
+            statuses = self.recent(question.since)
             if name in wanted_instances(question, statuses, self._spec.names):
                 self._want(name)
                 return
 
-    def _since(self, time):
+    def recent(self, time):
+        """Return the statuses whose probes began at or after a time, by instance."""
         return {
             name: one.status
             for name, one in self._answers.items()
             if one.begun_at >= time
         }
 
-    def recent(self, time):
-        """Return the statuses whose probes began at or after a time, by instance."""
-        return self._since(time)
-
     def _try(self, question):
-        statuses = self._since(question.since)
+        statuses = self.recent(question.since)
         result = answer(question, statuses)
         if isinstance(result, Pending):
             for name in wanted_instances(question, statuses, self._spec.names):
--- a/cardamomdrift/routing/writes.py
+++ b/cardamomdrift/routing/writes.py
@@ -77,7 +77,6 @@
 
     answer: object
     position: Position
-    repeated: bool = False
 
 
 class _TryAgain(Exception):
@@ -154,7 +153,8 @@
     async def _once(self, request, failures):
         parts = self._parts
         shape = shape_of(request.sql)
-        ticket = make_ticket(request, parts.costs.expected(shape))
+        expected = parts.costs.expected(shape)
+        ticket = make_ticket(request, expected)
         async with parts.dispatcher.place(ForWrite(), ticket) as place:
             runtime = parts.instances[place.name]
             try:
@@ -162,8 +162,8 @@
                     request.database, request.deadline_at
                 ) as connection:
                     started = parts.clock()
-                    patience = attempt_patience(parts.costs.expected(shape), failures)
-                    result, repeated = await self._run_on(
+                    patience = attempt_patience(expected, failures)
+                    answer = await self._run_on(
                         connection, request, place, started + patience
                     )
                     parts.costs.learn(shape, parts.clock() - started)
@@ -177,7 +177,7 @@
         position = await prove_commit(
             parts, place, request.durability, request.deadline_at, request.key
         )
-        return WriteAnswer(result, position, repeated)
+        return WriteAnswer(answer, position)
 
     async def _run_on(self, connection, request, place, give_up_at):
         if request.key is not None:
@@ -190,7 +190,7 @@
             raise_refusal(self._parts, error, place)
         except (UpstreamLost, TimeoutError) as error:
             raise _CommitUnknown() from error
-        return make_answer(result), False
+        return make_answer(result)
 
 
 def raise_refusal(parts, error, place):
@@ -241,7 +241,7 @@
         self._digest = hash_text(request.sql)
 
     async def run(self, give_up_at):
-        """Return the answer and whether it is that of an earlier run."""
+        """Return the answer of this run, or of the earlier one with the key."""
         try:
             async with asyncio.timeout_at(give_up_at):
                 return await self._transaction()
@@ -273,7 +273,7 @@
             raise_refusal(self._parts, error, self._place)
         except UpstreamError as error:
             raise _CommitUnknown() from error
-        return make_answer(result), False
+        return make_answer(result)
 
     async def _after_refusal(self, error):
         try:
@@ -286,4 +286,4 @@
         digest, affected_rows, insert_id = found.rows[0]
         if digest.decode() != self._digest:
             raise KeyReused("the key was used for another statement")
-        return Ok(int(affected_rows), int(insert_id)), True
+        return Ok(int(affected_rows), int(insert_id))
--- a/cardamomdrift/sessions/parameters.py
+++ b/cardamomdrift/sessions/parameters.py
@@ -8,6 +8,9 @@
 
 import re
 from datetime import date, datetime, timedelta
+from functools import lru_cache
+
+SPLIT_CACHE = 4096  # statements
 
 _TOKEN = re.compile(
     r"'(?:[^'\\]|\\.|'')*'|\"(?:[^\"\\]|\\.|\"\")*\"|`[^`]*`"
@@ -18,6 +21,7 @@
 _ESCAPES = {"'": "''", "\\": "\\\\", "\0": "\\0"}
 
 
+@lru_cache(maxsize=SPLIT_CACHE)
 def split_parameters(sql):
     """Return the pieces of a statement between its parameters."""
     pieces = []
--- a/cardamomdrift/standins/instance.py
+++ b/cardamomdrift/standins/instance.py
@@ -17,6 +17,7 @@
 from cardamomdrift.position import ORIGIN, Position
 from cardamomdrift.standins.engine import Engine
 from cardamomdrift.standins.session import READ_ONLY, StandinSession
+from cardamomdrift.util import cancel_all
 from cardamomdrift.wire import (
     OpenIdentity,
     WireServer,
@@ -147,8 +148,7 @@
         return self
 
     async def __aexit__(self, *exc_info):
-        self._puller.cancel()
-        await asyncio.gather(self._puller, return_exceptions=True)
+        await cancel_all([self._puller])
         if self._server is not None:
             await self._server.close()
         self._engine.close()
--- a/cardamomdrift/wire.py
+++ b/cardamomdrift/wire.py
@@ -172,12 +172,15 @@
             data=data,
         )
         answer = await self.session.handle_query(query.sql, query.query_attrs)
+        await self._write_answer(answer, self._write_rows)
+
+    async def _write_answer(self, answer, write_rows):
         match answer:
             case Ok(affected_rows, insert_id):
                 packet = self.ok(affected_rows=affected_rows, last_insert_id=insert_id)
                 await self.stream.write(packet)
             case Rows(columns, rows):
-                await self._write_rows(columns, rows)
+                await write_rows(columns, rows)
 
     async def _write_rows(self, columns, rows):
         if not isinstance(rows, AsyncIterator):
@@ -193,7 +196,7 @@
         return iter(answer)
 
     async def handle_stmt_prepare(self, data):
-        """Prepare a statement; its text is kept in pieces between the parameters."""
+        """Prepare a statement."""
         statement = PreparedStatement(
             stmt_id=next(self.prepared_stmt_seq),
             sql=self.client_charset.decode(data),
@@ -231,12 +234,7 @@
         """Run a prepared statement and write its answer in the binary protocol."""
         sql, attributes = self._parse_execute(data)
         answer = await self.session.handle_query(sql, attributes)
-        match answer:
-            case Ok(affected_rows, insert_id):
-                packet = self.ok(affected_rows=affected_rows, last_insert_id=insert_id)
-                await self.stream.write(packet)
-            case Rows(columns, rows):
-                await self._write_binary_rows(columns, rows)
+        await self._write_answer(answer, self._write_binary_rows)
 
     async def _write_binary_rows(self, columns, rows):
         await self.stream.write(uint_len(len(columns)), drain=False)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -432,7 +432,7 @@
 class PeersTest(unittest.TestCase):
     def test_contact_age_counts_the_way_and_the_term(self):
         board = PeerBoard()
-        board.take(News("vm-2", 3, "d", {"g": GroupNews(4, 200)}), 10.0)
+        board.take(News("vm-2", 3, {"g": GroupNews(4, 200)}), 10.0)
         self.assertAlmostEqual(board.contact_age("g", 4, 10.5), 0.7)
         self.assertIsNone(board.contact_age("g", 5, 10.5))
 
