Long statements follow the primary when no replica is usable

Cause, found by reading: where this VM may run long statements was remembered by the usable replicas and the members only. With no usable replica the first primary stayed in it after a change of primary, and long reads waited for their deadline. Change: the primary is part of what it is remembered by. The new test failed before and passes after.

--- a/cardamomdrift/routing/dispatch.py
+++ b/cardamomdrift/routing/dispatch.py
@@ -266,7 +266,7 @@
             for name, one in self._instances.items()
             if name != primary and one.usable
         )
-        key = (usable, members)
+        key = (usable, members, primary)
         if self._long_cache[0] != key:
             allowed = long_instances(self._group.name, usable, self._vm.name, members)
             lanes = (lane_of(self._group.name, usable), allowed or frozenset([primary]))
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,64 @@
+"""Places of requests, with instances that are plain values."""
+
+import asyncio
+import unittest
+from types import SimpleNamespace
+
+from cardamomdrift.limits.admission import AdmissionQueue, Fifo
+from cardamomdrift.position import Position
+from cardamomdrift.routing.cost import CostBook
+from cardamomdrift.routing.dispatch import Dispatcher, ForRead
+from cardamomdrift.routing.group import VmIdentity
+from cardamomdrift.routing.view import make_view
+from cardamomdrift.upstreams.contract import InstanceStatus
+from tests.test_decisions import ticket
+from tests.values import bundle
+
+
+def runtime(usable):
+    return SimpleNamespace(
+        usable=usable,
+        in_flight=0,
+        long_in_flight=0,
+        transactions=0,
+        limit=2,
+        spec=SimpleNamespace(failure_domain="z"),
+    )
+
+
+class LongStatementTest(unittest.IsolatedAsyncioTestCase):
+    async def test_without_replicas_long_ones_follow_the_primary(self):
+        spec = bundle().groups["g"]
+        view = make_view(spec)
+        instances = {"a": runtime(True), "b": runtime(False), "c": runtime(False)}
+        dispatcher = Dispatcher(
+            spec,
+            instances,
+            view,
+            AdmissionQueue(10, Fifo()),
+            CostBook(),
+            VmIdentity("vm-1", "z"),
+            lambda: ("vm-1",),
+            lambda: 0.0,
+        )
+        need = ForRead(Position(1, 1))
+        for term, primary in ((1, "a"), (2, "b")):
+            for name, one in instances.items():
+                one.usable = name == primary
+            status = InstanceStatus(term, "o", Position(term, 5), True, "", 0.0)
+            view.observe(primary, status, float(term), float(term))
+            waiting = ticket()
+            waiting.long = True
+            placing = asyncio.ensure_future(self._place(dispatcher, need, waiting))
+            await asyncio.sleep(0)
+            self.assertTrue(placing.done(), "the request has to wait")
+            self.assertEqual(placing.result(), primary)
+
+    @staticmethod
+    async def _place(dispatcher, need, waiting):
+        async with dispatcher.place(need, waiting) as place:
+            return place.name
+
+
+if __name__ == "__main__":
+    unittest.main()
