The MySQL edge and the cloud clients in folders of their own

Cause: cardamomdrift/platform/ is to be the adapter of the users' platform, and the core must be loadable without an edge. Change: callers, connections, contract and prober of MySQL lie in mysql/, the clients of DynamoDB and S3 in cloud/; the pool takes a connector instead of importing one; the package imports its public names on first use.

--- a/bench/backend.py
+++ b/bench/backend.py
@@ -17,8 +17,8 @@
 from bench.load import SCHEMA
 from cardamomdrift.bundle.model import check_value
 from cardamomdrift.bundle.registry import BundleRegistry
-from cardamomdrift.platform.objects import Objects
-from cardamomdrift.platform.table import make_table
+from cardamomdrift.cloud.objects import Objects
+from cardamomdrift.cloud.table import make_table
 from cardamomdrift.settings import PlatformOptions
 from cardamomdrift.standins.deployment import make_deployment
 from cardamomdrift.standins.fleet import fill_addresses, free_port
--- a/cardamomdrift/__init__.py
+++ b/cardamomdrift/__init__.py
@@ -2,25 +2,30 @@
 cardamomdrift
 =============
 
-A database proxy with session consistency for the MySQL protocol.
+A database proxy with session consistency.  The public names are imported when they are
+first used, so that a daemon loads only the edge that it serves.
 """
 
-from cardamomdrift.bundle.model import Bundle, check_value
-from cardamomdrift.daemon import Daemon
-from cardamomdrift.errors import CardamomdriftError, NotRun, OutcomeUnknown
-from cardamomdrift.position import Position
-from cardamomdrift.settings import Settings, load_settings
+from importlib import import_module
 
 __version__ = "0.1.0"
 
-__all__ = [
-    "Bundle",
-    "CardamomdriftError",
-    "Daemon",
-    "NotRun",
-    "OutcomeUnknown",
-    "Position",
-    "Settings",
-    "check_value",
-    "load_settings",
-]
+_PUBLIC = {
+    "Bundle": "cardamomdrift.bundle.model",
+    "CardamomdriftError": "cardamomdrift.errors",
+    "Daemon": "cardamomdrift.daemon",
+    "NotRun": "cardamomdrift.errors",
+    "OutcomeUnknown": "cardamomdrift.errors",
+    "Position": "cardamomdrift.position",
+    "Settings": "cardamomdrift.settings",
+    "check_value": "cardamomdrift.bundle.model",
+    "load_settings": "cardamomdrift.settings",
+}
+
+__all__ = sorted(_PUBLIC)
+
+
+def __getattr__(name):
+    if name not in _PUBLIC:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(_PUBLIC[name]), name)
--- a/cardamomdrift/bundle/follower.py
+++ b/cardamomdrift/bundle/follower.py
@@ -12,10 +12,10 @@
 
 from cardamomdrift.bundle.model import Bundle
 from cardamomdrift.bundle.registry import read_body
+from cardamomdrift.cloud.objects import digest_of
 from cardamomdrift.errors import BundleError, PlatformRefused, PlatformUnavailable
 from cardamomdrift.peers.link import ask
 from cardamomdrift.peers.messages import BundleQuery, BundleReply
-from cardamomdrift.platform.objects import digest_of
 from cardamomdrift.util import cancel_all
 
 POLL_INTERVAL = 2.0  # seconds
--- a/cardamomdrift/bundle/registry.py
+++ b/cardamomdrift/bundle/registry.py
@@ -14,13 +14,13 @@
 from returns.result import Failure, Success
 
 from cardamomdrift.bundle.model import decode_bundle, encode_bundle
+from cardamomdrift.cloud.table import NotTaken, StillUnknown, Taken
 from cardamomdrift.errors import (
     BundleConflict,
     BundleError,
     BundleNotSignedOff,
     PlatformUnavailable,
 )
-from cardamomdrift.platform.table import NotTaken, StillUnknown, Taken
 
 SIGN_OFF = "signoff"
 VERSION = "bundle"
--- a/cardamomdrift/callers/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The callers' side: sessions over the MySQL protocol."""
--- /dev/null
+++ b/cardamomdrift/cloud/__init__.py
@@ -0,0 +1,1 @@
+"""Table service and object store by their published cloud protocols."""
--- a/cardamomdrift/command.py
+++ b/cardamomdrift/command.py
@@ -19,6 +19,8 @@
 
 from cardamomdrift.bundle.model import check_value, encode_bundle
 from cardamomdrift.bundle.registry import BundleRegistry
+from cardamomdrift.cloud.objects import Objects, digest_of
+from cardamomdrift.cloud.table import make_table
 from cardamomdrift.errors import (
     BundleConflict,
     BundleError,
@@ -33,8 +35,6 @@
     MetricsQuery,
     StatusQuery,
 )
-from cardamomdrift.platform.objects import Objects, digest_of
-from cardamomdrift.platform.table import make_table
 from cardamomdrift.settings import load_settings
 from cardamomdrift.telemetry.burn import format_burn
 from cardamomdrift.util import load_jsonc
--- a/cardamomdrift/daemon.py
+++ b/cardamomdrift/daemon.py
@@ -19,9 +19,12 @@
 
 from cardamomdrift.bundle.follower import BundleFollower
 from cardamomdrift.bundle.registry import BundleRegistry
-from cardamomdrift.callers.session import CallerSession
+from cardamomdrift.cloud.objects import Objects
+from cardamomdrift.cloud.table import make_table
 from cardamomdrift.limits.admission import Fifo
 from cardamomdrift.membership.keeper import LeaseKeeper
+from cardamomdrift.mysql.session import CallerSession
+from cardamomdrift.mysql.wire import OpenIdentity, PasswordIdentity, WireServer
 from cardamomdrift.peers.board import PeerBoard
 from cardamomdrift.peers.link import PeerLink, ask
 from cardamomdrift.peers.messages import (
@@ -36,14 +39,11 @@
     News,
     StatusQuery,
 )
-from cardamomdrift.platform.objects import Objects
-from cardamomdrift.platform.table import make_table
 from cardamomdrift.routing.group import Surroundings, VmIdentity
 from cardamomdrift.service import Service
 from cardamomdrift.settings import load_settings
 from cardamomdrift.telemetry.log import make_log, setup_logging
 from cardamomdrift.util import MILLISECONDS, cancel_all
-from cardamomdrift.wire import OpenIdentity, PasswordIdentity, WireServer
 
 NEWS_INTERVAL = 1.0  # seconds
 NEWS_MINIMUM = 0.1  # seconds between two news
--- a/cardamomdrift/failover/monitor.py
+++ b/cardamomdrift/failover/monitor.py
@@ -15,7 +15,7 @@
 from cardamomdrift.failover.promotion import STEP_TIMEOUT, Promotion
 from cardamomdrift.failover.suspicion import Evidence, is_dead, replicas_silent
 from cardamomdrift.membership.rendezvous import rank
-from cardamomdrift.upstreams.contract import follow_statement
+from cardamomdrift.mysql.contract import follow_statement
 from cardamomdrift.util import cancel_all
 
 TICK = 0.05  # seconds
--- a/cardamomdrift/failover/promoter.py
+++ b/cardamomdrift/failover/promoter.py
@@ -8,6 +8,7 @@
 
 import asyncio
 
+from cardamomdrift.cloud.table import NotTaken, StillUnknown, Taken
 from cardamomdrift.errors import DeadlinePassed, UpstreamError
 from cardamomdrift.failover.promotion import (
     FENCE_GRACE,
@@ -26,9 +27,8 @@
     RecordUnknown,
     Tick,
 )
-from cardamomdrift.platform.table import NotTaken, StillUnknown, Taken
-from cardamomdrift.upstreams.connection import open_connection
-from cardamomdrift.upstreams.contract import (
+from cardamomdrift.mysql.connection import open_connection
+from cardamomdrift.mysql.contract import (
     fence_statement,
     follow_statement,
     promote_statement,
--- /dev/null
+++ b/cardamomdrift/mysql/__init__.py
@@ -0,0 +1,1 @@
+"""Callers and upstream instances that speak the MySQL protocol."""
--- a/cardamomdrift/upstreams/connection.py
+++ b/cardamomdrift/mysql/connection.py
@@ -13,15 +13,15 @@
 from asyncmy.cursors import SSCursor
 from asyncmy.errors import Error, InterfaceError, MySQLError
 
-from cardamomdrift.columns import make_column
 from cardamomdrift.errors import (
     StatementRefused,
     UpstreamBusy,
     UpstreamLost,
     UpstreamUnreachable,
 )
-from cardamomdrift.upstreams.contract import STATUS, parse_status
-from cardamomdrift.wire import ROW_BATCH
+from cardamomdrift.mysql.columns import make_column
+from cardamomdrift.mysql.contract import STATUS, parse_status
+from cardamomdrift.mysql.wire import ROW_BATCH
 
 TOO_MANY_CONNECTIONS = 1040
 CLIENT_ERRORS = range(2000, 3000)
@@ -178,6 +178,23 @@
         return await self.call(STATUS)
 
 
+def make_connector(spec, login, program):
+    """Return a coroutine function that opens connections to one instance.
+
+    Parameters
+    ----------
+    spec : InstanceSpec
+    login : Login
+    program : str
+        Name of this VM.
+    """
+
+    async def connect_instance(timeout):
+        return await open_connection(spec.address, spec.port, login, program, timeout)
+
+    return connect_instance
+
+
 async def open_connection(address, port, login, program, timeout):
     """Return a new connection.
 
--- a/cardamomdrift/callers/session.py
+++ b/cardamomdrift/mysql/session.py
@@ -11,12 +11,12 @@
 from mysql_mimic.types import ColumnType
 
 from cardamomdrift.bundle.model import Kind
-from cardamomdrift.columns import make_column
 from cardamomdrift.errors import BadRequest, ShuttingDown
+from cardamomdrift.mysql.columns import make_column
+from cardamomdrift.mysql.wire import Ok, Rows, WireVariables
 from cardamomdrift.position import ORIGIN
 from cardamomdrift.sessions.options import SESSION_OPTIONS, attribute_options
 from cardamomdrift.sessions.statement import Verb, parse_statement
-from cardamomdrift.wire import Ok, Rows, WireVariables
 
 _KEPT_SETTINGS = re.compile(
     r"SET\s+(?:NAMES|CHARACTER\s+SET|CHARSET)\s+'?(?:utf8mb4|utf8mb3|utf8|binary)\b",
--- a/cardamomdrift/wire.py
+++ b/cardamomdrift/mysql/wire.py
@@ -30,8 +30,8 @@
 )
 
 from cardamomdrift.errors import CallerError, PacketTooLarge
+from cardamomdrift.mysql.tls import TlsStream
 from cardamomdrift.sessions.parameters import bind, split_parameters
-from cardamomdrift.tls import TlsStream
 
 HANDSHAKE_TIMEOUT = 5.0  # seconds
 READ_BUFFER = 16 * 1024  # bytes
--- a/cardamomdrift/routing/answers.py
+++ b/cardamomdrift/routing/answers.py
@@ -5,7 +5,7 @@
 Turns an instance's complete result into the answer that a caller gets.
 """
 
-from cardamomdrift.wire import Ok, Rows
+from cardamomdrift.mysql.wire import Ok, Rows
 
 
 def make_answer(result):
--- a/cardamomdrift/routing/instance.py
+++ b/cardamomdrift/routing/instance.py
@@ -10,8 +10,9 @@
 
 from cardamomdrift.failover.suspicion import SilenceClock
 from cardamomdrift.limits.concurrency import ConcurrencyLimit
+from cardamomdrift.mysql.connection import make_connector
+from cardamomdrift.mysql.prober import CONTROL_CONNECTIONS, InstanceProber
 from cardamomdrift.upstreams.pool import InstancePool
-from cardamomdrift.upstreams.prober import CONTROL_CONNECTIONS, InstanceProber
 
 SILENCE_LIMIT = 0.3  # seconds after which an instance gets no new requests
 
@@ -22,7 +23,7 @@
     def __init__(self, spec, login, vm, clock, listener):
         self._spec = spec
         self._clock = clock
-        self._pool = InstancePool(spec, login, vm, clock)
+        self._pool = InstancePool(make_connector(spec, login, vm), clock)
         self._prober = InstanceProber(spec.name, self._pool, listener, clock)
         self._silence = SilenceClock()
         self._concurrency = ConcurrencyLimit()
--- a/cardamomdrift/routing/reads.py
+++ b/cardamomdrift/routing/reads.py
@@ -23,12 +23,12 @@
     UpstreamUnreachable,
 )
 from cardamomdrift.limits.admission import make_ticket
+from cardamomdrift.mysql.wire import Rows
 from cardamomdrift.position import Position
 from cardamomdrift.routing.answers import make_answer
 from cardamomdrift.routing.cost import attempt_patience
 from cardamomdrift.routing.dispatch import ForRead
 from cardamomdrift.sessions.statement import shape_of
-from cardamomdrift.wire import Rows
 
 ATTEMPTS = 4
 RETRY_PAUSE = 0.02  # seconds
--- a/cardamomdrift/routing/transactions.py
+++ b/cardamomdrift/routing/transactions.py
@@ -22,6 +22,7 @@
     UpstreamError,
 )
 from cardamomdrift.limits.admission import make_ticket
+from cardamomdrift.mysql.wire import Ok
 from cardamomdrift.routing.answers import make_answer
 from cardamomdrift.routing.dispatch import ForTransaction
 from cardamomdrift.routing.floor import FloorRule
@@ -32,7 +33,6 @@
     prove_commit,
 )
 from cardamomdrift.util import hash_text
-from cardamomdrift.wire import Ok
 
 BEGIN_COST = 0.005  # seconds
 IDLE_LIMIT = 30.0  # seconds between two statements of a transaction
--- a/cardamomdrift/routing/writes.py
+++ b/cardamomdrift/routing/writes.py
@@ -24,6 +24,8 @@
     UpstreamUnreachable,
 )
 from cardamomdrift.limits.admission import make_ticket
+from cardamomdrift.mysql.contract import REQUEST_TABLE
+from cardamomdrift.mysql.wire import Ok
 from cardamomdrift.position import Position
 from cardamomdrift.routing.answers import make_answer
 from cardamomdrift.routing.cost import attempt_patience
@@ -31,9 +33,7 @@
 from cardamomdrift.routing.proof import Replaced, WriteProven, WriteQuestion
 from cardamomdrift.sessions.parameters import quote
 from cardamomdrift.sessions.statement import shape_of
-from cardamomdrift.upstreams.contract import REQUEST_TABLE
 from cardamomdrift.util import hash_text
-from cardamomdrift.wire import Ok
 
 DUPLICATE_KEY = 1062
 READ_ONLY = (1290, 1792, 1836)
--- a/cardamomdrift/standins/fleet.py
+++ b/cardamomdrift/standins/fleet.py
@@ -18,9 +18,9 @@
 
 from cardamomdrift.bundle.model import check_value
 from cardamomdrift.bundle.registry import BundleRegistry
+from cardamomdrift.cloud.objects import Objects
+from cardamomdrift.cloud.table import make_table
 from cardamomdrift.daemon import Daemon
-from cardamomdrift.platform.objects import Objects
-from cardamomdrift.platform.table import make_table
 from cardamomdrift.settings import CallersModel, Login, PlatformOptions, Settings
 
 TOKEN_KEY = b"local-fleet-token-key"
--- a/cardamomdrift/standins/instance.py
+++ b/cardamomdrift/standins/instance.py
@@ -14,14 +14,14 @@
 from dataclasses import dataclass, field, replace
 
 from cardamomdrift.errors import StatementRefused
+from cardamomdrift.mysql.wire import (
+    OpenIdentity,
+    WireServer,
+)
 from cardamomdrift.position import ORIGIN, Position
 from cardamomdrift.standins.engine import Engine
 from cardamomdrift.standins.session import READ_ONLY, StandinSession
 from cardamomdrift.util import cancel_all
-from cardamomdrift.wire import (
-    OpenIdentity,
-    WireServer,
-)
 
 LOCK_WAIT_TIMEOUT = 1205
 LOCK_WAIT = 5.0  # seconds
--- a/cardamomdrift/standins/session.py
+++ b/cardamomdrift/standins/session.py
@@ -12,9 +12,9 @@
 from mysql_mimic.errors import MysqlError
 from mysql_mimic.results import infer_type
 
-from cardamomdrift.columns import make_column
 from cardamomdrift.errors import StatementRefused
-from cardamomdrift.wire import Ok, Rows, WireVariables
+from cardamomdrift.mysql.columns import make_column
+from cardamomdrift.mysql.wire import Ok, Rows, WireVariables
 
 READ_ONLY = 1290
 NO_SUCH_PROCEDURE = 1305
--- a/cardamomdrift/upstreams/pool.py
+++ b/cardamomdrift/upstreams/pool.py
@@ -15,7 +15,6 @@
     UpstreamError,
     UpstreamUnreachable,
 )
-from cardamomdrift.upstreams.connection import open_connection
 
 CONNECT_TIMEOUT = 1.0  # seconds
 IDLE_LIMIT = 60.0  # seconds
@@ -27,18 +26,14 @@
 
     Parameters
     ----------
-    spec : InstanceSpec
-    login : Login
-    vm : str
-        Name of this VM.
+    connect : coroutine function
+        Opens a connection within a number of seconds.
     clock : callable
         Returns seconds of the loop's clock.
     """
 
-    def __init__(self, spec, login, vm, clock):
-        self._spec = spec
-        self._login = login
-        self._vm = vm
+    def __init__(self, connect, clock):
+        self._connect = connect
         self._clock = clock
         self._limit = 0
         self._idle = deque()
@@ -132,9 +127,7 @@
             raise DeadlinePassed("no time left to connect")
         self._opening += 1
         try:
-            connection = await open_connection(
-                self._spec.address, self._spec.port, self._login, self._vm, timeout
-            )
+            connection = await self._connect(timeout)
         except UpstreamBusy:
             # A refusal is backpressure: others may hold what our share counted on.
             self._refusals += 1
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -27,6 +27,7 @@
     decide_membership,
 )
 from cardamomdrift.membership.rendezvous import home_set, rank
+from cardamomdrift.mysql.contract import InstanceStatus
 from cardamomdrift.peers.board import PeerBoard
 from cardamomdrift.peers.messages import GroupNews, News
 from cardamomdrift.position import ORIGIN, Position
@@ -43,7 +44,6 @@
 from cardamomdrift.routing.view import make_view
 from cardamomdrift.sessions.options import check_options
 from cardamomdrift.telemetry.burn import GOOD, BurnBook
-from cardamomdrift.upstreams.contract import InstanceStatus
 from tests.values import bundle
 
 STEADY = settings(derandomize=True, database=None, deadline=None, max_examples=200)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -5,12 +5,12 @@
 from types import SimpleNamespace
 
 from cardamomdrift.limits.admission import AdmissionQueue, Fifo
+from cardamomdrift.mysql.contract import InstanceStatus
 from cardamomdrift.position import Position
 from cardamomdrift.routing.cost import CostBook
 from cardamomdrift.routing.dispatch import Dispatcher, ForRead
 from cardamomdrift.routing.group import VmIdentity
 from cardamomdrift.routing.view import make_view
-from cardamomdrift.upstreams.contract import InstanceStatus
 from tests.test_decisions import ticket
 from tests.values import bundle
 
--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -10,6 +10,8 @@
 from aiohttp import ClientSession
 from asyncmy.errors import Error
 
+from cardamomdrift.cloud.objects import Objects, digest_of
+from cardamomdrift.cloud.table import NotTaken, StillUnknown, Taken, make_table
 from cardamomdrift.errors import (
     DeadlinePassed,
     PlatformUnavailable,
@@ -17,26 +19,24 @@
     UpstreamLost,
     UpstreamUnreachable,
 )
-from cardamomdrift.platform.objects import Objects, digest_of
-from cardamomdrift.platform.table import NotTaken, StillUnknown, Taken, make_table
-from cardamomdrift.settings import Login, PlatformOptions
-from cardamomdrift.standins.group import make_group
-from cardamomdrift.standins.instance import InstanceOptions
-from cardamomdrift.standins.platform import StandinPlatform
-from cardamomdrift.upstreams.connection import open_connection
-from cardamomdrift.upstreams.contract import (
+from cardamomdrift.mysql.connection import make_connector, open_connection
+from cardamomdrift.mysql.contract import (
     fence_statement,
     follow_statement,
     promote_statement,
 )
-from cardamomdrift.upstreams.pool import InstancePool
-from cardamomdrift.wire import (
+from cardamomdrift.mysql.wire import (
     Ok,
     OpenIdentity,
     PasswordIdentity,
     WireServer,
     WireVariables,
 )
+from cardamomdrift.settings import Login, PlatformOptions
+from cardamomdrift.standins.group import make_group
+from cardamomdrift.standins.instance import InstanceOptions
+from cardamomdrift.standins.platform import StandinPlatform
+from cardamomdrift.upstreams.pool import InstancePool
 from tests.values import SCHEMA, bundle, until
 
 DATA = Path(__file__).parent / "data"
@@ -287,7 +287,7 @@
         spec = type(spec)(spec.name, spec.address, port, spec.failure_domain)
         self.clock = asyncio.get_running_loop().time
         self.pool = await self.enterAsyncContext(
-            InstancePool(spec, LOGIN, "vm-1", self.clock)
+            InstancePool(make_connector(spec, LOGIN, "vm-1"), self.clock)
         )
         self.pool.set_limit(2)
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -3,11 +3,11 @@
 import asyncio
 import unittest
 
+from cardamomdrift.mysql.contract import InstanceStatus
 from cardamomdrift.position import ORIGIN, Position
 from cardamomdrift.routing.floor import FloorRule
 from cardamomdrift.routing.view import make_view
 from cardamomdrift.routing.watch import StatusWatch
-from cardamomdrift.upstreams.contract import InstanceStatus
 from tests.values import bundle
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -18,10 +18,10 @@
     RecordTerm,
     RecordUnknown,
 )
+from cardamomdrift.mysql.contract import InstanceStatus
 from cardamomdrift.position import ORIGIN, Position
 from cardamomdrift.routing.floor import sample_floor
 from cardamomdrift.routing.proof import WriteProven, WriteQuestion, answer_write
-from cardamomdrift.upstreams.contract import InstanceStatus
 
 NAMES = ("a", "b", "c")
 MAJORITY = 2
