--- /dev/null
+++ b/cardamomdrift/bundle/configuration.py
@@ -0,0 +1,110 @@
+"""
+Configuration
+=============
+
+The deployment in force.  Versions only rise; a body that cannot be read changes
+nothing; a newer one that a peer has is fetched from it.
+"""
+
+import asyncio
+import time
+
+from returns.result import Failure, Success
+
+from cardamomdrift.peers.link import ask
+from cardamomdrift.peers.messages import BundleQuery, BundleReply
+from cardamomdrift.util import hash_text
+
+
+class Configuration:
+    """The deployment in force at this daemon.
+
+    Parameters
+    ----------
+    decode : callable
+        Takes bytes and returns a Result of Deployment.
+    on_deployment : coroutine function
+        Takes the new Deployment.
+    log : structlog logger
+    """
+
+    def __init__(self, decode, on_deployment, log):
+        self._decode = decode
+        self._on_deployment = on_deployment
+        self._log = log
+        self._deployment = None
+        self._body = b""
+        self._lock = asyncio.Lock()
+        self._asking = None
+
+    @property
+    def deployment(self):
+        """The Deployment in force, or None."""
+        return self._deployment
+
+    @property
+    def version(self):
+        """Version in force; 0 before the first."""
+        return self._deployment.version if self._deployment else 0
+
+    async def take(self, body, source):
+        """Take in a configuration's bytes.
+
+        Parameters
+        ----------
+        body : bytes
+        source : str
+            Where it comes from, for the log.
+        """
+        async with self._lock:
+            if body == self._body:
+                return
+            match self._decode(body):
+                case Failure(error):
+                    self._log.error(
+                        "configuration not usable",
+                        source=source,
+                        kept=self.version,
+                        error=str(error),
+                    )
+                case Success(deployment):
+                    await self._apply(deployment, body, source)
+
+    async def _apply(self, deployment, body, source):
+        if deployment.version <= self.version:
+            self._log.info(
+                "configuration passed over",
+                source=source,
+                version=deployment.version,
+                kept=self.version,
+            )
+            return
+        started = time.monotonic()
+        previous, self._deployment = self.version, deployment
+        self._body = body
+        await self._on_deployment(deployment)
+        self._log.info(
+            "configuration in force",
+            source=source,
+            version=deployment.version,
+            previous=previous,
+            routes=len(deployment.routes),
+            took_ms=round((time.monotonic() - started) * 1000, 1),
+        )
+
+    def reply(self):
+        """Return the BundleReply to a peer that asks for the configuration."""
+        digest = hash_text(self._body.decode("utf-8", "replace"))
+        return BundleReply(self.version, digest, self._body)
+
+    def hint(self, version, address):
+        """Take in that a peer has a version; a newer one is fetched at once."""
+        if version <= self.version:
+            return
+        if self._asking is None or self._asking.done():
+            self._asking = asyncio.create_task(self._fetch(address))
+
+    async def _fetch(self, address):
+        reply = await ask(address, BundleQuery())
+        if isinstance(reply, BundleReply) and reply.version > self.version:
+            await self.take(reply.body, f"peer {address}")
--- a/cardamomdrift/daemon.py
+++ b/cardamomdrift/daemon.py
@@ -39,7 +39,8 @@
     News,
     StatusQuery,
 )
-from cardamomdrift.routing.group import Surroundings, VmIdentity
+from cardamomdrift.routing.group import Surroundings
+from cardamomdrift.routing.identity import VmIdentity
 from cardamomdrift.service import Service
 from cardamomdrift.settings import load_settings
 from cardamomdrift.telemetry.log import make_log, setup_logging
--- a/cardamomdrift/errors.py
+++ b/cardamomdrift/errors.py
@@ -68,6 +68,10 @@
     """The instance refused a connection because it has too many."""
 
 
+class UpstreamMismatch(UpstreamUnreachable):
+    """Another instance answers at the address; nothing was sent."""
+
+
 class UpstreamLost(UpstreamError):
     """A connection broke or went silent after bytes may have left."""
 
@@ -196,6 +200,12 @@
     code = 50023
 
 
+class UnknownStatement(BadRequest):
+    """The session has prepared no statement of that name."""
+
+    code = 50026
+
+
 class KeyReused(BadRequest):
     """The idempotency key was used before for another statement."""
 
@@ -217,3 +227,7 @@
 
     def __str__(self):
         return self.reason
+
+
+class ControlRecordError(CardamomdriftError):
+    """A row of the daemons' own table that cannot be read."""
--- /dev/null
+++ b/cardamomdrift/failover/replacer.py
@@ -0,0 +1,524 @@
+"""
+Replacer
+========
+
+Replaces primaries: watches the evidence, writes the intent to the platform's store,
+waits until no daemon uses the old primary any more, and tells the platform who is to
+lead.  The decisions are `failover.replacement`.
+"""
+
+import asyncio
+import secrets
+from dataclasses import dataclass
+
+from cardamomdrift.clock import boot_clock
+from cardamomdrift.errors import (
+    CardamomdriftError,
+    PlatformRefused,
+    PlatformUnavailable,
+    UpstreamError,
+)
+from cardamomdrift.failover.records import (
+    DUTY_KEY,
+    LEAD_PREFIX,
+    TABLE,
+    DutyRecord,
+    LeadRecord,
+    decode_record,
+    encode_record,
+    lead_key,
+    member_key,
+)
+from cardamomdrift.failover.replacement import (
+    CATCH_UP_TIME,
+    RANK_DELAY,
+    Candidate,
+    Intent,
+    PrimaryEvidence,
+    Reason,
+    answers_needed,
+    choose_candidate,
+    is_released,
+    may_call,
+    reason_to_replace,
+    takeover_at,
+)
+from cardamomdrift.membership.control import LIVE_TIME
+from cardamomdrift.membership.rendezvous import rank
+from cardamomdrift.ports import Committed
+from cardamomdrift.util import cancel_all
+
+TICK = 0.05  # seconds
+CALL_TIME = 0.6  # seconds for one call of the platform; it takes 20 ms
+POLL_INTERVAL = 0.02  # seconds
+LEAD_TIME = 2.0  # seconds from the platform's answer to the new primary's first write
+RETRY_DELAY = 0.5  # seconds after a failed replacement
+CALL_PAUSE = 0.05  # seconds between two calls of the platform
+
+
+class ReplacementFailed(CardamomdriftError):
+    """A replacement ended without a new primary."""
+
+
+@dataclass(slots=True)
+class _Watch:
+    """What this daemon remembers of one group."""
+
+    reason: Reason | None = None
+    since: float = 0.0
+    not_before: float = 0.0
+    begun: int = 0
+    task: asyncio.Task | None = None
+
+
+class Replacer:
+    """Watches all groups; an async context manager.
+
+    Parameters
+    ----------
+    store : MetadataStore
+    promotions : PromotionService
+    control : ControlPlane
+    roster : Roster
+    clusters : Clusters
+    instances : InstanceList
+    announce : callable
+        Sends heartbeats at once.
+    log : structlog logger
+    """
+
+    def __init__(
+        self, store, promotions, control, roster, clusters, instances, announce, log
+    ):
+        self._store = store
+        self._promotions = promotions
+        self._control = control
+        self._roster = roster
+        self._clusters = clusters
+        self._instances = instances
+        self._announce = announce
+        self._log = log
+        self._watches = {}
+        self._task = None
+        self._stopping = False
+        self.counts = {"succeeded": 0, "failed": 0}
+
+    async def __aenter__(self):
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *exc_info):
+        tasks = [one.task for one in self._watches.values() if one.task is not None]
+        await cancel_all([self._task, *tasks])
+
+    @property
+    def busy(self):
+        """Whether a replacement is under way here."""
+        return any(
+            one.task is not None and not one.task.done()
+            for one in self._watches.values()
+        )
+
+    def stop(self):
+        """Begin no replacement any more."""
+        self._stopping = True
+
+    async def _run(self):
+        while True:
+            now = boot_clock()
+            for cluster in self._clusters:
+                self._look(cluster, now)
+            await asyncio.sleep(TICK)
+
+    # When
+
+    def _look(self, cluster, now):
+        watch = self._watches.setdefault(cluster.group.name, _Watch())
+        if self._stopping or (watch.task is not None and not watch.task.done()):
+            return
+        reason = self._find_reason(cluster, now)
+        if reason is not watch.reason:
+            watch.reason, watch.since = reason, now
+            if reason is not None:
+                self._log.warning(
+                    "primary suspected",
+                    group=cluster.group.name,
+                    primary=cluster.leadership.primary or "none",
+                    reason=reason.name.lower(),
+                    generation=cluster.leadership.generation,
+                    evidence=str(self._evidence(cluster, now)),
+                )
+        if reason is None or now < watch.not_before or not self._control.reachable:
+            return
+        if now >= watch.since + self._delay(cluster, now):
+            watch.task = asyncio.create_task(self._replace(cluster, reason, watch))
+
+    def _find_reason(self, cluster, now):
+        lead = cluster.leadership
+        if not lead.settled:
+            own = lead.generation == self._watches[cluster.group.name].begun
+            overdue = own or now >= takeover_at(lead.changed_at)
+            return Reason.UNREACHABLE if overdue else None
+        return reason_to_replace(self._evidence(cluster, now))
+
+    def _evidence(self, cluster, now):
+        lead = cluster.leadership
+        loop_now = cluster.clock()
+        runtime = cluster.instances.get(lead.primary)
+        ages = [
+            loop_now - one.answered_at
+            for name, one in cluster.instances.items()
+            if name != lead.primary and one.answered_at is not None
+        ]
+        contact, silence = self._peers_say(cluster, now)
+        return PrimaryEvidence(
+            known=bool(lead.primary),
+            listed=runtime is not None,
+            missing_for=self._missing_for(cluster, now),
+            draining=runtime is not None and runtime.spec.draining,
+            unanswered=runtime.silence.unanswered(loop_now) if runtime else 0.0,
+            refused=runtime is not None and runtime.silence.refused,
+            replica_age=min(ages, default=None),
+            peer_contact_age=contact,
+            peer_silence=silence,
+            settled_for=now - lead.changed_at,
+        )
+
+    def _missing_for(self, cluster, now):
+        """Return how long the list has lacked the primary, or named none."""
+        lead = cluster.leadership
+        if lead.primary:
+            return self._instances.missing_for(lead.primary, cluster.clock())
+        return now - cluster.started_boot if cluster.instances else 0.0
+
+    def _peers_say(self, cluster, now):
+        """Return the peers' last contact with the primary and its longest silence."""
+        contacts, silences = [], [0.0]
+        generation = cluster.leadership.generation
+        for peer in self._roster.peers.values():
+            if peer.heartbeat is None or now - peer.heard_at > LIVE_TIME:
+                continue
+            claim = peer.heartbeat.groups.get(cluster.group.name)
+            if claim is None or claim.generation != generation:
+                continue
+            silences.append(claim.silence)
+            if claim.contact_age is not None:
+                contacts.append(claim.contact_age + now - peer.heard_at)
+        return min(contacts, default=None), max(silences)
+
+    def _delay(self, cluster, now):
+        """Return how long this daemon leaves the replacement to those before it."""
+        live = self._roster.live(now, LIVE_TIME)
+        able = [
+            name
+            for name in live
+            if name == self._roster.vm
+            or self._roster.peers[name].heartbeat.store_reachable
+        ]
+        order = rank(cluster.group.name, able)
+        holder = self._holder()
+        if holder in order:
+            order.remove(holder)
+            order.insert(0, holder)
+        return order.index(self._roster.vm) * RANK_DELAY
+
+    def _holder(self):
+        row = self._control.rows.get(DUTY_KEY)
+        if row is None:
+            return None
+        return decode_record(row, DutyRecord).holder
+
+    # How
+
+    async def _replace(self, cluster, reason, watch):
+        group = cluster.group.name
+        started = boot_clock()
+        try:
+            primary = await self._run_replacement(cluster, reason)
+        except (
+            PlatformUnavailable,
+            PlatformRefused,
+            UpstreamError,
+            TimeoutError,
+            ReplacementFailed,
+        ) as error:
+            self.counts["failed"] += 1
+            self._log.warning(
+                "replacement failed",
+                group=group,
+                generation=cluster.leadership.generation,
+                error=f"{type(error).__name__} {error}",
+            )
+        else:
+            self.counts["succeeded"] += 1
+            self._log.warning(
+                "replacement succeeded",
+                group=group,
+                generation=cluster.leadership.generation,
+                primary=primary,
+                term=cluster.leadership.term,
+                took_ms=round((boot_clock() - started) * 1000),
+            )
+        finally:
+            watch.reason = None
+            watch.not_before = boot_clock() + RETRY_DELAY
+
+    async def _run_replacement(self, cluster, reason):
+        intent = await self._write_intent(cluster, reason)
+        # Whoever held the duty before may have begun another one until then.
+        await self._control.refresh()
+        self._check_others(intent.token)
+        candidate = await self._find_candidate(cluster, reason, intent)
+        await self._wait_released(cluster, intent)
+        if reason is Reason.LEAVING:
+            await self._wait_caught_up(cluster, candidate)
+        await self._call(cluster, candidate, intent)
+        term = await self._wait_leading(cluster, candidate)
+        await self._settle(cluster, candidate, term, intent)
+        return candidate
+
+    async def _write_intent(self, cluster, reason):
+        """Write to the store that the primary is being replaced, and stop using it."""
+        await self._control.refresh()
+        lead = cluster.leadership
+        self._check_known()
+        rows = self._control.rows
+        key = lead_key(cluster.group.name)
+        own = member_key(self._roster.vm)
+        if own not in rows:
+            raise ReplacementFailed("this daemon is not registered")
+        duty, duty_puts = self._claim_duty(rows)
+        self._check_others(duty.token)
+        record = LeadRecord(
+            lead.generation + 1,
+            False,
+            lead.term,
+            lead.primary,
+            duty.token,
+            secrets.token_hex(8),
+        )
+        expected = {
+            name: rows[name].version if name in rows else 0
+            for name in (key, own, DUTY_KEY)
+        }
+        puts = duty_puts | {key: encode_record(record)}
+        self._log.warning(
+            "replacement begun",
+            group=cluster.group.name,
+            generation=record.generation,
+            primary=lead.primary,
+            reason=reason.name.lower(),
+            token=duty.token,
+        )
+        begun_at = boot_clock()
+        await self._commit_intent(expected, puts, key, record)
+        committed_at = boot_clock()
+        cluster.adopt(record.generation, False, lead.term, lead.primary)
+        self._watches[cluster.group.name].begun = record.generation
+        self._announce()
+        return Intent(record.generation, duty.token, begun_at, committed_at)
+
+    def _check_known(self):
+        """Check that every registered daemon counts this one.
+
+        Whoever does not could go on using a primary that this daemon replaces.
+        """
+        for name in self._control.listed:
+            peer = self._roster.peers.get(name)
+            if name != self._roster.vm and (peer is None or not peer.knows_us):
+                raise ReplacementFailed(f"{name} does not count this daemon yet")
+
+    def _claim_duty(self, rows):
+        """Return the DutyRecord to hold and the rows to write for it."""
+        vm, incarnation = self._roster.vm, self._roster.incarnation
+        token = 0
+        if DUTY_KEY in rows:
+            held = decode_record(rows[DUTY_KEY], DutyRecord)
+            if (held.holder, held.incarnation) == (vm, incarnation):
+                return held, {}
+            token = held.token
+        duty = DutyRecord(vm, incarnation, token + 1)
+        return duty, {DUTY_KEY: encode_record(duty)}
+
+    async def _commit_intent(self, expected, puts, key, record):
+        """Commit the intent; a lost answer is settled by sending the same again."""
+        deadline_at = boot_clock() + CALL_TIME * 3
+        while True:
+            try:
+                result = await self._store.commit(TABLE, expected, puts)
+            except PlatformUnavailable:
+                if boot_clock() >= deadline_at:
+                    raise
+                await asyncio.sleep(CALL_PAUSE)
+                continue
+            if isinstance(result, Committed):
+                return
+            row = result.rows.get(key)
+            if row is not None:
+                held = decode_record(row, LeadRecord)
+                if held.attempt == record.attempt:
+                    return
+            raise ReplacementFailed("another daemon was first")
+
+    def _check_others(self, token):
+        """Check that no replacement under another token may still call the platform."""
+        now = boot_clock()
+        for key, row in self._control.rows.items():
+            if not key.startswith(LEAD_PREFIX):
+                continue
+            record = decode_record(row, LeadRecord)
+            cluster = self._clusters.get(key.removeprefix(LEAD_PREFIX))
+            if record.settled or record.token == token or cluster is None:
+                continue
+            if now < takeover_at(cluster.leadership.changed_at):
+                raise ReplacementFailed("another daemon's replacement is under way")
+
+    async def _find_candidate(self, cluster, reason, intent):
+        lead = cluster.leadership
+        others = [
+            (name, one)
+            for name, one in cluster.instances.items()
+            if name != lead.primary
+        ]
+        if not others:
+            raise ReplacementFailed("no other instance")
+        needed = answers_needed(len(others), cluster.group.synchronous)
+        deadline_at = boot_clock() + CALL_TIME
+        while True:
+            found = await asyncio.gather(
+                *(self._ask_candidate(name, one) for name, one in others)
+            )
+            candidates = [one for one in found if one is not None]
+            chosen = choose_candidate(candidates, needed)
+            if chosen is not None:
+                self._log.info(
+                    "candidate chosen",
+                    group=cluster.group.name,
+                    generation=intent.generation,
+                    candidate=chosen,
+                    received=" ".join(
+                        f"{one.name}={one.received}" for one in candidates
+                    ),
+                )
+                return chosen
+            if boot_clock() >= deadline_at:
+                raise ReplacementFailed("too few replicas answer")
+            await asyncio.sleep(POLL_INTERVAL)
+
+    async def _ask_candidate(self, name, runtime):
+        try:
+            status = await runtime.prober.status()
+        except (UpstreamError, TimeoutError) as error:
+            self._log.info(
+                "candidate not reached",
+                instance=name,
+                error=f"{type(error).__name__} {error}",
+            )
+            return None
+        return Candidate(name, status.received, runtime.spec.draining)
+
+    async def _wait_released(self, cluster, intent):
+        names = (self._control.listed | set(self._roster.peers)) - {self._roster.vm}
+        group = cluster.group.name
+        lead = cluster.leadership
+        while lead.released < intent.generation or not is_released(
+            intent, self._released(group, names), boot_clock()
+        ):
+            await asyncio.sleep(POLL_INTERVAL)
+        now = boot_clock()
+        self._log.info(
+            "old primary released",
+            group=group,
+            generation=intent.generation,
+            waited_ms=round((now - intent.committed_at) * 1000),
+            missing=",".join(
+                name
+                for name, released in self._released(group, names).items()
+                if released < intent.generation
+            )
+            or None,
+        )
+
+    def _released(self, group, names):
+        """Return the generation that each other daemon has released."""
+        released = {}
+        for name in names:
+            peer = self._roster.peers.get(name)
+            heartbeat = peer and peer.heartbeat
+            claim = heartbeat and heartbeat.groups.get(group)
+            if heartbeat is not None and heartbeat.leaving:
+                continue
+            released[name] = claim.released if claim else -1
+        return released
+
+    async def _wait_caught_up(self, cluster, candidate):
+        """Wait until the candidate has the old primary's last commits."""
+        old = cluster.instances.get(cluster.leadership.primary)
+        new = cluster.instances[candidate]
+        deadline_at = boot_clock() + CATCH_UP_TIME
+        try:
+            last = await old.prober.ping(read_only=True) if old else None
+            while last is not None and boot_clock() < deadline_at:
+                position = await new.prober.ping(read_only=True)
+                if position is not None and position >= last:
+                    return
+                await asyncio.sleep(POLL_INTERVAL)
+        except (UpstreamError, TimeoutError) as error:
+            last = f"unknown: {type(error).__name__} {error}"
+        self._log.warning(
+            "candidate not caught up", group=cluster.group.name, last=str(last)
+        )
+
+    async def _call(self, cluster, candidate, intent):
+        """Tell the platform who is to lead, as long as nobody else may."""
+        group = cluster.group.name
+        while may_call(intent, boot_clock(), CALL_TIME):
+            try:
+                taken = await self._promotions.promote(
+                    group, candidate, self._roster.vm, intent.token, CALL_TIME
+                )
+            except PlatformUnavailable as error:
+                self._log.warning(
+                    "promotion call failed", group=group, error=str(error)
+                )
+                await asyncio.sleep(CALL_PAUSE)
+                continue
+            self._log.warning(
+                "promotion called",
+                group=group,
+                candidate=candidate,
+                token=intent.token,
+                taken=taken,
+            )
+            if not taken:
+                raise ReplacementFailed(f"{candidate} is not running")
+            return
+        raise ReplacementFailed("no time left to call the platform")
+
+    async def _wait_leading(self, cluster, candidate):
+        """Wait until the candidate takes writes and return its term."""
+        runtime = cluster.instances[candidate]
+        old_term = cluster.leadership.term
+        deadline_at = boot_clock() + LEAD_TIME
+        while boot_clock() < deadline_at:
+            try:
+                position = await runtime.prober.ping(read_only=False)
+            except (UpstreamError, TimeoutError) as error:
+                self._log.info("new primary not reached", error=str(error))
+                position = None
+            if position is not None:
+                return max(position.term, old_term)
+            await asyncio.sleep(POLL_INTERVAL)
+        raise ReplacementFailed(f"{candidate} does not take writes")
+
+    async def _settle(self, cluster, candidate, term, intent):
+        """Let everyone use the new primary, and write it to the store."""
+        lead = cluster.leadership
+        if lead.generation != intent.generation:
+            raise ReplacementFailed("another replacement came after this one")
+        cluster.adopt(intent.generation, True, term, candidate)
+        self._announce()
+        group = cluster.group.name
+        row = self._control.rows.get(lead_key(group))
+        if row is not None:
+            self._control.pending[group] = row.version
--- a/cardamomdrift/limits/shares.py
+++ b/cardamomdrift/limits/shares.py
@@ -10,6 +10,8 @@
 
 from dataclasses import dataclass
 
+from cardamomdrift.membership.rendezvous import rank
+
 OPERATOR_RESERVE = 1  # connections left to operators' own tools
 
 
@@ -64,3 +66,21 @@
         VMs counted.
     """
     return max((limit - OPERATOR_RESERVE) // max(members, 1), 0)
+
+
+def divide(limit, members, vm, instance):
+    """Return the connections to an instance that a VM may open, all of them used.
+
+    What is left after equal shares goes to the VMs that rank first for the instance.
+
+    Parameters
+    ----------
+    limit : int
+        Connections that the instance takes.
+    members : sequence of str
+        Names of all VMs counted, this one included.
+    vm : str
+    instance : str
+    """
+    share, rest = divmod(limit - OPERATOR_RESERVE, len(members))
+    return share + (rank(instance, members).index(vm) < rest)
--- /dev/null
+++ b/cardamomdrift/membership/instance_list.py
@@ -0,0 +1,74 @@
+"""
+Instance list
+=============
+
+The instances that the platform's list names.  An entry that vanishes is kept for a
+while, since entries may lapse while the store is away although the instance lives.
+"""
+
+from dataclasses import dataclass
+
+HOLD_TIME = 2.5  # seconds; a lapsed entry is back 2 s after the store's return
+
+
+@dataclass(slots=True)
+class _Entry:
+    record: object
+    missing_since: float | None = None
+
+
+class InstanceList:
+    """Known instances; times are in seconds of the loop's clock."""
+
+    def __init__(self):
+        self._entries = {}
+
+    def take(self, records, now):
+        """Take in all entries that the list has.
+
+        Parameters
+        ----------
+        records : dict of str to InstanceRecord
+        now : float
+        """
+        for name, record in records.items():
+            self._entries[name] = _Entry(record)
+        for name, entry in self._entries.items():
+            if name not in records and entry.missing_since is None:
+                entry.missing_since = now
+
+    def note_outage(self, now):
+        """Take in that the store does not answer: nothing counts as gone yet."""
+        for entry in self._entries.values():
+            if entry.missing_since is not None:
+                entry.missing_since = now
+
+    def expire(self, now):
+        """Forget what has been missing for long; return the names."""
+        gone = [
+            name
+            for name, entry in self._entries.items()
+            if entry.missing_since is not None
+            and now - entry.missing_since >= HOLD_TIME
+        ]
+        for name in gone:
+            del self._entries[name]
+        return gone
+
+    def of_group(self, group):
+        """Return the records of a group, by name."""
+        return {
+            name: entry.record
+            for name, entry in self._entries.items()
+            if entry.record.group == group
+        }
+
+    def missing_for(self, name, now):
+        """Return for how many seconds an instance has been missing from the list."""
+        entry = self._entries.get(name)
+        if entry is None:
+            return HOLD_TIME
+        return 0.0 if entry.missing_since is None else now - entry.missing_since
+
+    def __len__(self):
+        return len(self._entries)
--- /dev/null
+++ b/cardamomdrift/peers/announcer.py
@@ -0,0 +1,188 @@
+"""
+Announcer
+=========
+
+Sends this daemon's heartbeats and takes in those of the others.
+"""
+
+import asyncio
+
+from cardamomdrift.clock import boot_clock
+from cardamomdrift.peers.heartbeat import GroupClaim, Heartbeat
+from cardamomdrift.util import cancel_all
+
+INTERVAL = 0.2  # seconds; six heartbeats within the time of permission
+LOST_TIME = 1.0  # seconds without a heartbeat before a daemon counts as lost in the log
+
+
+class Announcer:
+    """This daemon's heartbeats; an async context manager.
+
+    Parameters
+    ----------
+    roster : Roster
+    permission : Permission
+    control : ControlPlane
+    clusters : Clusters
+    configuration : Configuration
+    on_change : callable
+        Called after who counts has changed.
+    log : structlog logger
+    """
+
+    def __init__(
+        self, roster, permission, control, clusters, configuration, on_change, log
+    ):
+        self._roster = roster
+        self._permission = permission
+        self._control = control
+        self._clusters = clusters
+        self._configuration = configuration
+        self._on_change = on_change
+        self._log = log
+        self._port = None
+        self._poked = asyncio.Event()
+        self._lost = set()
+        self._task = None
+        self.leaving = False
+
+    def use_port(self, port):
+        """Take the HeartbeatPort to send through."""
+        self._port = port
+
+    async def __aenter__(self):
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await cancel_all([self._task])
+
+    def announce(self):
+        """Send heartbeats at once."""
+        self._poked.set()
+
+    async def _run(self):
+        while True:
+            now = boot_clock()
+            self.send_all()
+            self._note_lost(now)
+            self._permission.note_roster(now)
+            try:
+                async with asyncio.timeout(INTERVAL):
+                    await self._poked.wait()
+            except TimeoutError:
+                pass
+            self._poked.clear()
+
+    # Sending
+
+    def send_all(self):
+        """Send a heartbeat to every daemon that this one counts."""
+        now = boot_clock()
+        members = self._roster.addresses()
+        groups = {one.group.name: self._claim(one, now) for one in self._clusters}
+        for peer in list(self._roster.peers.values()):
+            self._send(peer, now, members, groups)
+
+    def _send(self, peer, now, members, groups):
+        last = peer.heartbeat
+        confirmed = self._permission.confirmed_at
+        heartbeat = Heartbeat(
+            sender=self._roster.vm,
+            incarnation=self._roster.incarnation,
+            stamp=now,
+            echo_incarnation=last.incarnation if last else "",
+            echo=last.stamp if last else 0.0,
+            held=now - peer.heard_at if last else 0.0,
+            members=members,
+            confirmed_age=now - confirmed if confirmed > 0 else None,
+            listed=peer.name in self._control.listed,
+            store_reachable=self._control.reachable,
+            version=self._configuration.version,
+            leaving=self.leaving,
+            groups=groups,
+        )
+        self._port.send(peer.address, heartbeat)
+
+    @staticmethod
+    def _claim(cluster, now):
+        lead = cluster.leadership
+        sample = cluster.newest_sample()
+        runtime = cluster.instances.get(lead.primary)
+        loop_now = cluster.clock()
+        contact = silence = None
+        if runtime is not None:
+            silence = runtime.silence.unanswered(loop_now)
+            if runtime.answered_at is not None:
+                contact = loop_now - runtime.answered_at
+        return GroupClaim(
+            generation=lead.generation,
+            settled=lead.settled,
+            term=lead.term,
+            primary=lead.primary,
+            released=lead.released,
+            position=(sample.floor.term, sample.floor.sequence) if sample else None,
+            position_age=now - sample.begun_at if sample else 0.0,
+            contact_age=contact,
+            silence=silence or 0.0,
+        )
+
+    # Receiving
+
+    def take(self, heartbeat):
+        """Take in another daemon's heartbeat."""
+        now = boot_clock()
+        known = self._roster.peers.get(heartbeat.sender)
+        if not self._roster.take(heartbeat, now):
+            return
+        peer = self._roster.peers[heartbeat.sender]
+        if not self._control.listed:
+            # The store cannot be read yet; the others know who counts.
+            for name, address in heartbeat.members.items():
+                self._roster.add(name, address, now)
+        news = self._take_claims(peer, now)
+        usable = self._permission.holds(now)
+        self._permission.note_relayed(peer)
+        self._permission.note_roster(now)
+        self._configuration.hint(heartbeat.version, f"{peer.address}:{self._port.port}")
+        if known is None:
+            self._log.info("daemon heard", member=peer.name, address=peer.address)
+            self._on_change()
+        elif not usable and self._permission.holds(now):
+            self._clusters.pump()
+        if news or not peer.knows_us or known is None:
+            self._poked.set()
+
+    def _take_claims(self, peer, now):
+        """Take in what a heartbeat says of the groups; return whether it is news."""
+        news = False
+        for group, claim in peer.heartbeat.groups.items():
+            cluster = self._clusters.get(group)
+            if cluster is None:
+                continue
+            if cluster.adopt(
+                claim.generation, claim.settled, claim.term, claim.primary
+            ):
+                news = True
+                self._log.warning(
+                    "primary changed" if claim.settled else "replacement seen",
+                    group=group,
+                    generation=claim.generation,
+                    primary=claim.primary,
+                    term=claim.term,
+                    source=peer.name,
+                )
+            if claim.position is not None and peer.sent_after is not None:
+                begun = peer.sent_after - claim.position_age
+                cluster.take_sample(begun, claim.position)
+        return news
+
+    def _note_lost(self, now):
+        for name in self._roster.peers:
+            fresh = self._roster.is_fresh(name, now, LOST_TIME)
+            if fresh and name in self._lost:
+                self._lost.discard(name)
+                self._log.info("daemon heard again", member=name)
+            elif not fresh and name not in self._lost:
+                self._lost.add(name)
+                self._log.warning("daemon silent", member=name)
--- /dev/null
+++ b/cardamomdrift/peers/heartbeat.py
@@ -0,0 +1,164 @@
+"""
+Heartbeats
+==========
+
+What daemons tell each other several times a second, by datagram: the newest replaces
+all before, and there is no connection that could go silent.  A heartbeat echoes the
+receiver's last stamp, which proves to the receiver when it was sent at the earliest.
+"""
+
+import asyncio
+
+import msgspec
+
+SIZE_LIMIT = 60_000  # bytes of one datagram
+
+
+class GroupClaim(msgspec.Struct, array_like=True, frozen=True):
+    """What a daemon knows of one database group; times are in seconds.
+
+    Attributes
+    ----------
+    generation : int
+        Number of the last replacement of the group's primary that it knows.
+    settled : bool
+        Whether that replacement has ended, so that ``primary`` leads.
+    term : int
+    primary : str
+    released : int
+        Generation for which it has stopped using all earlier primaries.
+    position : (int, int) or None
+        What the primary's log had reached.
+    position_age : float
+        How long ago that was at the latest.
+    contact_age : float or None
+        How long ago the primary last answered it.
+    silence : float
+        For how long the primary has answered it nothing.
+    """
+
+    generation: int
+    settled: bool
+    term: int
+    primary: str
+    released: int
+    position: tuple[int, int] | None = None
+    position_age: float = 0.0
+    contact_age: float | None = None
+    silence: float = 0.0
+
+
+class Heartbeat(msgspec.Struct, array_like=True, frozen=True):
+    """A daemon's state; times are in seconds of its boot clock.
+
+    Attributes
+    ----------
+    sender : str
+    incarnation : str
+        Changes when the daemon starts or registers again.
+    stamp : float
+        When it was sent.
+    echo_incarnation : str
+        Incarnation of the receiver that the echo belongs to; empty without an echo.
+    echo : float
+        Newest stamp of the receiver.
+    held : float
+        Seconds from the echoed stamp's arrival to this heartbeat.
+    members : dict of str to str
+        Address of every daemon that the sender counts, itself included.
+    confirmed_age : float or None
+        How long ago the sender began the last read of the store that all its claims
+        include.
+    listed : bool
+        Whether the receiver was registered in that read.
+    store_reachable : bool
+    version : int
+        Configuration in force.
+    leaving : bool
+        Whether the sender will promote nothing any more.
+    groups : dict of str to GroupClaim
+    """
+
+    sender: str
+    incarnation: str
+    stamp: float
+    echo_incarnation: str
+    echo: float
+    held: float
+    members: dict[str, str]
+    confirmed_age: float | None
+    listed: bool
+    store_reachable: bool
+    version: int
+    leaving: bool
+    groups: dict[str, GroupClaim]
+
+
+class _Datagrams(asyncio.DatagramProtocol):
+    """Passes datagrams on; a failed one is made up for by the next heartbeat."""
+
+    def __init__(self, on_data, log):
+        self._on_data = on_data
+        self._log = log
+
+    def datagram_received(self, data, _address):
+        self._on_data(data)
+
+    def error_received(self, error):
+        self._log.debug("heartbeat not delivered", error=str(error))
+
+
+class HeartbeatPort:
+    """Sends and receives heartbeats; an async context manager.
+
+    Parameters
+    ----------
+    address : str
+    port : int
+        The same on every VM.
+    on_heartbeat : callable
+        Takes a Heartbeat.
+    log : structlog logger
+    """
+
+    def __init__(self, address, port, on_heartbeat, log):
+        self._address = address
+        self._port = port
+        self._on_heartbeat = on_heartbeat
+        self._log = log
+        self._transport = None
+        self._encode = msgspec.msgpack.Encoder().encode
+        self._decode = msgspec.msgpack.Decoder(Heartbeat).decode
+        self.sent_bytes = 0
+
+    @property
+    def port(self):
+        """Port on every VM."""
+        return self._port
+
+    async def __aenter__(self):
+        self._transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: _Datagrams(self._receive, self._log),
+            local_addr=(self._address, self._port),
+        )
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self._transport.close()
+
+    def send(self, address, heartbeat):
+        """Send a heartbeat to the daemon on a VM."""
+        data = self._encode(heartbeat)
+        if len(data) > SIZE_LIMIT:
+            self._log.error("heartbeat too large", size=len(data), limit=SIZE_LIMIT)
+            return
+        self.sent_bytes += len(data)
+        self._transport.sendto(data, (address, self._port))
+
+    def _receive(self, data):
+        try:
+            heartbeat = self._decode(data)
+        except msgspec.DecodeError:
+            self._log.warning("heartbeat not understood", size=len(data))
+            return
+        self._on_heartbeat(heartbeat)
--- a/cardamomdrift/peers/link.py
+++ b/cardamomdrift/peers/link.py
@@ -34,6 +34,47 @@
     return f"{host}:{int(port) + 1}"
 
 
+class AnswerPort:
+    """Answers the questions of other daemons and tools; an async context manager.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` for news; questions use the next port.
+    on_query : coroutine function
+        Takes a query and returns the reply.
+    log : structlog logger
+    """
+
+    def __init__(self, address, on_query, log):
+        self._address = address
+        self._on_query = on_query
+        self._log = log
+        self._replier = None
+        self._task = None
+
+    async def __aenter__(self):
+        self._replier = Rep0(
+            listen=f"tcp://{query_address(self._address)}", recv_max_size=MESSAGE_LIMIT
+        )
+        self._task = asyncio.create_task(self._reply())
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await cancel_all([self._task])
+        self._replier.close()
+
+    async def _reply(self):
+        while True:
+            data = await self._replier.arecv()
+            try:
+                reply = await self._on_query(decode_query(data))
+            except msgspec.DecodeError:
+                self._log.warning("query not understood", size=len(data))
+                continue
+            await self._replier.asend(encode(reply))
+
+
 class PeerLink:
     """This daemon's end of the talk between daemons; an async context manager.
 
@@ -53,11 +94,10 @@
         self._vm = vm
         self._address = address
         self._on_news = on_news
-        self._on_query = on_query
+        self._answers = AnswerPort(address, on_query, log)
         self._log = log
         self._publisher = None
         self._subscriber = None
-        self._replier = None
         self._dialers = {}
         self._tasks = []
         self._sent_bytes = 0
@@ -82,18 +122,14 @@
             recv_buffer_size=RECEIVE_BUFFER,
             recv_max_size=MESSAGE_LIMIT,
         )
-        self._replier = Rep0(
-            listen=f"tcp://{query_address(self._address)}", recv_max_size=MESSAGE_LIMIT
-        )
-        self._tasks = [
-            asyncio.create_task(self._receive()),
-            asyncio.create_task(self._reply()),
-        ]
+        self._tasks = [asyncio.create_task(self._receive())]
+        await self._answers.__aenter__()
         return self
 
     async def __aexit__(self, *exc_info):
+        await self._answers.__aexit__(*exc_info)
         await cancel_all(self._tasks)
-        for socket in (self._publisher, self._subscriber, self._replier):
+        for socket in (self._publisher, self._subscriber):
             socket.close()
 
     def set_peers(self, addresses):
@@ -131,16 +167,6 @@
             except msgspec.DecodeError:
                 self._log.warning("news not understood", size=len(data))
 
-    async def _reply(self):
-        while True:
-            data = await self._replier.arecv()
-            try:
-                reply = await self._on_query(decode_query(data))
-            except msgspec.DecodeError:
-                self._log.warning("query not understood", size=len(data))
-                continue
-            await self._replier.asend(encode(reply))
-
 
 async def ask(address, query, timeout=QUERY_TIMEOUT):
     """Ask a daemon and return its reply, or None if there was none in time.
--- /dev/null
+++ b/cardamomdrift/peers/roster.py
@@ -0,0 +1,161 @@
+"""
+Roster
+======
+
+The daemons that this one counts, what each said last, and when that was true.  Pure:
+it only takes in heartbeats and reads of the store.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Peer:
+    """One other daemon; times are in seconds of this VM's boot clock.
+
+    Attributes
+    ----------
+    name : str
+    address : str
+    heartbeat : Heartbeat or None
+        The newest one.
+    heard_at : float or None
+        When it came.
+    sent_after : float or None
+        When it was sent at the earliest, as its echo proves.
+    knows_us : bool
+        Whether it has echoed a stamp of this incarnation.
+    added_at : float
+    """
+
+    name: str
+    address: str
+    added_at: float
+    heartbeat: object = None
+    heard_at: float | None = None
+    sent_after: float | None = None
+    knows_us: bool = False
+
+
+class Roster:
+    """Daemons that this one counts.
+
+    Parameters
+    ----------
+    vm : str
+    address : str
+    incarnation : str
+    """
+
+    def __init__(self, vm, address, incarnation):
+        self._vm = vm
+        self._address = address
+        self._incarnation = incarnation
+        self._peers = {}
+
+    @property
+    def vm(self):
+        """Name of this VM."""
+        return self._vm
+
+    @property
+    def incarnation(self):
+        """What this daemon calls its present registration."""
+        return self._incarnation
+
+    @property
+    def peers(self):
+        """Other daemons, by name."""
+        return self._peers
+
+    @property
+    def names(self):
+        """Names of all daemons, this one included, sorted."""
+        return tuple(sorted((*self._peers, self._vm)))
+
+    def addresses(self):
+        """Return the address of each daemon, this one included."""
+        known = {name: peer.address for name, peer in self._peers.items()}
+        known[self._vm] = self._address
+        return known
+
+    def renew(self, incarnation):
+        """Begin a new registration: nobody counts as knowing this daemon."""
+        self._incarnation = incarnation
+        for peer in self._peers.values():
+            peer.knows_us = False
+            peer.sent_after = None
+
+    def add(self, name, address, now):
+        """Count a daemon; return whether it is new."""
+        if name == self._vm:
+            return False
+        peer = self._peers.get(name)
+        if peer is None:
+            self._peers[name] = Peer(name, address, now)
+            return True
+        if peer.address != address:
+            peer.address = address
+        return False
+
+    def remove(self, name):
+        """Stop counting a daemon that can promote nothing any more."""
+        return self._peers.pop(name, None) is not None
+
+    def take(self, heartbeat, now):
+        """Take in a heartbeat; return whether it is newer than the last one."""
+        name = heartbeat.sender
+        address = heartbeat.members.get(name)
+        if name == self._vm or address is None:
+            return False
+        self.add(name, address, now)
+        peer = self._peers[name]
+        last = peer.heartbeat
+        same = last is not None and last.incarnation == heartbeat.incarnation
+        if same and heartbeat.stamp <= last.stamp:
+            return False
+        peer.heartbeat = heartbeat
+        peer.heard_at = now
+        if heartbeat.echo_incarnation == self._incarnation:
+            peer.knows_us = True
+            peer.sent_after = heartbeat.echo + heartbeat.held
+        elif not same:
+            # A restarted daemon may not know of this one yet.
+            peer.knows_us = False
+            peer.sent_after = None
+        return True
+
+    def is_fresh(self, name, now, limit):
+        """Whether a daemon's last heartbeat came within some seconds."""
+        peer = self._peers.get(name)
+        heard = peer is not None and peer.heard_at is not None
+        return heard and now - peer.heard_at <= limit
+
+    def live(self, now, limit):
+        """Return the names of the daemons heard within some seconds, and this one."""
+        fresh = [name for name in self._peers if self.is_fresh(name, now, limit)]
+        return tuple(sorted((*fresh, self._vm)))
+
+    def settle(self, registered, now):
+        """Take in the registered daemons of a read of the store.
+
+        A daemon whose row is gone can promote nothing until it registers again, and
+        then only after this one has heard from it, so it need not be counted.
+
+        Parameters
+        ----------
+        registered : dict of str to str
+            Addresses by name.
+        now : float
+
+        Returns
+        -------
+        bool
+            Whether the daemons counted have changed.
+        """
+        before = set(self._peers)
+        for name, address in registered.items():
+            self.add(name, address, now)
+        for name in before - registered.keys():
+            del self._peers[name]
+        return before != set(self._peers)
--- a/cardamomdrift/platform/__init__.py
+++ b/cardamomdrift/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform's table service and object store."""
+"""Names, formats and calls of the users' platform; nothing here decides."""
--- /dev/null
+++ b/cardamomdrift/platform/callers.py
@@ -0,0 +1,176 @@
+"""
+Callers
+=======
+
+Serves callers over the line protocol: one task for each connection, one statement at a
+time.
+"""
+
+import asyncio
+
+from cardamomdrift.errors import (
+    BadRequest,
+    CallerError,
+    PacketTooLarge,
+    UnknownDatabase,
+    UpstreamLost,
+)
+from cardamomdrift.platform.lines import (
+    Query,
+    Start,
+    Terminate,
+    parse_message,
+    render_answer,
+    render_error,
+    render_failure,
+    render_ready,
+)
+from cardamomdrift.platform.stream import LineStream
+from cardamomdrift.ports import TransactionState
+from cardamomdrift.sessions.commands import Malformed
+from cardamomdrift.sessions.handler import SessionHandler
+from cardamomdrift.util import cancel_all
+
+START_TIME = 2.0  # seconds; callers give up on a session that takes longer
+BACKLOG = 1024  # connections that wait to be taken
+CLOSE_TIME = 0.2  # seconds for the last answers to leave
+
+
+class _Session:
+    """One caller's connection and where it stands."""
+
+    def __init__(self, stream):
+        self.stream = stream
+        self.handler = None
+        self.task = None
+        self.busy = False
+
+    @property
+    def idle(self):
+        """Whether closing it cuts nothing off."""
+        if self.busy or self.stream.pending:
+            return False
+        return self.handler is None or self.handler.state is TransactionState.IDLE
+
+
+class CallerServer:
+    """Listens for callers; an async context manager.
+
+    Parameters
+    ----------
+    address : (str, int)
+    service : Clusters
+    log : structlog logger
+    """
+
+    def __init__(self, address, service, log):
+        self._address = address
+        self._service = service
+        self._log = log
+        self._server = None
+        self._sessions = set()
+        self._leaving = False
+
+    @property
+    def sessions(self):
+        """Number of callers connected."""
+        return len(self._sessions)
+
+    async def __aenter__(self):
+        loop = asyncio.get_running_loop()
+        host, port = self._address
+        self._server = await loop.create_server(
+            lambda: LineStream(self._accept), host, port, backlog=BACKLOG
+        )
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self._server.close()
+        await cancel_all([one.task for one in self._sessions])
+
+    def _accept(self, stream):
+        session = _Session(stream)
+        self._sessions.add(session)
+        session.task = asyncio.create_task(self._serve(session))
+
+    async def _serve(self, session):
+        try:
+            if await self._start(session):
+                await self._serve_queries(session)
+        except UpstreamLost:
+            # The caller has closed its connection.
+            return
+        except PacketTooLarge as error:
+            self._log.warning("caller's message too large", error=str(error))
+        finally:
+            self._sessions.discard(session)
+            session.stream.close()
+            if session.handler is not None:
+                await session.handler.close()
+
+    async def _start(self, session):
+        """Answer START; return whether the session is open."""
+        stream = session.stream
+        try:
+            async with asyncio.timeout(START_TIME):
+                message = parse_message(await stream.read_line())
+        except TimeoutError:
+            return False
+        match message:
+            case Start(database, _user):
+                pass
+            case Malformed(reason):
+                stream.write(render_error(BadRequest(reason)))
+                return False
+            case _:
+                stream.write(render_error(BadRequest("START comes first")))
+                return False
+        if self._service.route_of(database) is None:
+            error = UnknownDatabase(f"no route for database {database}")
+            self._log.info("session refused", database=database, reason=str(error))
+            stream.write(render_error(error))
+            return False
+        caller = f"{stream.peer[0]}:{stream.peer[1]}"
+        session.handler = SessionHandler(self._service, database, caller)
+        stream.write(render_ready(TransactionState.IDLE, None))
+        return True
+
+    async def _serve_queries(self, session):
+        stream = session.stream
+        while True:
+            line = await stream.read_line()
+            session.busy = True
+            match parse_message(line):
+                case Query(request_id, command):
+                    await self._answer(session, request_id, command)
+                case Terminate():
+                    return
+                case Malformed(reason):
+                    stream.write(render_error(BadRequest(reason)))
+                    return
+                case _:
+                    stream.write(render_error(BadRequest("the session is open")))
+                    return
+            session.busy = False
+            if self._leaving and session.idle:
+                return
+            await stream.drain()
+
+    async def _answer(self, session, request_id, command):
+        handler = session.handler
+        try:
+            answer = await handler.handle(request_id, command)
+        except CallerError as error:
+            data = render_failure(error, handler.state, handler.position)
+        else:
+            data = render_answer(
+                answer.rows, answer.signature, handler.state, answer.position
+            )
+        session.stream.write(data)
+
+    def close_idle(self):
+        """Close the sessions that wait for nothing; the others when they do."""
+        self._leaving = True
+        for session in list(self._sessions):
+            if session.idle:
+                session.stream.close()
--- /dev/null
+++ b/cardamomdrift/platform/connection.py
@@ -0,0 +1,153 @@
+"""
+Instance connection
+===================
+
+One connection to an instance over the line protocol.  A connection whose answer is
+outstanding, cut or unreadable is broken for good.
+"""
+
+import asyncio
+
+from cardamomdrift.errors import (
+    PacketTooLarge,
+    UpstreamBusy,
+    UpstreamLost,
+    UpstreamMismatch,
+    UpstreamUnreachable,
+)
+from cardamomdrift.platform.lines import (
+    OWN_ID,
+    REFUSALS,
+    STATUS,
+    parse_ready,
+    parse_status,
+    render_command,
+    render_query,
+)
+from cardamomdrift.platform.stream import LineStream
+from cardamomdrift.ports import Refusal, Reply, TransactionState
+from cardamomdrift.sessions.state import LoadedState
+
+
+class LineConnection:
+    """One open connection to an instance; see `ports.InstanceConnection`."""
+
+    def __init__(self, stream, position):
+        self._stream = stream
+        self._outstanding = False
+        self._broken = False
+        self.loaded = LoadedState()
+        self.state = TransactionState.IDLE
+        self.position = position
+        self.opened_at = 0.0
+        self.idle_since = 0.0
+
+    @property
+    def reusable(self):
+        """Whether the next request may use the connection."""
+        stream = self._stream
+        return not (
+            self._broken or self._outstanding or stream.closed or stream.pending
+        )
+
+    def close(self):
+        """Close the connection at once."""
+        self._broken = True
+        self._stream.abort()
+
+    async def exchange(self, steps):
+        """Send statements in one write and return their replies in order."""
+        texts = [(request_id, render_command(command)) for request_id, command in steps]
+        return await self._exchange(texts)
+
+    async def status(self):
+        """Return what the instance says of itself."""
+        [reply] = await self._exchange([(None, STATUS)])
+        if reply.refusal is not None or not reply.rows:
+            raise UpstreamBusy(f"status refused: {reply.code}")
+        return parse_status(reply.rows[0])
+
+    async def _exchange(self, texts):
+        if not self.reusable:
+            raise UpstreamUnreachable("connection is closed")
+        self._outstanding = True
+        lines = [render_query(request_id, text) for request_id, text in texts]
+        data = "".join(lines).encode("utf-8", "surrogateescape")
+        try:
+            self._stream.write(data)
+            replies = [await self._read_reply() for _ in texts]
+        except PacketTooLarge as error:
+            self.close()
+            raise UpstreamLost(str(error)) from error
+        except BaseException:
+            self.close()
+            raise
+        self._outstanding = False
+        return replies
+
+    async def _read_reply(self):
+        reply = Reply(rows=[])
+        while True:
+            word, _, rest = (await self._stream.read_line()).partition(" ")
+            match word:
+                case "ROW":
+                    reply.rows.append(rest)
+                case "COMPLETE":
+                    reply.signature = rest
+                case "ERROR":
+                    reply.code, _, reply.detail = rest.partition(" ")
+                    reply.refusal = REFUSALS.get(reply.code, Refusal.OTHER)
+                case "READY":
+                    reply.state, reply.position = parse_ready(rest)
+                    self.state = reply.state
+                    if reply.position is not None:
+                        self.position = reply.position
+                    return reply
+                case _:
+                    raise UpstreamLost(f"unknown message {word[:20]!r}")
+
+
+def make_connector(record, who):
+    """Return a coroutine function that opens connections to one instance.
+
+    Parameters
+    ----------
+    record : InstanceRecord
+    who : str
+        Name of this VM.
+    """
+
+    async def connect(timeout):
+        try:
+            async with asyncio.timeout(timeout):
+                return await _open(record, who)
+        except TimeoutError as error:
+            raise UpstreamUnreachable("handshake timed out") from error
+        except OSError as error:
+            raise UpstreamUnreachable(str(error)) from error
+
+    return connect
+
+
+async def _open(record, who):
+    loop = asyncio.get_running_loop()
+    _, stream = await loop.create_connection(LineStream, record.address, record.port)
+    try:
+        start = f"START {record.group} {who or OWN_ID} {record.name}\r\n"
+        stream.write(start.encode())
+        word, _, rest = (await stream.read_line()).partition(" ")
+    except UpstreamLost as error:
+        raise UpstreamUnreachable(str(error)) from error
+    except BaseException:
+        stream.abort()
+        raise
+    if word == "READY":
+        return LineConnection(stream, parse_ready(rest)[1])
+    stream.abort()
+    code = rest.partition(" ")[0]
+    match REFUSALS.get(code):
+        case Refusal.TOO_MANY_CONNECTIONS | Refusal.BUSY:
+            raise UpstreamBusy(rest)
+        case Refusal.WRONG_INSTANCE:
+            raise UpstreamMismatch(rest)
+    raise UpstreamUnreachable(f"{word} {rest}"[:80])
--- /dev/null
+++ b/cardamomdrift/platform/lines.py
@@ -0,0 +1,252 @@
+"""
+Line protocol
+=============
+
+Texts of the platform's wire protocol to and from the project's types.  A line is a word
+and its fields, separated by blanks; the last field extends to the end of the line.
+"""
+
+from dataclasses import dataclass
+
+from cardamomdrift.errors import (
+    BadRequest,
+    CallerError,
+    DeadlinePassed,
+    NoPrimary,
+    OutcomeUnknown,
+    Overloaded,
+    ReadFailed,
+    RefusedByInstance,
+    UnknownDatabase,
+    UnknownStatement,
+)
+from cardamomdrift.ports import InstanceStatus, Refusal, TransactionState
+from cardamomdrift.position import parse_position
+from cardamomdrift.sessions.commands import (
+    Begin,
+    Commit,
+    Discard,
+    Execute,
+    Malformed,
+    Prepare,
+    Read,
+    Reset,
+    Rollback,
+    SetValue,
+    StepDown,
+    Write,
+)
+
+LINE_END = b"\r\n"
+LINE_LIMIT = 1024 * 1024  # bytes of one message
+OWN_ID = "-"  # id of the daemon's own statements
+NO_POSITION = "-"
+POSITION_SEPARATOR = "."
+STATUS = "STATUS"
+
+STATES = {
+    TransactionState.IDLE: "I",
+    TransactionState.OPEN: "T",
+    TransactionState.FAILED: "E",
+}
+_STATE_OF = {word: state for state, word in STATES.items()}
+
+REFUSALS = {
+    "BUSY": Refusal.BUSY,
+    "LAGGING": Refusal.BEHIND,
+    "READONLY": Refusal.READ_ONLY,
+    "WRONGNODE": Refusal.WRONG_INSTANCE,
+    "CONNLIMIT": Refusal.TOO_MANY_CONNECTIONS,
+    "NOSUCHSTMT": Refusal.NO_SUCH_STATEMENT,
+    "EXECFAIL": Refusal.FAILED,
+    "TIMEOUT": Refusal.TIMED_OUT,
+}
+
+# The first class that fits gives the word; BUSY and ABORTED promise that nothing
+# is kept.
+_ERROR_WORDS = (
+    (OutcomeUnknown, "INDOUBT"),
+    (ReadFailed, "TIMEOUT"),
+    (UnknownDatabase, "NOSUCHDB"),
+    (UnknownStatement, "NOSUCHSTMT"),
+    (BadRequest, "MALFORMED"),
+    (Overloaded, "BUSY"),
+    (DeadlinePassed, "BUSY"),
+    (NoPrimary, "BUSY"),
+    (CallerError, "ABORTED"),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """A caller opens a session."""
+
+    database: str
+    user: str
+
+
+@dataclass(frozen=True, slots=True)
+class Query:
+    """A caller asks for a command under an id of its own."""
+
+    request_id: str
+    command: object
+
+
+@dataclass(frozen=True, slots=True)
+class Terminate:
+    """A caller ends its session."""
+
+
+def parse_message(line):
+    """Return the Start, Query, Terminate or Malformed in a caller's line."""
+    word, _, rest = line.partition(" ")
+    match word:
+        case "QUERY":
+            request_id, _, text = rest.partition(" ")
+            if not request_id or not text:
+                return Malformed("QUERY needs an id and a text")
+            return Query(request_id, parse_command(text))
+        case "START":
+            database, _, user = rest.partition(" ")
+            return Start(database, user) if database else Malformed("no database")
+        case "TERM":
+            return Terminate()
+    return Malformed("unknown message")
+
+
+def parse_command(text):
+    """Return the command in a query's text."""
+    word, _, rest = text.partition(" ")
+    parse = _COMMANDS.get(word)
+    return Malformed("unknown statement") if parse is None else parse(text, rest)
+
+
+def _parse_begin(_text, rest):
+    if rest not in ("", "READ"):
+        return Malformed("BEGIN takes READ or nothing")
+    return Begin(read_only=rest == "READ")
+
+
+def _parse_set(_text, rest):
+    name, _, value = rest.partition(" ")
+    return SetValue(name, value) if name else Malformed("SET needs a name")
+
+
+def _parse_prepare(_text, rest):
+    fields = rest.split(" ", 2)
+    if len(fields) < 3 or fields[1] not in ("READ", "WRITE"):
+        return Malformed("PARSE needs a name, READ or WRITE, and a shape")
+    return Prepare(fields[0], fields[1] == "WRITE", fields[2])
+
+
+def _parse_execute(_text, rest):
+    name, _, arguments = rest.partition(" ")
+    return Execute(name, arguments) if name else Malformed("EXECUTE needs a name")
+
+
+_COMMANDS = {
+    "BEGIN": _parse_begin,
+    "COMMIT": lambda _text, rest: (
+        Malformed("COMMIT takes nothing") if rest else Commit()
+    ),
+    "ROLLBACK": lambda _text, _rest: Rollback(),
+    "READ": lambda text, _rest: Read(text),
+    "WRITE": lambda text, _rest: Write(text),
+    "SET": _parse_set,
+    "PARSE": _parse_prepare,
+    "EXECUTE": _parse_execute,
+    "CLOSE": lambda _text, rest: Discard(rest),
+}
+
+
+def _wait_for(floor):
+    if floor is None:
+        return ""
+    return f"WAITLSN {floor.term}{POSITION_SEPARATOR}{floor.sequence} "
+
+
+def render_command(command):
+    """Return the text of a command as an instance takes it."""
+    match command:
+        case Read(text, floor):
+            return _wait_for(floor) + text
+        case Write(text):
+            return text
+        case Execute(name, arguments, floor):
+            return f"{_wait_for(floor)}EXECUTE {name} {arguments}".rstrip(" ")
+        case Begin(read_only, floor):
+            return _wait_for(floor) + ("BEGIN READ" if read_only else "BEGIN")
+        case Commit():
+            return "COMMIT"
+        case Rollback():
+            return "ROLLBACK"
+        case SetValue(name, value):
+            return f"SET {name} {value}"
+        case Prepare(name, writes, shape):
+            return f"PARSE {name} {'WRITE' if writes else 'READ'} {shape}"
+        case Reset():
+            return "RESET"
+        case StepDown(term):
+            return f"STEPDOWN {term}"
+    raise TypeError(f"no text for {type(command).__name__}")
+
+
+def render_query(request_id, text):
+    """Return the line of a query to an instance."""
+    return f"QUERY {request_id or OWN_ID} {text}\r\n"
+
+
+def parse_ready(rest):
+    """Return the transaction state and position in the fields of READY."""
+    state, _, position = rest.partition(" ")
+    found = parse_position(position, POSITION_SEPARATOR)
+    return _STATE_OF.get(state, TransactionState.FAILED), found
+
+
+def parse_status(row):
+    """Return the InstanceStatus in the row of a STATUS.
+
+    The row's fourth field is the term that the instance holds back for, not the one
+    that it follows.
+    """
+    fields = row.split(" ")
+    received = parse_position(fields[2], POSITION_SEPARATOR)
+    return InstanceStatus(fields[0] == "primary", int(fields[1]), received)
+
+
+def _position_text(position):
+    if position is None:
+        return NO_POSITION
+    return f"{position.term}{POSITION_SEPARATOR}{position.sequence}"
+
+
+def render_answer(rows, signature, state, position):
+    """Return the lines of a successful answer to a caller."""
+    lines = [f"ROW {row}\r\n" for row in rows]
+    lines.append(f"COMPLETE {signature or '-'}\r\n")
+    lines.append(f"READY {STATES[state]} {_position_text(position)}\r\n")
+    return "".join(lines).encode()
+
+
+def error_word(error):
+    """Return the wire's word for an error."""
+    if isinstance(error, RefusedByInstance):
+        return error.code
+    return next(word for kind, word in _ERROR_WORDS if isinstance(error, kind))
+
+
+def render_error(error):
+    """Return the ERROR line of a failure; the text says when to come back."""
+    return f"ERROR {error_word(error)} {error}\r\n".encode()
+
+
+def render_failure(error, state, position):
+    """Return the lines of a failed answer to a caller."""
+    ready = f"READY {STATES[state]} {_position_text(position)}\r\n"
+    return render_error(error) + ready.encode()
+
+
+def render_ready(state, position):
+    """Return the READY line."""
+    return f"READY {STATES[state]} {_position_text(position)}\r\n".encode()
--- /dev/null
+++ b/cardamomdrift/platform/store.py
@@ -0,0 +1,158 @@
+"""
+Metadata store
+==============
+
+The platform's table store over HTTP; see `ports.MetadataStore`.  Each call is made
+once and has a time limit, and a connection whose answer did not come is closed.
+"""
+
+import asyncio
+import base64
+import binascii
+
+import msgspec
+from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
+
+from cardamomdrift.errors import PlatformRefused, PlatformUnavailable
+from cardamomdrift.ports import (
+    Changes,
+    Committed,
+    Conflict,
+    HistoryGone,
+    Row,
+    Snapshot,
+)
+
+CALL_TIMEOUT = 0.7  # seconds; an answer takes 4 to 8 ms and may be 60 times slower
+WATCH_MARGIN = 0.5  # seconds that an answer may come after the wait's end
+ROW_PART = ""  # all rows of the project and of the platform lie in one part
+PAGE = 500  # rows of one answer at most
+CONNECTIONS = 4  # two watches, a read and a change at once
+
+_encode = msgspec.json.encode
+_decode = msgspec.json.decode
+
+
+def _make_row(value):
+    try:
+        body = base64.b64decode(value.get("value", ""), validate=True)
+    except (binascii.Error, TypeError):
+        # A foreign writer's row: its reader will say that it cannot be read.
+        body = b""
+    return Row(value["key"], body, value["rowVersion"])
+
+
+class HttpStore:
+    """Client of the store; an async context manager.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``.
+    """
+
+    def __init__(self, address):
+        self._base = f"http://{address}"
+        self._session = None
+        self.counts = {"ok": 0, "refused": 0, "unavailable": 0}
+
+    async def __aenter__(self):
+        self._session = ClientSession(connector=TCPConnector(limit=CONNECTIONS))
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._session.close()
+
+    async def read(self, table):
+        """Return the Snapshot of a table."""
+        rows = {}
+        start = None
+        while True:
+            query = {"table": table, "part": ROW_PART, "limit": str(PAGE)}
+            if start is not None:
+                query["from"] = start
+            answer = await self._call("GET", "/v1/rows-get", query)
+            rows.update((one["key"], _make_row(one)) for one in answer["rows"])
+            if not answer.get("hasMore"):
+                return Snapshot(rows, answer["rowVersion"])
+            # "from" includes its key, so the next page begins just after the last.
+            start = answer["rows"][-1]["key"] + "\0"
+
+    async def watch(self, table, after, wait):
+        """Return Changes after a version, or HistoryGone."""
+        query = {"table": table, "after": str(after), "waitMs": str(int(wait * 1000))}
+        timeout = wait + WATCH_MARGIN
+        answer = await self._call("GET", "/v1/rows-feed", query, timeout=timeout)
+        if answer is None:
+            return HistoryGone()
+        changed, removed = {}, set()
+        for one in answer["rows"]:
+            if one.get("part", ROW_PART) != ROW_PART:
+                continue
+            key = one["key"]
+            if one.get("deleted"):
+                changed.pop(key, None)
+                removed.add(key)
+            else:
+                removed.discard(key)
+                changed[key] = _make_row(one)
+        return Changes(changed, frozenset(removed), answer["rowVersion"])
+
+    async def commit(self, table, expected, puts, removes=()):
+        """Change rows together; see `ports.MetadataStore.commit`."""
+
+        def name(key):
+            return {"table": table, "part": ROW_PART, "key": key}
+
+        body = {
+            "expectedRev": [
+                name(key) | {"rowVersion": version} for key, version in expected.items()
+            ],
+            "puts": [
+                name(key) | {"value": base64.b64encode(value).decode()}
+                for key, value in puts.items()
+            ],
+            "remove": [name(key) for key in removes],
+        }
+        answer = await self._call("POST", "/v1/rows-tx", body=_encode(body))
+        if "rows" in answer:
+            rows = (_make_row(one) for one in answer["rows"] if one.get("rowVersion"))
+            return Conflict({row.key: row for row in rows})
+        return Committed(answer["rowVersion"])
+
+    async def _call(self, method, path, query=None, body=None, timeout=CALL_TIMEOUT):
+        """Return the decoded answer; None if the history is gone."""
+        headers = {"Content-Type": "application/json"}
+        try:
+            async with self._session.request(
+                method,
+                self._base + path,
+                params=query,
+                data=body,
+                headers=headers,
+                timeout=ClientTimeout(total=timeout),
+            ) as response:
+                data = await response.read()
+                status = response.status
+        except (ClientError, OSError, asyncio.TimeoutError) as error:
+            self.counts["unavailable"] += 1
+            reason = f"{path}: {type(error).__name__} {error}".rstrip()
+            raise PlatformUnavailable(reason) from error
+        return self._check(path, status, data)
+
+    def _check(self, path, status, data):
+        if status in (429, 503):
+            self.counts["unavailable"] += 1
+            raise PlatformUnavailable(f"{path}: status {status}")
+        if status == 410:
+            return None
+        if status not in (200, 412):
+            self.counts["refused"] += 1
+            raise PlatformRefused(f"{path}: status {status} {data[:100]!r}")
+        try:
+            answer = _decode(data)
+        except msgspec.DecodeError as error:
+            self.counts["unavailable"] += 1
+            raise PlatformUnavailable(f"{path}: answer not understood") from error
+        self.counts["ok"] += 1
+        return answer
--- /dev/null
+++ b/cardamomdrift/platform/stream.py
@@ -0,0 +1,167 @@
+"""
+Line stream
+===========
+
+Lines over one TCP connection, with a bound on what is held unread.
+"""
+
+import asyncio
+import socket
+import struct
+from collections import deque
+
+from cardamomdrift.errors import PacketTooLarge, UpstreamLost
+from cardamomdrift.platform.lines import LINE_END, LINE_LIMIT
+
+HELD_LINES = 64  # lines read ahead before the peer is held back
+USER_TIMEOUT = (
+    3000  # milliseconds without acknowledgement; instances drop a peer as fast
+)
+WRITE_LIMIT = 256 * 1024  # bytes that wait to be sent
+
+
+class LineStream(asyncio.Protocol):
+    """One connection as lines.
+
+    Parameters
+    ----------
+    on_open : callable, optional
+        Takes the stream once it is connected.
+    """
+
+    def __init__(self, on_open=None):
+        self._on_open = on_open
+        self._transport = None
+        self._buffer = bytearray()
+        self._lines = deque()
+        self._waiter = None
+        self._paused = False
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._closed = asyncio.get_running_loop().create_future()
+        self._error = None
+
+    @property
+    def closed(self):
+        """Whether the connection has ended or is being closed."""
+        return self._closed.done() or self._transport.is_closing()
+
+    @property
+    def pending(self):
+        """Whether lines or parts of one are waiting to be read."""
+        return bool(self._lines or self._buffer)
+
+    @property
+    def peer(self):
+        """Address of the other end, for logs."""
+        return self._transport.get_extra_info("peername")
+
+    # Callbacks of the loop
+
+    def connection_made(self, transport):
+        """Take the connection over."""
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_LIMIT)
+        raw = transport.get_extra_info("socket")
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT)
+        if self._on_open is not None:
+            self._on_open(self)
+
+    def data_received(self, data):
+        """Split what came into lines."""
+        buffer = self._buffer
+        buffer += data
+        if LINE_END in buffer:
+            *lines, rest = buffer.split(LINE_END)
+            self._lines.extend(lines)
+            self._buffer = rest
+        if len(self._buffer) > LINE_LIMIT:
+            self._fail(PacketTooLarge(f"a line is longer than {LINE_LIMIT} bytes"))
+            return
+        if len(self._lines) > HELD_LINES and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
+        self._wake()
+
+    def eof_received(self):
+        """Close when the other end does."""
+        return False
+
+    def connection_lost(self, error):
+        """Note the end of the connection."""
+        if self._error is None:
+            self._error = error or ConnectionResetError("closed by the other end")
+        if not self._closed.done():
+            self._closed.set_result(None)
+        self._writable.set()
+        self._wake()
+
+    def pause_writing(self):
+        """Make writers wait."""
+        self._writable.clear()
+
+    def resume_writing(self):
+        """Let writers go on."""
+        self._writable.set()
+
+    # For users
+
+    def _fail(self, error):
+        self._error = error
+        self._transport.abort()
+
+    def _wake(self):
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def read_line(self):
+        """Return the next line as text.
+
+        Raises
+        ------
+        UpstreamLost
+            The connection has ended.
+        PacketTooLarge
+        """
+        while not self._lines:
+            if self._closed.done():
+                if isinstance(self._error, PacketTooLarge):
+                    raise self._error
+                raise UpstreamLost(str(self._error))
+            self._waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
+        line = self._lines.popleft()
+        if self._paused and not self._lines:
+            self._paused = False
+            if not self.closed:
+                self._transport.resume_reading()
+        return line.decode("utf-8", "surrogateescape")
+
+    def write(self, data):
+        """Send bytes, unless the connection has ended."""
+        if not self.closed:
+            self._transport.write(data)
+
+    async def drain(self):
+        """Wait while too much is waiting to be sent."""
+        await self._writable.wait()
+
+    def close(self):
+        """Close once everything written has been sent."""
+        self._transport.close()
+
+    def abort(self):
+        """Reset the connection, so that nothing unsent is delivered any more."""
+        raw = self._transport.get_extra_info("socket")
+        if raw is not None and raw.fileno() >= 0:
+            reset = struct.pack("ii", 1, 0)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+        self._transport.abort()
+
+    async def wait_closed(self):
+        """Wait for the end of the connection."""
+        await asyncio.shield(self._closed)
--- a/cardamomdrift/position.py
+++ b/cardamomdrift/position.py
@@ -29,3 +29,11 @@
 
 
 ORIGIN = Position(0, 0)
+
+
+def parse_position(text, separator=":"):
+    """Return the position in a text, or None if there is none."""
+    term, found, sequence = text.partition(separator)
+    if not found or not term.isdecimal() or not sequence.isdecimal():
+        return None
+    return Position(int(term), int(sequence))
--- /dev/null
+++ b/cardamomdrift/routing/cluster.py
@@ -0,0 +1,443 @@
+"""
+Cluster
+=======
+
+One database group as this VM uses it, on an edge whose answers carry positions: its
+instances, their connections, who leads, and the floors of reads.
+"""
+
+import asyncio
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+
+from cardamomdrift.clock import boot_clock
+from cardamomdrift.failover.leadership import Leadership
+from cardamomdrift.limits.admission import AdmissionQueue, Fifo
+from cardamomdrift.limits.budget import RetryBudget
+from cardamomdrift.limits.shares import divide
+from cardamomdrift.position import Position
+from cardamomdrift.routing.cost import CostBook
+from cardamomdrift.routing.dispatch import Dispatcher
+from cardamomdrift.routing.floor import FloorHistory, FloorRule, Sample
+from cardamomdrift.routing.instance import InstanceRuntime
+from cardamomdrift.routing.reached import ReachedView
+from cardamomdrift.upstreams.pinger import Pinger
+from cardamomdrift.upstreams.pool import InstancePool
+from cardamomdrift.util import cancel_all
+
+QUEUE_LIMIT = 500  # requests; at 10 KB each this bounds a group's queue to 5 MB
+WARM_CONNECTIONS = 1  # opened to each instance ahead of the first request
+WARM_TIMEOUT = 1.0  # seconds
+PING_AFTER = 0.1  # seconds without an answer before an instance is asked
+SAMPLE_AGE = 0.5  # seconds; a third of the shortest stated age of the bundles in use
+RELEASE_TIME = 0.15  # seconds that answers of a leaving primary are waited for
+RELEASE_POLL = 0.005  # seconds
+READ_MEMORY = 5.0  # seconds for which a read makes samples worth asking for
+
+
+@dataclass(frozen=True, slots=True)
+class ClusterContext:
+    """What a cluster takes from its daemon.
+
+    Attributes
+    ----------
+    vm : VmIdentity
+    connector : callable
+        Takes an InstanceRecord and returns a coroutine function that connects.
+    permission : Permission
+    members : callable
+        Returns the names of all VMs, as a tuple.
+    announce : callable
+        Sends heartbeats at once.
+    clock : callable
+    log : structlog logger
+    """
+
+    vm: object
+    connector: object
+    permission: object
+    members: object
+    announce: object
+    clock: object
+    log: object
+
+
+@dataclass(slots=True)
+class ClusterCounts:
+    """How often things happened in one group."""
+
+    reads: dict = field(default_factory=lambda: {"primary": 0, "replica": 0})
+    hedges: int = 0
+    retries: int = 0
+    behind: int = 0
+    refusals: int = 0
+
+
+class Cluster:
+    """One database group; an async context manager.
+
+    Parameters
+    ----------
+    group : Group
+    context : ClusterContext
+    """
+
+    def __init__(self, group, context):
+        self._group = group
+        self._context = context
+        self._clock = context.clock
+        self._instances = {}
+        self._stacks = {}
+        self._floors = FloorHistory()
+        self._costs = CostBook()
+        self._budget = RetryBudget()
+        self._read_at = -READ_MEMORY
+        self._failing = set()
+        self._tasks = set()
+        self._stack = AsyncExitStack()
+        self.started_boot = boot_clock()
+        self.primary_work = 0
+        self.leadership = Leadership(group.name)
+        self.counts = ClusterCounts()
+        self._view = ReachedView(
+            self.leadership, lambda: context.permission.holds(boot_clock())
+        )
+        self._for_primary = self._make_dispatcher(lambda: self._for_any.pump())
+        self._for_any = self._make_dispatcher(lambda: self._for_primary.pump())
+
+    def _make_dispatcher(self, on_leave):
+        return Dispatcher(
+            self._group,
+            self._instances,
+            self._view,
+            AdmissionQueue(QUEUE_LIMIT, Fifo()),
+            self._costs,
+            self._context.vm,
+            self._context.members,
+            self._clock,
+            on_leave,
+        )
+
+    @property
+    def group(self):
+        """The group as the configuration describes it."""
+        return self._group
+
+    @property
+    def instances(self):
+        """InstanceRuntime by name."""
+        return self._instances
+
+    @property
+    def view(self):
+        """Positions of the instances and who leads."""
+        return self._view
+
+    @property
+    def for_primary(self):
+        """Dispatcher of the requests that need the primary."""
+        return self._for_primary
+
+    @property
+    def for_any(self):
+        """Dispatcher of the requests that any instance may serve."""
+        return self._for_any
+
+    @property
+    def costs(self):
+        """Expected service times."""
+        return self._costs
+
+    @property
+    def budget(self):
+        """Bound on retries and hedges."""
+        return self._budget
+
+    @property
+    def permission(self):
+        """Until when a settled primary may be used."""
+        return self._context.permission
+
+    @property
+    def log(self):
+        """Log of the daemon."""
+        return self._context.log
+
+    @property
+    def clock(self):
+        """Clock of the loop."""
+        return self._clock
+
+    async def __aenter__(self):
+        await self._stack.enter_async_context(self._for_primary)
+        await self._stack.enter_async_context(self._for_any)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await cancel_all(list(self._tasks))
+        for stack in list(self._stacks.values()):
+            await stack.aclose()
+        await self._stack.aclose()
+
+    # Instances
+
+    async def set_group(self, group):
+        """Take in the group of a new configuration."""
+        self._group = group
+        self.share_connections()
+
+    async def set_instances(self, records):
+        """Take in the group's instances as the list shows them.
+
+        Parameters
+        ----------
+        records : dict of str to InstanceRecord
+        """
+        for name in [one for one in self._instances if one not in records]:
+            await self._remove(name)
+        for name, record in records.items():
+            runtime = self._instances.get(name)
+            if runtime is not None and self._is_same(runtime.spec, record):
+                runtime.update(record)
+                runtime.leaving = record.draining
+                continue
+            if runtime is not None:
+                await self._remove(name)
+            await self._add(record)
+        self._note_listed(records)
+        self.share_connections()
+        self.pump()
+
+    @staticmethod
+    def _is_same(known, record):
+        """Whether an entry speaks of the same process."""
+        return (known.address, known.port, known.started_at_ms) == (
+            record.address,
+            record.port,
+            record.started_at_ms,
+        )
+
+    def _note_listed(self, records):
+        leaders = [name for name, one in records.items() if one.primary]
+        if len(leaders) == 1 and self.leadership.note_listed(leaders[0]):
+            self.log.info(
+                "primary listed",
+                group=self._group.name,
+                primary=leaders[0],
+                generation=0,
+            )
+
+    async def _add(self, record):
+        connect = self._context.connector(record)
+        pool = InstancePool(connect, self._clock)
+        pinger = Pinger(record.name, pool, connect, self, self._clock)
+        runtime = InstanceRuntime(record, pool, pinger, self._clock)
+        runtime.leaving = record.draining
+        stack = AsyncExitStack()
+        await stack.enter_async_context(runtime)
+        self._instances[record.name] = runtime
+        self._stacks[record.name] = stack
+        self._view.add(record.name)
+        self.log.info(
+            "instance added",
+            group=self._group.name,
+            instance=record.name,
+            address=f"{record.address}:{record.port}",
+            draining=record.draining,
+            primary=record.primary,
+        )
+
+    async def _remove(self, name):
+        del self._instances[name]
+        self._failing.discard(name)
+        self._view.drop(name)
+        self.log.info("instance removed", group=self._group.name, instance=name)
+        await self._stacks.pop(name).aclose()
+
+    def share_connections(self):
+        """Take this VM's share of each instance's connections."""
+        members = self._context.members()
+        for name, runtime in self._instances.items():
+            share = divide(
+                self._group.connections, members, self._context.vm.name, name
+            )
+            if runtime.pool.limit != share:
+                runtime.set_share(max(share, 1))
+                self._warm(runtime)
+
+    def _warm(self, runtime):
+        missing = min(WARM_CONNECTIONS, runtime.pool.limit) - runtime.pool.size
+        for _ in range(missing):
+            self._run(self._open_ahead(runtime))
+
+    async def _open_ahead(self, runtime):
+        try:
+            connection = await runtime.pool.acquire(self._clock() + WARM_TIMEOUT)
+        except Exception as error:  # noqa: BLE001
+            self.log.info(
+                "connection not opened ahead",
+                instance=runtime.spec.name,
+                error=f"{type(error).__name__} {error}",
+            )
+            return
+        self._view.observe(runtime.spec.name, connection.position, self._clock())
+        runtime.pool.release(connection)
+
+    def pump(self):
+        """Place waiting requests, after something has changed."""
+        self._for_primary.pump()
+        self._for_any.pump()
+
+    # Who leads
+
+    def is_primary(self, name, generation):
+        """Whether what an instance answers as the primary may be passed on.
+
+        Parameters
+        ----------
+        name : str
+        generation : int
+            Replacement in force when the request was placed there.
+        """
+        now = boot_clock()
+        lead = self.leadership
+        if not lead.counts(name, generation, now):
+            return False
+        return not lead.settled or self.permission.holds(now)
+
+    def adopt(self, generation, settled, term, primary):
+        """Take in a replacement of the primary; return whether it is news."""
+        now = boot_clock()
+        lead = self.leadership
+        usable_until = self.permission.until if lead.settled else now
+        if not lead.adopt(generation, settled, term, primary, now):
+            return False
+        lead.drain_until = min(usable_until, now + RELEASE_TIME)
+        if settled:
+            lead.released = generation
+            self.pump()
+        else:
+            self._release_when_idle()
+        return True
+
+    def _release_when_idle(self):
+        """Stop using the old primary, once what it is running has been answered."""
+        lead = self.leadership
+        old = self._instances.get(lead.primary)
+        planned = old is not None and old.spec.draining
+        if not planned or not self.primary_work:
+            lead.released = lead.generation
+            return
+        self._run(self._release_later(lead.generation))
+
+    async def _release_later(self, generation):
+        lead = self.leadership
+        while self.primary_work and boot_clock() < lead.drain_until:
+            await asyncio.sleep(RELEASE_POLL)
+        lead.released = max(lead.released, generation)
+        self._context.announce()
+
+    def _run(self, work):
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def note_reply(self, name, position, begun_boot):
+        """Take in an answer.
+
+        Parameters
+        ----------
+        name : str
+        position : Position or None
+            What the instance's log had reached.
+        begun_boot : float
+            When the answer was asked for, by the boot clock.
+        """
+        now = self._clock()
+        runtime = self._instances.get(name)
+        if runtime is None:
+            return
+        runtime.silence.answered()
+        runtime.answered_at = now
+        if position is None:
+            return
+        self._view.observe(name, position, now)
+        if self.is_primary(name, self.leadership.generation):
+            self.leadership.note_term(name, position.term)
+            self._floors.add(Sample(begun_boot, position))
+
+    def take_sample(self, begun_boot, position):
+        """Take in what another daemon learned of the primary's log."""
+        self._floors.add(Sample(begun_boot, Position(*position)))
+
+    def newest_sample(self):
+        """Return the Sample that was begun last, or None."""
+        return self._floors.last
+
+    def find_floor(self, since, at_least):
+        """Return the floor for a read, or None if no sample suits.
+
+        Parameters
+        ----------
+        since : float
+            The sample must have been begun at this time of the boot clock or later.
+        at_least : Position
+        """
+        self._read_at = self._clock()
+        return self._floors.find(FloorRule(since, at_least))
+
+    # Listener of the pingers
+
+    def ping_begun(self, name, now):
+        """Note that an instance was asked."""
+        if name in self._instances:
+            self._instances[name].silence.asked(now)
+
+    def ping_answered(self, name, position, begun_at, now):
+        """Take in an instance's answer."""
+        runtime = self._instances.get(name)
+        if runtime is None:
+            return
+        was_usable = runtime.usable
+        runtime.note_answer(begun_at)
+        self.note_reply(name, position, boot_clock() - (now - begun_at))
+        if name in self._failing:
+            self._failing.discard(name)
+            self.log.info("instance back", group=self._group.name, instance=name)
+        if not was_usable:
+            self.pump()
+
+    def ping_failed(self, name, now, refused, error):
+        """Note that an instance did not answer."""
+        runtime = self._instances.get(name)
+        if runtime is None:
+            return
+        if name not in self._failing or refused != runtime.silence.refused:
+            self._failing.add(name)
+            self.log.warning(
+                "instance not answering",
+                group=self._group.name,
+                instance=name,
+                refused=refused,
+                error=f"{type(error).__name__} {error}",
+            )
+        runtime.silence.failed(now, refused)
+        # What waits on the other connections may never be answered.
+        runtime.pool.drop_idle()
+
+    def watch(self, now):
+        """Ask instances whose answer is overdue, and for samples that reads need."""
+        for runtime in self._instances.values():
+            if runtime.silence.unanswered(now) > PING_AFTER or not runtime.usable:
+                if not runtime.leaving:
+                    runtime.prober.want()
+        primary = self._instances.get(self.leadership.primary)
+        if primary is None or now - self._read_at > READ_MEMORY:
+            return
+        if boot_clock() - self._floors.newest > SAMPLE_AGE:
+            primary.prober.want()
+
+    def trim(self, now):
+        """Close connections that have been idle for long."""
+        for runtime in self._instances.values():
+            runtime.pool.trim(now)
--- /dev/null
+++ b/cardamomdrift/routing/clusters.py
@@ -0,0 +1,145 @@
+"""
+Clusters
+========
+
+All database groups of the deployment in force, and the routes to them: what a session
+handler needs of its daemon.
+"""
+
+import asyncio
+
+from cardamomdrift.routing.cluster import Cluster
+from cardamomdrift.routing.statements import StatementRunner
+
+MAINTENANCE_INTERVAL = 0.05  # seconds; half of the time after which a silence is asked
+TRIM_INTERVAL = 5.0  # seconds
+
+
+class Clusters:
+    """The groups of one daemon; an async context manager.
+
+    Parameters
+    ----------
+    context : ClusterContext
+    instances : InstanceList
+    recorder : RequestRecorder
+        Takes what became of each request.
+    """
+
+    def __init__(self, context, instances, recorder):
+        self._context = context
+        self._instances = instances
+        self._recorder = recorder
+        self._deployment = None
+        self._clusters = {}
+        self._runners = {}
+        self._asides = set()
+        self._handlers = set()
+
+    def __iter__(self):
+        return iter(self._clusters.values())
+
+    def __len__(self):
+        return len(self._clusters)
+
+    @property
+    def deployment(self):
+        """The Deployment in force, or None."""
+        return self._deployment
+
+    def get(self, group):
+        """Return a group's Cluster, or None."""
+        return self._clusters.get(group)
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *exc_info):
+        if self._asides:
+            await asyncio.wait(self._asides, timeout=1.0)
+        for cluster in self._clusters.values():
+            await cluster.__aexit__(*exc_info)
+
+    # What changes
+
+    async def set_deployment(self, deployment):
+        """Take in a new deployment; groups that it lacks are kept until they are idle.
+
+        A removed group has no route, so nothing new reaches it.
+        """
+        for name, group in deployment.groups.items():
+            cluster = self._clusters.get(name)
+            if cluster is None:
+                cluster = Cluster(group, self._context)
+                await cluster.__aenter__()
+                self._clusters[name] = cluster
+                self._runners[name] = StatementRunner(cluster)
+                await cluster.set_instances(self._instances.of_group(name))
+            elif cluster.group != group:
+                await cluster.set_group(group)
+        self._deployment = deployment
+
+    async def set_instances(self):
+        """Take in a change of the list of instances."""
+        for name, cluster in self._clusters.items():
+            await cluster.set_instances(self._instances.of_group(name))
+
+    def set_members(self):
+        """Take in a change of the daemons that share the connections."""
+        for cluster in self._clusters.values():
+            cluster.share_connections()
+
+    def pump(self):
+        """Place waiting requests, after a permission has come."""
+        for cluster in self._clusters.values():
+            cluster.pump()
+
+    def watch(self, now):
+        """Do what is due in every group, and end idle transactions."""
+        for cluster in self._clusters.values():
+            cluster.watch(now)
+        if self._deployment is None:
+            return
+        for handler in list(self._handlers):
+            if handler.transaction is None:
+                self._handlers.discard(handler)
+            else:
+                handler.expire(now, self._deployment.transaction_idle)
+
+    def trim(self, now):
+        """Close connections that have been idle for long."""
+        for cluster in self._clusters.values():
+            cluster.trim(now)
+
+    # What session handlers ask for
+
+    def clock(self):
+        """Return the seconds of the loop's clock."""
+        return self._context.clock()
+
+    def route_of(self, database):
+        """Return the Route of a database, or None."""
+        return self._deployment and self._deployment.routes.get(database)
+
+    def cluster_of(self, route):
+        """Return the Cluster that a route leads to."""
+        return self._clusters[route.group]
+
+    def runner_of(self, route):
+        """Return the StatementRunner of the group that a route leads to."""
+        return self._runners[route.group]
+
+    def run_aside(self, work):
+        """Run something to its end without making the caller wait; return its task."""
+        task = asyncio.create_task(work)
+        self._asides.add(task)
+        task.add_done_callback(self._asides.discard)
+        return task
+
+    def note_transaction(self, handler):
+        """Take in that a session has opened a transaction."""
+        self._handlers.add(handler)
+
+    def record(self, request_id, database, request, error):
+        """Record what became of a request."""
+        self._recorder.record(request_id, database, request, error, self.clock())
--- a/cardamomdrift/routing/dispatch.py
+++ b/cardamomdrift/routing/dispatch.py
@@ -80,9 +80,22 @@
     members : callable
         Returns the names of all VMs.
     clock : callable
+    on_leave : callable, optional
+        Called when a place was given up, for others that use the same instances.
     """
 
-    def __init__(self, group, instances, view, queue, costs, vm, members, clock):
+    def __init__(
+        self,
+        group,
+        instances,
+        view,
+        queue,
+        costs,
+        vm,
+        members,
+        clock,
+        on_leave=None,
+    ):
         self._group = group
         self._instances = instances
         self._view = view
@@ -91,6 +104,7 @@
         self._vm = vm
         self._members = members
         self._clock = clock
+        self._on_leave = on_leave
         self._expiry = None
         self._waited = asyncio.Event()
         self._long_cache = (None, (None, frozenset()))
@@ -131,6 +145,8 @@
         if isinstance(need, ForTransaction):
             runtime.transactions -= 1
         self.pump()
+        if self._on_leave is not None:
+            self._on_leave()
 
     async def wait(self, need, ticket):
         """Return a place that must be left; see `place`."""
--- a/cardamomdrift/routing/floor.py
+++ b/cardamomdrift/routing/floor.py
@@ -109,6 +109,13 @@
         """When the newest sample was begun; minus infinity before the first."""
         return self._times[-1] if self._times else -math.inf
 
+    @property
+    def last(self):
+        """The newest sample, or None."""
+        if not self._times:
+            return None
+        return Sample(self._times[-1], self._floors[-1])
+
     def add(self, sample):
         """Add a sample; one begun before the last one adds nothing."""
         if self._times and sample.begun_at <= self._times[-1]:
--- a/cardamomdrift/routing/group.py
+++ b/cardamomdrift/routing/group.py
@@ -14,9 +14,10 @@
 from cardamomdrift.limits.admission import AdmissionQueue, Fifo
 from cardamomdrift.limits.budget import RetryBudget
 from cardamomdrift.limits.shares import share_of
+from cardamomdrift.mysql.instances import make_instance
 from cardamomdrift.routing.cost import CostBook
 from cardamomdrift.routing.dispatch import Dispatcher
-from cardamomdrift.routing.instance import InstanceRuntime
+from cardamomdrift.routing.identity import VmIdentity
 from cardamomdrift.routing.reads import ReadRunner
 from cardamomdrift.routing.transactions import Transaction
 from cardamomdrift.routing.view import GroupView, make_view
@@ -27,14 +28,6 @@
 QUEUE_LIMIT = 2000  # requests
 
 
-@dataclass(frozen=True, slots=True)
-class VmIdentity:
-    """This VM."""
-
-    name: str
-    failure_domain: str
-
-
 @dataclass
 class GroupParts:
     """What the runners of one group share."""
@@ -90,7 +83,7 @@
         self._stack = AsyncExitStack()
         view = make_view(spec)
         instances = {
-            one.name: InstanceRuntime(
+            one.name: make_instance(
                 one, surroundings.login, surroundings.vm.name, self._clock, self
             )
             for one in spec.instances
--- a/cardamomdrift/routing/instance.py
+++ b/cardamomdrift/routing/instance.py
@@ -9,26 +9,39 @@
 from contextlib import AsyncExitStack
 
 from cardamomdrift.failover.suspicion import SilenceClock
-from cardamomdrift.limits.concurrency import ConcurrencyLimit
-from cardamomdrift.mysql.connection import make_connector
-from cardamomdrift.mysql.prober import CONTROL_CONNECTIONS, InstanceProber
-from cardamomdrift.upstreams.pool import InstancePool
 
 SILENCE_LIMIT = 0.3  # seconds after which an instance gets no new requests
 
 
 class InstanceRuntime:
-    """One instance as this VM uses it; an async context manager."""
-
-    def __init__(self, spec, login, vm, clock, listener):
+    """One instance as this VM uses it; an async context manager.
+
+    Parameters
+    ----------
+    spec : object
+        Its name, address and failure domain.
+    pool : InstancePool
+    prober : InstanceProber or Pinger
+    clock : callable
+    control_connections : int
+        Connections of the pool that the prober keeps for itself.
+    concurrency : ConcurrencyLimit, optional
+        Bound that follows the statements' times; without it the pool bounds alone.
+    """
+
+    def __init__(
+        self, spec, pool, prober, clock, control_connections=0, concurrency=None
+    ):
         self._spec = spec
         self._clock = clock
-        self._pool = InstancePool(make_connector(spec, login, vm), clock)
-        self._prober = InstanceProber(spec.name, self._pool, listener, clock)
+        self._pool = pool
+        self._prober = prober
+        self._control_connections = control_connections
         self._silence = SilenceClock()
-        self._concurrency = ConcurrencyLimit()
+        self._concurrency = concurrency
         self._stack = AsyncExitStack()
         self._failed_at = None
+        self.answered_at = None
         self.in_flight = 0
         self.transactions = 0
         self.long_in_flight = 0
@@ -39,6 +52,10 @@
         """Where the instance is."""
         return self._spec
 
+    def update(self, spec):
+        """Take in what a newer list says of the instance."""
+        self._spec = spec
+
     @property
     def pool(self):
         """Connections to the instance."""
@@ -56,19 +73,21 @@
 
     @property
     def concurrency(self):
-        """Limit on the requests that run there at once."""
+        """Limit on the requests that run there at once, or None."""
         return self._concurrency
 
     @property
     def limit(self):
         """Requests that may run there at once now."""
-        data_connections = self._pool.limit - CONTROL_CONNECTIONS
+        data_connections = self._pool.limit - self._control_connections
+        if self._concurrency is None:
+            return data_connections
         return min(self._concurrency.current, data_connections)
 
     @property
     def transaction_limit(self):
         """Transactions of callers that may be open there at once."""
-        return max(1, self._pool.limit - CONTROL_CONNECTIONS - 1)
+        return max(1, self._pool.limit - self._control_connections - 1)
 
     @property
     def usable(self):
@@ -90,7 +109,8 @@
     def set_share(self, connections):
         """Change the number of connections."""
         self._pool.set_limit(connections)
-        self._concurrency.set_maximum(connections - CONTROL_CONNECTIONS)
+        if self._concurrency is not None:
+            self._concurrency.set_maximum(connections - self._control_connections)
 
     async def __aenter__(self):
         await self._stack.enter_async_context(self._pool)
--- /dev/null
+++ b/cardamomdrift/routing/pinned.py
@@ -0,0 +1,276 @@
+"""
+Pinned transactions
+===================
+
+An interactive transaction holds one connection from its first statement to its end.  It
+is opened with its first statement, so it can be placed anew until that has been sent.
+"""
+
+import asyncio
+from contextlib import AsyncExitStack
+
+from cardamomdrift.clock import boot_clock
+from cardamomdrift.errors import (
+    DeadlinePassed,
+    OutcomeUnknown,
+    Overloaded,
+    RefusedByInstance,
+    TransactionLost,
+    UpstreamError,
+    UpstreamUnreachable,
+)
+from cardamomdrift.ports import Refusal, TransactionState
+from cardamomdrift.routing.dispatch import ForRead, ForTransaction
+from cardamomdrift.routing.statements import (
+    RETRY_AFTER,
+    RETRY_PAUSE,
+    TryElsewhere,
+    placed,
+    primary_work,
+    read_floor,
+    run_on,
+)
+from cardamomdrift.sessions.commands import Begin, Commit, Execute, Rollback, Write
+from cardamomdrift.sessions.state import note_setup, plan_setup
+
+ROLLBACK_TIME = 0.5  # seconds; a rollback takes no slot
+
+
+class PinnedTransaction:
+    """One transaction of a caller.
+
+    Parameters
+    ----------
+    cluster : Cluster
+    read_only : bool
+    """
+
+    def __init__(self, cluster, read_only):
+        self._cluster = cluster
+        self._read_only = read_only
+        self._stack = AsyncExitStack()
+        self._place = None
+        self._runtime = None
+        self._connection = None
+        self._on_primary = False
+        self._wrote = False
+        self._lost = None
+        self.idle_since = cluster.clock()
+        self.busy = False
+
+    @property
+    def opened(self):
+        """Whether it holds a connection."""
+        return self._connection is not None
+
+    @property
+    def lost(self):
+        """Whether it can only be rolled back."""
+        return self._lost is not None
+
+    @property
+    def wrote(self):
+        """Whether a statement may have changed something."""
+        return self._wrote
+
+    async def run(self, request):
+        """Run one statement and return its Reply.
+
+        Raises
+        ------
+        CallerError
+        """
+        self._check_usable()
+        self.busy = True
+        try:
+            if not self.opened:
+                await self._open(request)
+            return await self._execute(request)
+        finally:
+            self.busy = False
+            self.idle_since = self._cluster.clock()
+
+    def _check_usable(self):
+        if self._lost is not None:
+            raise self._lost
+
+    # Opening
+
+    async def _open(self, request):
+        cluster = self._cluster
+        cluster.budget.earn()
+        while True:
+            try:
+                await self._open_once(request)
+                return
+            except TryElsewhere as failure:
+                await self._stack.aclose()
+                request.trace.events.append(str(failure))
+                cluster.counts.retries += 1
+                if cluster.clock() + RETRY_PAUSE > request.deadline_at:
+                    raise DeadlinePassed(str(failure), RETRY_AFTER) from failure
+                if not cluster.budget.spend():
+                    raise Overloaded(
+                        f"too many retries; {failure}", RETRY_AFTER
+                    ) from failure
+                await asyncio.sleep(RETRY_PAUSE)
+            except BaseException:
+                await self._stack.aclose()
+                raise
+
+    async def _open_once(self, request):
+        cluster = self._cluster
+        floor = read_floor(cluster, request) if self._read_only else None
+        if floor is None:
+            dispatcher, need = cluster.for_primary, ForTransaction()
+        else:
+            dispatcher, need = cluster.for_any, ForRead(floor)
+        context = placed(cluster, dispatcher, need, request)
+        place, runtime, connection = await self._stack.enter_async_context(context)
+        reply = await self._begin(request, place, runtime, connection, floor)
+        if reply.refusal is Refusal.BEHIND:
+            cluster.counts.behind += 1
+        if reply.refusal is not None:
+            raise TryElsewhere(place.name, reply.code, reply)
+        self._on_primary = floor is None
+        if self._on_primary and not cluster.is_primary(place.name, place.term):
+            connection.close()
+            raise TryElsewhere(place.name, "was replaced meanwhile")
+        self._place, self._runtime = place, runtime
+        self._connection = connection
+
+    async def _begin(self, request, place, runtime, connection, floor):
+        """Bring the connection to the session's values and open the transaction."""
+        cluster = self._cluster
+        setup = plan_setup(connection.loaded, request.values, None)
+        steps = [(None, step) for step in setup]
+        steps.append((None, Begin(self._read_only, floor)))
+        begun_boot = boot_clock()
+        runtime.silence.asked(cluster.clock())
+        try:
+            async with asyncio.timeout_at(request.deadline_at):
+                replies = await connection.exchange(steps)
+        except (UpstreamError, TimeoutError) as error:
+            runtime.note_failure()
+            raise TryElsewhere(place.name, f"no answer to BEGIN: {error}") from error
+        if any(one.refusal is not None for one in replies[:-1]):
+            connection.close()
+            raise TryElsewhere(place.name, "the session's state was refused")
+        note_setup(connection.loaded, setup)
+        cluster.note_reply(place.name, replies[-1].position, begun_boot)
+        return replies[-1]
+
+    # Statements
+
+    async def _execute(self, request):
+        cluster = self._cluster
+        trace = request.trace
+        trace.instance = self._place.name
+        trace.generation = self._place.term
+        trace.sent = True
+        writes = isinstance(request.command, Write) or (
+            isinstance(request.command, Execute) and request.prepared.writes
+        )
+        self._wrote = self._wrote or writes
+        try:
+            async with asyncio.timeout_at(request.deadline_at):
+                reply = await run_on(
+                    cluster,
+                    self._connection,
+                    self._place.name,
+                    request,
+                    request.command,
+                )
+        except (UpstreamError, TimeoutError) as error:
+            self._runtime.note_failure()
+            await self._lose(f"{self._place.name} did not answer: {error}", error)
+        if reply.refusal is None:
+            return reply
+        if reply.refusal is Refusal.READ_ONLY:
+            await self._lose(f"{self._place.name} no longer leads", None)
+        if reply.state is not TransactionState.OPEN:
+            self._lost = TransactionLost("an earlier statement failed", RETRY_AFTER)
+        raise RefusedByInstance(reply.code, reply.detail)
+
+    async def _lose(self, reason, cause):
+        self._lost = TransactionLost(reason, RETRY_AFTER)
+        self._connection.close()
+        await self._stack.aclose()
+        raise self._lost from cause
+
+    async def commit(self, request):
+        """Commit and return the Reply.
+
+        Raises
+        ------
+        TransactionLost
+            Nothing of it is kept.
+        OutcomeUnknown
+        """
+        self._check_usable()
+        self.busy = True
+        if not self.opened:
+            await self._open(request)
+        place = self._place
+        request.trace.instance = place.name
+        request.trace.sent = True
+        try:
+            with primary_work(self._cluster):
+                async with asyncio.timeout_at(request.deadline_at):
+                    reply = await self._send_commit(request)
+        except UpstreamUnreachable as error:
+            await self._lose(f"{place.name} was not reached for the commit", error)
+        except (UpstreamError, TimeoutError) as error:
+            self._runtime.note_failure()
+            await self._note_commit_lost(place, error)
+        await self._stack.aclose()
+        self._check_commit(place, reply)
+        return reply
+
+    async def _send_commit(self, request):
+        """Send the commit until the instance has room to run it."""
+        while True:
+            reply = await run_on(
+                self._cluster, self._connection, self._place.name, request, Commit()
+            )
+            if reply.refusal is not Refusal.BUSY:
+                return reply
+            await asyncio.sleep(RETRY_PAUSE)
+
+    async def _note_commit_lost(self, place, error):
+        reason = f"{place.name} did not answer the commit"
+        if not self._wrote:
+            await self._lose(reason, error)
+        await self._stack.aclose()
+        raise OutcomeUnknown(reason) from error
+
+    def _check_commit(self, place, reply):
+        if reply.refusal is Refusal.READ_ONLY:
+            raise TransactionLost(f"{place.name} no longer leads", RETRY_AFTER)
+        if reply.refusal is not None:
+            raise RefusedByInstance(reply.code, reply.detail)
+        if self._wrote and not self._cluster.is_primary(place.name, place.term):
+            raise OutcomeUnknown(f"{place.name} was replaced meanwhile")
+
+    async def expire(self):
+        """Roll back because the caller has left it idle for too long."""
+        self._lost = TransactionLost("the transaction was idle for too long")
+        await self.rollback()
+
+    async def rollback(self):
+        """Roll back and give the connection back, closed if it does not answer."""
+        connection, self._connection = self._connection, None
+        if connection is not None and connection.reusable:
+            try:
+                async with asyncio.timeout(ROLLBACK_TIME):
+                    await connection.exchange([(None, Rollback())])
+            except (UpstreamError, TimeoutError) as error:
+                self._cluster.log.info(
+                    "rollback not answered, connection closed",
+                    instance=self._place.name,
+                    error=f"{type(error).__name__} {error}",
+                )
+                connection.close()
+        elif connection is not None:
+            connection.close()
+        await self._stack.aclose()
--- /dev/null
+++ b/cardamomdrift/routing/reached.py
@@ -0,0 +1,68 @@
+"""
+Reached positions
+=================
+
+What a daemon knows of a group on an edge whose answers carry positions: how far each
+instance's log was, and who may be used as the primary.
+"""
+
+from cardamomdrift.position import ORIGIN
+from cardamomdrift.routing.view import RATE_WEIGHT, InstanceView
+
+
+class ReachedView:
+    """Positions of one group's instances.
+
+    Parameters
+    ----------
+    leadership : Leadership
+    permitted : callable
+        Whether a settled primary may be used now.
+    """
+
+    def __init__(self, leadership, permitted):
+        self._leadership = leadership
+        self._permitted = permitted
+        self.instances = {}
+
+    @property
+    def primary(self):
+        """The present primary, or None while it must not be used."""
+        leadership = self._leadership
+        name = leadership.primary
+        if not leadership.settled or name not in self.instances:
+            return None
+        return name if self._permitted() else None
+
+    @property
+    def term(self):
+        """Number of the last replacement known."""
+        return self._leadership.generation
+
+    def add(self, name):
+        """Begin to know of an instance."""
+        self.instances.setdefault(name, InstanceView())
+
+    def drop(self, name):
+        """Forget an instance."""
+        self.instances.pop(name, None)
+
+    def observe(self, name, position, now):
+        """Take in what an instance's log had reached."""
+        one = self.instances.get(name)
+        if one is None or position is None:
+            return
+        if one.answered_at is not None and position.term == one.position.term:
+            elapsed = now - one.answered_at
+            moved = position.sequence - one.position.sequence
+            if elapsed > 0 and moved >= 0:
+                one.rate += RATE_WEIGHT * (moved / elapsed - one.rate)
+        one.position = position
+        one.answered_at = now
+
+    def note_behind(self, name, now):
+        """Take in that an instance has not reached what it was asked for."""
+        one = self.instances.get(name)
+        if one is not None and one.answered_at is None:
+            one.position = ORIGIN
+            one.answered_at = now
--- /dev/null
+++ b/cardamomdrift/routing/statements.py
@@ -0,0 +1,405 @@
+"""
+Statements
+==========
+
+Runs single statements of callers at a group's instances.  A read is asked again
+elsewhere when its answer does not come; a write is sent again only if the instance says
+that it did not run.  What the primary answered counts only if it is still the primary
+when the answer is passed on.
+"""
+
+import asyncio
+from contextlib import asynccontextmanager, contextmanager
+from dataclasses import replace
+
+from cardamomdrift.clock import boot_clock
+from cardamomdrift.deployment import RouteKind
+from cardamomdrift.errors import (
+    DeadlinePassed,
+    OutcomeUnknown,
+    Overloaded,
+    ReadFailed,
+    RefusedByInstance,
+    UpstreamBusy,
+    UpstreamLost,
+    UpstreamUnreachable,
+)
+from cardamomdrift.limits.admission import make_ticket
+from cardamomdrift.ports import Refusal, Reply, TransactionState
+from cardamomdrift.position import ORIGIN
+from cardamomdrift.routing.dispatch import ForRead, ForWrite
+from cardamomdrift.sessions.commands import Execute
+from cardamomdrift.sessions.state import note_setup, plan_setup, upstream_name
+
+RETRY_PAUSE = (
+    0.02  # seconds; about the time of one statement, after which a slot is free
+)
+RETRY_AFTER = 0.2  # seconds told to callers; a replacement takes about twice as long
+HEDGE_FACTOR = 6.0  # of the expected time; one statement in a hundred takes longer
+HEDGE_MINIMUM = 0.05  # seconds
+HEDGE_SHARE = 0.45  # of the time within which an answer is of full use
+RETRY_KINDS = frozenset((Refusal.FAILED, Refusal.TIMED_OUT))
+
+
+class TryElsewhere(Exception):
+    """An attempt failed and had no effect.
+
+    Attributes
+    ----------
+    instance : str
+    reason : str
+    reply : Reply or None
+        What the instance answered.
+    """
+
+    def __init__(self, instance, reason, reply=None):
+        super().__init__(f"{instance}: {reason}")
+        self.instance = instance
+        self.reason = reason
+        self.reply = reply
+
+
+def read_floor(cluster, request):
+    """Return the floor of a read, or None if only the primary is safe.
+
+    Parameters
+    ----------
+    cluster : Cluster
+    request : StatementRequest
+    """
+    route = request.route
+    if route.kind is RouteKind.PRIMARY or route.max_age is None:
+        return None
+    written = request.written or ORIGIN
+    since = request.arrived_boot - route.max_age
+    floor = cluster.find_floor(since, written)
+    request.trace.floor = floor
+    return floor
+
+
+def with_floor(command, floor):
+    """Return a command that is refused by an instance short of the floor."""
+    return replace(command, floor=floor)
+
+
+async def run_on(cluster, connection, place_name, request, command):
+    """Run a command with the session's state on a connection.
+
+    Returns
+    -------
+    Reply
+
+    Raises
+    ------
+    UpstreamError
+    TryElsewhere
+        The connection did not take the session's state; the command may have run.
+    """
+    setup = plan_setup(connection.loaded, request.values, request.prepared)
+    if isinstance(command, Execute) and request.prepared is not None:
+        command = replace(command, name=upstream_name(request.prepared))
+    steps = [(None, step) for step in setup]
+    steps.append((request.request_id, command))
+    runtime = cluster.instances.get(place_name)
+    begun_boot = boot_clock()
+    if runtime is not None:
+        runtime.silence.asked(cluster.clock())
+    replies = await connection.exchange(steps)
+    reply = replies[-1]
+    cluster.note_reply(place_name, reply.position, begun_boot)
+    if any(one.refusal is not None for one in replies[:-1]):
+        connection.close()
+        raise UpstreamLost("the instance refused the session's state")
+    note_setup(connection.loaded, setup)
+    if reply.refusal is Refusal.NO_SUCH_STATEMENT:
+        connection.loaded.prepared.clear()
+    return reply
+
+
+def suits(request):
+    """Return a function that tells whether a connection holds a session's values."""
+    return lambda connection: connection.loaded.values == request.values
+
+
+@contextmanager
+def primary_work(cluster):
+    """Count what a handover of the primary waits for."""
+    cluster.primary_work += 1
+    try:
+        yield
+    finally:
+        cluster.primary_work -= 1
+
+
+@asynccontextmanager
+async def placed(cluster, dispatcher, need, request):
+    """Hold a place and a connection for a request.
+
+    Raises
+    ------
+    TryElsewhere
+        No connection could be had; nothing was sent.
+    CallerError
+    """
+    ticket = make_ticket(request, cluster.costs.expected(request.route.database))
+    async with dispatcher.place(need, ticket) as place:
+        trace = request.trace
+        trace.attempts += 1
+        trace.instance = place.name
+        trace.generation = place.term
+        trace.placed_at = cluster.clock()
+        runtime = cluster.instances.get(place.name)
+        if runtime is None:
+            raise TryElsewhere(place.name, "instance is gone")
+        try:
+            connection = await runtime.pool.acquire(request.deadline_at, suits(request))
+        except UpstreamBusy as error:
+            cluster.counts.refusals += 1
+            raise TryElsewhere(place.name, f"no connection: {error}") from error
+        except UpstreamUnreachable as error:
+            runtime.note_failure()
+            raise TryElsewhere(place.name, f"not reached: {error}") from error
+        try:
+            yield place, runtime, connection
+        finally:
+            if connection.state is not TransactionState.IDLE:
+                connection.close()
+            runtime.pool.release(connection)
+
+
+def check_reply(place, reply):
+    """Raise what a refused statement calls for; return the reply otherwise.
+
+    Raises
+    ------
+    TryElsewhere
+        It did not run.
+    RefusedByInstance
+    """
+    if reply.refusal is None:
+        return reply
+    if reply.not_run:
+        raise TryElsewhere(place.name, reply.code, reply)
+    raise RefusedByInstance(reply.code, reply.detail)
+
+
+class StatementRunner:
+    """Single statements of one group.
+
+    Parameters
+    ----------
+    cluster : Cluster
+    """
+
+    def __init__(self, cluster):
+        self._cluster = cluster
+        self._tasks = set()
+
+    # Writes
+
+    async def write(self, request):
+        """Run a write on the primary and return its Reply.
+
+        Raises
+        ------
+        CallerError
+        """
+        cluster = self._cluster
+        cluster.budget.earn()
+        while True:
+            try:
+                return await self._write_once(request)
+            except TryElsewhere as failure:
+                await self._pause(request, failure)
+
+    async def _write_once(self, request):
+        cluster = self._cluster
+        dispatcher = cluster.for_primary
+        async with placed(cluster, dispatcher, ForWrite(), request) as held:
+            place, runtime, connection = held
+            if not cluster.is_primary(place.name, place.term):
+                raise TryElsewhere(place.name, "no longer the primary")
+            started = cluster.clock()
+            try:
+                with primary_work(cluster):
+                    async with asyncio.timeout_at(request.deadline_at):
+                        request.trace.sent = True
+                        reply = await run_on(
+                            cluster, connection, place.name, request, request.command
+                        )
+            except UpstreamUnreachable as error:
+                runtime.note_failure()
+                raise TryElsewhere(place.name, str(error)) from error
+            except (UpstreamLost, TimeoutError) as error:
+                runtime.note_failure()
+                reason = f"{place.name} did not answer the write"
+                raise OutcomeUnknown(reason) from error
+            check_reply(place, reply)
+            if not cluster.is_primary(place.name, place.term):
+                raise OutcomeUnknown(f"{place.name} was replaced meanwhile")
+            self._learn(request, started)
+            return reply
+
+    def _learn(self, request, started):
+        cluster = self._cluster
+        cluster.costs.learn(request.route.database, cluster.clock() - started)
+
+    async def _pause(self, request, failure):
+        """Wait before the next attempt, if there is time and budget for one."""
+        cluster = self._cluster
+        request.trace.events.append(str(failure))
+        cluster.counts.retries += 1
+        expected = cluster.costs.expected(request.route.database)
+        if cluster.clock() + RETRY_PAUSE + expected > request.deadline_at:
+            raise DeadlinePassed(str(failure), RETRY_AFTER)
+        behind = failure.reply is not None and failure.reply.refusal is Refusal.BEHIND
+        # A replica that is behind refuses at once and spends no slot.
+        if not behind and not cluster.budget.spend():
+            raise Overloaded(f"too many retries; {failure}", RETRY_AFTER)
+        await asyncio.sleep(RETRY_PAUSE)
+
+    # Reads
+
+    async def read(self, request):
+        """Run a read on a safe instance and return its Reply.
+
+        Raises
+        ------
+        CallerError
+        """
+        self._cluster.budget.earn()
+        floor = read_floor(self._cluster, request)
+        tried = set()
+        running = {}
+        try:
+            async with asyncio.timeout_at(request.deadline_at):
+                while True:
+                    self._start_attempt(request, floor, tried, running)
+                    reply = await self._first_answer(request, tried, running)
+                    if reply is not None:
+                        return reply
+        except TimeoutError as error:
+            if not request.trace.sent:
+                raise DeadlinePassed("no instance became free", RETRY_AFTER) from error
+            raise ReadFailed("no answer in time") from error
+
+    def _start_attempt(self, request, floor, tried, running):
+        attempt = _Attempt()
+        work = self._read_once(request, floor, frozenset(tried), attempt)
+        task = asyncio.create_task(work)
+        running[task] = attempt
+        # An attempt that loses goes on to its end, so that its connection is kept.
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _first_answer(self, request, tried, running):
+        """Return the first Reply, or None if another attempt is to be made."""
+        while True:
+            patience = self._patience(request, running)
+            done, _ = await asyncio.wait(
+                running, timeout=patience, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not done and self._may_hedge(request, tried, running):
+                return None
+            for task in done:
+                attempt = running.pop(task)
+                try:
+                    return task.result()
+                except TryElsewhere as failure:
+                    await self._note_failure(request, failure, tried, attempt)
+            if not running:
+                return None
+
+    async def _note_failure(self, request, failure, tried, attempt):
+        cluster = self._cluster
+        reply = failure.reply
+        final = reply is not None and reply.refusal in RETRY_KINDS
+        if final and failure.instance in tried:
+            raise RefusedByInstance(reply.code, reply.detail)
+        tried.add(failure.instance)
+        usable = {name for name, one in cluster.instances.items() if one.usable}
+        if usable <= tried or attempt.name is None:
+            await self._pause(request, failure)
+            tried.clear()
+        elif not cluster.budget.spend():
+            raise Overloaded(f"too many retries; {failure}", RETRY_AFTER)
+        else:
+            cluster.counts.retries += 1
+            request.trace.events.append(str(failure))
+
+    def _patience(self, request, running):
+        """Return the seconds to wait before a second attempt is worth while."""
+        if len(running) > 1:
+            return None
+        expected = self._cluster.costs.expected(request.route.database)
+        hedge = max(HEDGE_MINIMUM, HEDGE_FACTOR * expected)
+        return min(hedge, HEDGE_SHARE * request.route.target)
+
+    def _may_hedge(self, request, tried, running):
+        [attempt] = running.values()
+        cluster = self._cluster
+        if request.route.kind is RouteKind.PRIMARY or attempt.name is None:
+            return False
+        names = {attempt.name, *tried}
+        free = any(
+            name not in names and one.usable and one.in_flight < one.limit
+            for name, one in cluster.instances.items()
+        )
+        if not free or not cluster.budget.spend():
+            return False
+        tried.add(attempt.name)
+        cluster.counts.hedges += 1
+        request.trace.events.append(f"{attempt.name}: slow, asked another")
+        return True
+
+    async def _read_once(self, request, floor, excluded, attempt):
+        cluster = self._cluster
+        if floor is None:
+            dispatcher, need = cluster.for_primary, ForWrite()
+        else:
+            dispatcher, need = cluster.for_any, ForRead(floor, excluded)
+        command = request.command if floor is None else None
+        async with placed(cluster, dispatcher, need, request) as held:
+            place, runtime, connection = held
+            attempt.name = place.name
+            command = command or with_floor(request.command, floor)
+            reply = await self._ask(request, held, command)
+            if reply.refusal is Refusal.BEHIND:
+                cluster.counts.behind += 1
+            if reply.refusal in RETRY_KINDS:
+                raise TryElsewhere(place.name, reply.code, reply)
+            check_reply(place, reply)
+            if floor is None and not cluster.is_primary(place.name, place.term):
+                raise TryElsewhere(place.name, "was replaced meanwhile")
+            self._count_read(place.name)
+            return reply
+
+    async def _ask(self, request, held, command) -> Reply:
+        place, runtime, connection = held
+        cluster = self._cluster
+        started = cluster.clock()
+        request.trace.sent = True
+        try:
+            async with asyncio.timeout_at(request.deadline_at):
+                reply = await run_on(cluster, connection, place.name, request, command)
+        except UpstreamUnreachable as error:
+            runtime.note_failure()
+            raise TryElsewhere(place.name, str(error)) from error
+        except (UpstreamLost, TimeoutError) as error:
+            runtime.note_failure()
+            raise TryElsewhere(place.name, f"no answer: {error}") from error
+        self._learn(request, started)
+        return reply
+
+    def _count_read(self, name):
+        role = "primary" if name == self._cluster.leadership.primary else "replica"
+        self._cluster.counts.reads[role] += 1
+
+
+class _Attempt:
+    """One attempt of a read: where it runs, once it is placed."""
+
+    __slots__ = ("name",)
+
+    def __init__(self):
+        self.name = None
--- /dev/null
+++ b/cardamomdrift/sessions/handler.py
@@ -0,0 +1,293 @@
+"""
+Session handler
+===============
+
+One caller session: its values, prepared statements and transaction.  What needs no
+instance is answered here; the rest goes to the group that the session's route names.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from cardamomdrift.clock import boot_clock
+from cardamomdrift.errors import (
+    BadRequest,
+    CallerError,
+    Overloaded,
+    TransactionLost,
+    UnknownDatabase,
+    UnknownStatement,
+)
+from cardamomdrift.ports import TransactionState
+from cardamomdrift.position import Position
+from cardamomdrift.routing.pinned import PinnedTransaction
+from cardamomdrift.routing.request import StatementRequest
+from cardamomdrift.sessions.commands import (
+    Begin,
+    Commit,
+    Discard,
+    Execute,
+    Malformed,
+    Prepare,
+    Read,
+    Rollback,
+    SetValue,
+    Write,
+)
+from cardamomdrift.sessions.state import (
+    PREPARED_LIMIT,
+    VALUES_LIMIT,
+    SessionState,
+)
+
+RETRY_AFTER = 0.2  # seconds told to callers
+
+
+@dataclass(slots=True)
+class Answer:
+    """A successful answer; ``signature`` is empty if no instance gave it."""
+
+    rows: list
+    signature: str
+    position: Position | None = None
+
+
+_DONE = Answer([], "")
+
+
+class SessionHandler:
+    """One session of a caller.
+
+    Parameters
+    ----------
+    service : Service
+        Finds routes and clusters, and records what became of requests.
+    database : str
+    caller : str
+        Whose turn its requests take in queues.
+    """
+
+    def __init__(self, service, database, caller):
+        self._service = service
+        self._database = database
+        self._caller = caller
+        self._session = SessionState()
+        self._transaction = None
+        self._state = TransactionState.IDLE
+        self._written = None
+        self._written_group = None
+        self._last_route = None
+        self.position = None
+
+    @property
+    def state(self):
+        """State between two statements."""
+        return self._state
+
+    @property
+    def database(self):
+        """Name that the caller connected to."""
+        return self._database
+
+    @property
+    def transaction(self):
+        """The open transaction, or None."""
+        return self._transaction
+
+    async def handle(self, request_id, command):
+        """Return the Answer to a command.
+
+        Raises
+        ------
+        CallerError
+            The session's state has been set to what the caller is to be told.
+        """
+        if self._state is TransactionState.FAILED:
+            return await self._handle_failed(command)
+        match command:
+            case Read() | Write() | Execute():
+                return await self._run(request_id, command)
+            case Begin(read_only):
+                return self._begin(read_only)
+            case Commit():
+                return await self._commit(request_id)
+            case Rollback():
+                return self._rollback()
+            case SetValue(name, value):
+                return self._set_value(name, value)
+            case Prepare():
+                return self._prepare(command)
+            case Discard(name):
+                self._session.prepared.pop(name, None)
+                return _DONE
+            case Malformed(reason):
+                self._fail()
+                raise BadRequest(reason)
+        raise TypeError(f"no handler for {type(command).__name__}")
+
+    async def _handle_failed(self, command):
+        match command:
+            case Rollback():
+                return self._rollback()
+            case Commit():
+                self._rollback()
+                raise TransactionLost("the transaction had failed; it is rolled back")
+        raise BadRequest("the transaction has failed; roll it back")
+
+    def _fail(self):
+        if self._state is TransactionState.OPEN:
+            self._state = TransactionState.FAILED
+
+    # What needs no instance
+
+    def _set_value(self, name, value):
+        values = self._session.values
+        if name not in values and len(values) >= VALUES_LIMIT:
+            self._fail()
+            raise Overloaded("the session has too many values")
+        values[name] = value
+        return _DONE
+
+    def _prepare(self, command):
+        prepared = self._session.prepared
+        if command.name not in prepared and len(prepared) >= PREPARED_LIMIT:
+            self._fail()
+            raise Overloaded("the session has too many prepared statements")
+        prepared[command.name] = command
+        return _DONE
+
+    def _begin(self, read_only):
+        if self._state is not TransactionState.IDLE:
+            self._fail()
+            raise BadRequest("a transaction is open")
+        cluster = self._service.cluster_of(self._route())
+        self._transaction = PinnedTransaction(cluster, read_only)
+        self._state = TransactionState.OPEN
+        self._service.note_transaction(self)
+        return _DONE
+
+    def _rollback(self):
+        transaction, self._transaction = self._transaction, None
+        self._state = TransactionState.IDLE
+        if transaction is not None:
+            # The caller need not wait until the instance has rolled back.
+            self._service.run_aside(transaction.rollback())
+        return _DONE
+
+    # What an instance runs
+
+    def _route(self):
+        route = self._service.route_of(self._database)
+        if route is None:
+            raise UnknownDatabase(f"no route for database {self._database}")
+        self._last_route = route
+        return route
+
+    def _make_request(self, request_id, command):
+        prepared = None
+        if isinstance(command, Execute):
+            prepared = self._session.prepared.get(command.name)
+            if prepared is None:
+                raise UnknownStatement(f"nothing prepared as {command.name}")
+        route = self._route_for(command)
+        clock = self._service.clock()
+        written = self._written if self._written_group == route.group else None
+        return StatementRequest(
+            request_id=request_id,
+            command=command,
+            prepared=prepared,
+            values=self._session.values,
+            route=route,
+            caller=self._caller,
+            arrived_at=clock,
+            deadline_at=clock + route.timeout,
+            arrived_boot=boot_clock(),
+            written=written,
+        )
+
+    def _route_for(self, command):
+        """Return the present route, or an open transaction's own once it is gone."""
+        gone = self._service.route_of(self._database) is None
+        if gone and self._transaction is not None:
+            return self._last_route
+        return self._route()
+
+    async def _run(self, request_id, command):
+        request = None
+        try:
+            request = self._make_request(request_id, command)
+            reply = await self._dispatch(request)
+        except CallerError as error:
+            self._fail()
+            self._service.record(request_id, self._database, request, error)
+            raise
+        self._service.record(request_id, self._database, request, None)
+        return self._answer(reply, request)
+
+    async def _dispatch(self, request):
+        if self._transaction is not None:
+            return await self._transaction.run(request)
+        runner = self._service.runner_of(request.route)
+        if self._writes(request):
+            reply = await runner.write(request)
+            self._note_written(request, reply)
+            return reply
+        return await runner.read(request)
+
+    @staticmethod
+    def _writes(request):
+        if isinstance(request.command, Execute):
+            return request.prepared.writes
+        return isinstance(request.command, Write)
+
+    def _note_written(self, request, reply):
+        self._written = reply.position
+        self._written_group = request.route.group
+
+    def _answer(self, reply, request):
+        if reply.position is not None:
+            self.position = reply.position
+        return Answer(reply.rows, reply.signature, reply.position)
+
+    async def _commit(self, request_id):
+        transaction = self._transaction
+        if transaction is None:
+            raise BadRequest("no transaction is open")
+        request = self._make_request(request_id, Commit())
+        try:
+            reply = await transaction.commit(request)
+        except CallerError as error:
+            self._service.record(request_id, self._database, request, error)
+            raise
+        finally:
+            self._transaction = None
+            self._state = TransactionState.IDLE
+        if transaction.wrote:
+            self._note_written(request, reply)
+        self._service.record(request_id, self._database, request, None)
+        return self._answer(reply, request)
+
+    # End
+
+    def expire(self, now, limit):
+        """Roll an idle transaction back; return whether it was.
+
+        Parameters
+        ----------
+        now : float
+        limit : float
+            Seconds that it may be idle.
+        """
+        transaction = self._transaction
+        if transaction is None or not transaction.opened or transaction.busy:
+            return False
+        if now - transaction.idle_since < limit:
+            return False
+        self._service.run_aside(transaction.expire())
+        return True
+
+    async def close(self):
+        """End the session: an open transaction is rolled back."""
+        transaction, self._transaction = self._transaction, None
+        if transaction is not None:
+            await asyncio.shield(self._service.run_aside(transaction.rollback()))
--- /dev/null
+++ b/cardamomdrift/telemetry/exposition.py
@@ -0,0 +1,209 @@
+"""
+Exposition
+==========
+
+Metrics of a daemon as text over HTTP, and the instruments that are read from its parts.
+"""
+
+import asyncio
+
+from aiohttp import web
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from prometheus_client import REGISTRY, generate_latest
+
+from cardamomdrift.telemetry.metrics import Metrics
+
+DELAY_INTERVAL = 0.5  # seconds between two measurements of the loop's delay
+
+
+class RequestMetrics:
+    """Counts and times of requests.
+
+    Parameters
+    ----------
+    metrics : Metrics
+    """
+
+    def __init__(self, metrics):
+        meter = metrics.meter
+        self._duration = metrics.duration
+        self._wait = meter.create_histogram(
+            "cardamomdrift.request.wait", unit="s", description="Time until placed"
+        )
+        self._refused = meter.create_counter(
+            "cardamomdrift.request.refused",
+            unit="{request}",
+            description="Requests refused before they were placed",
+        )
+
+    def observe(self, kind, outcome, elapsed, waited):
+        """Take in a request's route kind, outcome and times in seconds."""
+        self._duration.record(elapsed, {"kind": kind, "outcome": outcome})
+        self._wait.record(waited, {"kind": kind})
+
+    def count(self, kind, outcome):
+        """Take in a request that was refused at once."""
+        self._refused.add(1, {"kind": kind, "outcome": outcome})
+
+
+class LoopDelay:
+    """Measures how late the loop runs its timers; an async context manager."""
+
+    def __init__(self):
+        self._task = None
+        self.worst = 0.0
+
+    async def __aenter__(self):
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self._task.cancel()
+
+    async def _run(self):
+        clock = asyncio.get_running_loop().time
+        while True:
+            started = clock()
+            await asyncio.sleep(DELAY_INTERVAL)
+            late = clock() - started - DELAY_INTERVAL
+            self.worst = max(self.worst, late)
+
+    def take_worst(self):
+        """Return the longest delay since the last call."""
+        worst, self.worst = self.worst, 0.0
+        return worst
+
+
+def _reads(parts):
+    for cluster in parts.clusters:
+        for role, count in cluster.counts.reads.items():
+            yield count, {"group": cluster.group.name, "role": role}
+
+
+def _group_counter(name):
+    def read(parts):
+        for cluster in parts.clusters:
+            yield getattr(cluster.counts, name), {"group": cluster.group.name}
+
+    return read
+
+
+def _waiting(parts):
+    for cluster in parts.clusters:
+        group = cluster.group.name
+        yield len(cluster.for_primary.queue), {"group": group, "need": "primary"}
+        yield len(cluster.for_any.queue), {"group": group, "need": "any"}
+
+
+def _generations(parts):
+    for cluster in parts.clusters:
+        yield cluster.leadership.generation, {"group": cluster.group.name}
+
+
+def _instances(parts):
+    for cluster in parts.clusters:
+        for name, runtime in cluster.instances.items():
+            yield runtime, {"group": cluster.group.name, "instance": name}
+
+
+def _in_flight(parts):
+    for runtime, labels in _instances(parts):
+        yield runtime.in_flight, labels
+
+
+def _connections(parts):
+    for runtime, labels in _instances(parts):
+        yield runtime.pool.size, labels
+
+
+def _refusals(parts):
+    for runtime, labels in _instances(parts):
+        yield runtime.pool.refusals, labels
+
+
+def _unanswered(parts):
+    for runtime, labels in _instances(parts):
+        yield runtime.silence.unanswered(asyncio.get_running_loop().time()), labels
+
+
+def _behind(parts):
+    for cluster in parts.clusters:
+        known = cluster.view.instances
+        lead = known.get(cluster.leadership.primary)
+        for name, one in known.items():
+            if lead is None or one.position.term != lead.position.term:
+                continue
+            behind = max(0, lead.position.sequence - one.position.sequence)
+            yield behind, {"group": cluster.group.name, "instance": name}
+
+
+def _store_calls(parts):
+    for outcome, count in parts.store.counts.items():
+        yield count, {"outcome": outcome}
+
+
+def _replacements(parts):
+    for outcome, count in parts.replacer.counts.items():
+        yield count, {"outcome": outcome}
+
+
+def _sessions(parts):
+    yield parts.callers.sessions, {}
+
+
+COUNTERS = (
+    ("reads", "{read}", "Reads by serving role", _reads),
+    ("hedges", "{read}", "Reads asked a second time", _group_counter("hedges")),
+    ("retries", "{attempt}", "Attempts made again", _group_counter("retries")),
+    ("behind", "{read}", "Reads refused by lagging replicas", _group_counter("behind")),
+    ("connection.refusals", "{refusal}", "Connections refused as too many", _refusals),
+    ("store.calls", "{call}", "Calls of the platform's store", _store_calls),
+    ("replacements", "{replacement}", "Replacements of primaries", _replacements),
+    ("log.dropped", "{line}", "Log lines left out", lambda p: [(p.writer.dropped, {})]),
+)
+GAUGES = (
+    ("waiting", "{request}", "Requests that wait", _waiting),
+    ("generation", "1", "Replacements of the primary so far", _generations),
+    ("in_flight", "{request}", "Requests at an instance", _in_flight),
+    ("connections", "{connection}", "Open connections", _connections),
+    ("unanswered", "s", "Time without an answer", _unanswered),
+    ("position.behind", "{entry}", "Entries behind the primary", _behind),
+    (
+        "sessions",
+        "{session}",
+        "Callers connected",
+        _sessions,
+    ),
+    ("version", "1", "Configuration in force", lambda p: [(p.version, {})]),
+    ("members", "{daemon}", "Daemons counted", lambda p: [(len(p.roster.names), {})]),
+    ("loop.delay", "s", "Worst delay", lambda p: [(p.loop_delay.take_worst(), {})]),
+)
+
+
+def make_exposed_metrics(vm):
+    """Return Metrics whose values `expose` renders."""
+    return Metrics(vm, PrometheusMetricReader(disable_target_info=True))
+
+
+def add_part_instruments(metrics, parts):
+    """Add every instrument of the tables.
+
+    Parameters
+    ----------
+    metrics : Metrics
+    parts : object
+        The daemon, with its parts as attributes.
+    """
+
+    def bind(read):
+        return lambda: read(parts)
+
+    for name, unit, description, read in COUNTERS:
+        metrics.observe_counter(f"cardamomdrift.{name}", unit, description, bind(read))
+    for name, unit, description, read in GAUGES:
+        metrics.observe_gauge(f"cardamomdrift.{name}", unit, description, bind(read))
+
+
+async def expose(_request):
+    """Answer with all metrics as text."""
+    return web.Response(body=generate_latest(REGISTRY), content_type="text/plain")
--- a/cardamomdrift/telemetry/log.py
+++ b/cardamomdrift/telemetry/log.py
@@ -11,6 +11,7 @@
 import structlog
 
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
+FAILURE_LEVEL = LEVELS["warning"]
 
 
 def setup_logging(level, stream=None):
@@ -34,6 +35,34 @@
     logging.getLogger("mysql_mimic").setLevel(logging.CRITICAL + 1)
 
 
+class _Budget:
+    """Drops the lines that a writer's budget does not admit."""
+
+    def __init__(self, writer):
+        self._writer = writer
+
+    def __call__(self, _logger, method, event_dict):
+        if not self._writer.admits(FAILURE_LEVEL <= LEVELS.get(method, FAILURE_LEVEL)):
+            raise structlog.DropEvent
+        return event_dict
+
+
+def setup_bounded_logging(level, writer):
+    """Set up logs that never block and keep to a budget.
+
+    Parameters
+    ----------
+    level : str
+    writer : LineWriter
+    """
+    setup_logging(level, writer)
+    processors = [_Budget(writer), *structlog.get_config()["processors"]]
+    structlog.configure(
+        processors=processors,
+        logger_factory=structlog.WriteLoggerFactory(writer),
+    )
+
+
 def make_log(vm):
     """Return the log of one daemon."""
     return structlog.get_logger().bind(vm=vm)
--- a/cardamomdrift/telemetry/metrics.py
+++ b/cardamomdrift/telemetry/metrics.py
@@ -25,10 +25,17 @@
 
 
 class Metrics:
-    """Instruments of one daemon."""
+    """Instruments of one daemon.
 
-    def __init__(self, vm):
-        self._reader = InMemoryMetricReader()
+    Parameters
+    ----------
+    vm : str
+    reader : MetricReader, optional
+        By default one that `collect` reads.
+    """
+
+    def __init__(self, vm, reader=None):
+        self._reader = reader or InMemoryMetricReader()
         view = View(
             instrument_name="cardamomdrift.request.duration",
             aggregation=ExplicitBucketHistogramAggregation(BOUNDS),
@@ -45,6 +52,11 @@
             "cardamomdrift.request.duration", unit="s", description="Time to the answer"
         )
 
+    @property
+    def meter(self):
+        """OpenTelemetry meter for further instruments."""
+        return self._meter
+
     def observe_counter(self, name, unit, description, read):
         """Add a counter that is read when the metrics are.
 
--- /dev/null
+++ b/cardamomdrift/telemetry/recorder.py
@@ -0,0 +1,83 @@
+"""
+Request recorder
+================
+
+One log line and one count for each request: what decided it, how old that was, and the
+outcome.
+"""
+
+from cardamomdrift.clock import boot_clock
+from cardamomdrift.errors import NotRun
+from cardamomdrift.util import MILLISECONDS
+
+SERVED = "served"
+
+
+def _milliseconds(seconds):
+    return None if seconds is None else round(seconds * MILLISECONDS, 1)
+
+
+class RequestRecorder:
+    """Records requests.
+
+    Parameters
+    ----------
+    log : structlog logger
+    permission : Permission
+    metrics : RequestMetrics
+    """
+
+    def __init__(self, log, permission, metrics):
+        self._log = log
+        self._permission = permission
+        self._metrics = metrics
+
+    def record(self, request_id, database, request, error, now):
+        """Record what became of a request.
+
+        Parameters
+        ----------
+        request_id : str
+        database : str
+        request : StatementRequest or None
+            None if it was refused before it was one.
+        error : CallerError or None
+        now : float
+        """
+        outcome = SERVED if error is None else type(error).__name__
+        if request is None:
+            self._metrics.count("none", outcome)
+            self._log.warning(
+                "request failed", id=request_id, database=database, outcome=outcome
+            )
+            return
+        trace = request.trace
+        elapsed = now - request.arrived_at
+        placed = request.deadline_at if trace.placed_at is None else trace.placed_at
+        waited = min(placed, now) - request.arrived_at
+        self._metrics.observe(request.route.kind.name.lower(), outcome, elapsed, waited)
+        fields = {
+            "id": request_id,
+            "database": database,
+            "group": request.route.group,
+            "kind": request.route.kind.name.lower(),
+            "command": type(request.command).__name__.lower(),
+            "instance": trace.instance or None,
+            "floor": str(trace.floor) if trace.floor else None,
+            "generation": trace.generation,
+            "permission_ms": _milliseconds(self._permission.until - boot_clock()),
+            "attempts": trace.attempts,
+            "waited_ms": _milliseconds(waited),
+            "took_ms": _milliseconds(elapsed),
+            "on_the_way": "; ".join(trace.events) or None,
+            "outcome": outcome,
+        }
+        if error is None:
+            self._log.info("request served", **fields)
+            return
+        self._log.warning(
+            "request failed",
+            **fields,
+            not_run=isinstance(error, NotRun) and not trace.sent,
+            reason=str(error),
+        )
--- /dev/null
+++ b/cardamomdrift/upstreams/pinger.py
@@ -0,0 +1,141 @@
+"""
+Pinger
+======
+
+Asks one instance how far its log is, by an empty transaction, which takes no slot.  One
+question at a time, over an idle connection or else a new one beyond the pool's share,
+so that a silent connection is told from a dead instance.
+"""
+
+import asyncio
+
+from cardamomdrift.errors import (
+    UpstreamBusy,
+    UpstreamError,
+    UpstreamMismatch,
+)
+from cardamomdrift.ports import Refusal
+from cardamomdrift.sessions.commands import Begin, Rollback
+from cardamomdrift.util import cancel_all
+
+PING_TIMEOUT = 0.25  # seconds; a handshake takes 12 ms and two crossings of a domain
+RETRY_INTERVAL = 0.05  # seconds after a failure
+
+
+class Pinger:
+    """Pings of one instance; an async context manager.
+
+    Parameters
+    ----------
+    name : str
+    pool : InstancePool
+    connect : coroutine function
+        Opens a connection within a number of seconds.
+    listener : PingListener
+        Takes the answers and failures.
+    clock : callable
+    """
+
+    def __init__(self, name, pool, connect, listener, clock):
+        self._name = name
+        self._pool = pool
+        self._connect = connect
+        self._listener = listener
+        self._clock = clock
+        self._wanted = asyncio.Event()
+        self._task = None
+        self.asked = 0
+
+    def want(self):
+        """Ask again as soon as the question under way is answered."""
+        self._wanted.set()
+
+    async def __aenter__(self):
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await cancel_all([self._task])
+
+    async def _run(self):
+        while True:
+            await self._wanted.wait()
+            self._wanted.clear()
+            if not await self._ask():
+                await asyncio.sleep(RETRY_INTERVAL)
+
+    async def _ask(self):
+        self.asked += 1
+        begun_at = self._clock()
+        self._listener.ping_begun(self._name, begun_at)
+        try:
+            position = await self.ping(read_only=True)
+        except UpstreamBusy:
+            # Refused by a live instance.
+            self._listener.ping_answered(self._name, None, begun_at, self._clock())
+            return True
+        except (UpstreamError, TimeoutError) as error:
+            refused = isinstance(error, UpstreamMismatch) or is_refusal(error)
+            self._listener.ping_failed(self._name, self._clock(), refused, error)
+            return False
+        self._listener.ping_answered(self._name, position, begun_at, self._clock())
+        return True
+
+    async def ping(self, read_only):
+        """Return the position that the instance's log has reached.
+
+        Parameters
+        ----------
+        read_only : bool
+            False asks whether it takes writes; None is returned if it does not.
+
+        Raises
+        ------
+        UpstreamError or TimeoutError
+        """
+        async with asyncio.timeout(PING_TIMEOUT):
+            connection = self._pool.take_idle()
+            if connection is not None:
+                try:
+                    return await _ask_position(connection, read_only)
+                finally:
+                    self._pool.release(connection)
+            connection = await self._connect(PING_TIMEOUT)
+            try:
+                return await _ask_position(connection, read_only)
+            finally:
+                connection.close()
+
+    async def status(self):
+        """Return the instance's status; it takes a slot.
+
+        Raises
+        ------
+        UpstreamError or TimeoutError
+        """
+        async with asyncio.timeout(PING_TIMEOUT):
+            connection = await self._connect(PING_TIMEOUT)
+            try:
+                return await connection.status()
+            finally:
+                connection.close()
+
+
+async def _ask_position(connection, read_only):
+    begun, ended = await connection.exchange(
+        [(None, Begin(read_only)), (None, Rollback())]
+    )
+    if begun.refusal is Refusal.READ_ONLY:
+        return None
+    if begun.refusal is not None:
+        raise UpstreamBusy(f"{begun.code} {begun.detail}")
+    return ended.position or begun.position
+
+
+def is_refusal(error):
+    """Whether a connection failed because nothing listens at the address."""
+    while error is not None:
+        if isinstance(error, ConnectionRefusedError):
+            return True
+        error = error.__cause__
+    return False
--- a/cardamomdrift/upstreams/pool.py
+++ b/cardamomdrift/upstreams/pool.py
@@ -89,30 +89,40 @@
         while self._idle and now - self._idle[0].idle_since > IDLE_LIMIT:
             self._idle.popleft().close()
 
-    def connection(self, database, deadline_at):
+    def connection(self, database, deadline_at, prefer=None):
         """Return a context manager that holds a connection to a database.
 
+        Parameters
+        ----------
+        database : str or None
+        deadline_at : float
+        prefer : callable, optional
+            Tells whether an idle connection suits better than others.
+
         Raises
         ------
         UpstreamUnreachable
             No connection could be had; nothing was sent.
         DeadlinePassed
         """
-        return _HeldConnection(self, database, deadline_at)
+        return _HeldConnection(self, database, deadline_at, prefer)
 
-    async def acquire(self, deadline_at):
-        """Return a connection that must be released."""
+    async def acquire(self, deadline_at, prefer=None):
+        """Return a connection that must be released; see `connection`."""
         while True:
             if self._closed:
                 raise UpstreamUnreachable("pool is closed")
-            connection = self._take_idle()
+            connection = self.take_idle(prefer)
             if connection is not None:
                 return connection
             if self.size < self._limit and self._clock() >= self._busy_until:
                 return await self._open(deadline_at)
             await self._wait(deadline_at)
 
-    def _take_idle(self):
+    def take_idle(self, prefer=None):
+        """Return an idle connection that must be released, or None."""
+        if prefer is not None:
+            self._move_last(prefer)
         while self._idle:
             connection = self._idle.pop()
             if connection.reusable:
@@ -121,6 +131,14 @@
             connection.close()
         return None
 
+    def _move_last(self, prefer):
+        for index in range(len(self._idle) - 1, -1, -1):
+            if prefer(self._idle[index]):
+                chosen = self._idle[index]
+                del self._idle[index]
+                self._idle.append(chosen)
+                return
+
     async def _open(self, deadline_at):
         timeout = min(CONNECT_TIMEOUT, deadline_at - self._clock())
         if timeout <= 0:
@@ -175,15 +193,16 @@
 class _HeldConnection:
     """A connection that one request holds, with its database selected."""
 
-    __slots__ = ("_connection", "_database", "_deadline_at", "_pool")
+    __slots__ = ("_connection", "_database", "_deadline_at", "_pool", "_prefer")
 
-    def __init__(self, pool, database, deadline_at):
+    def __init__(self, pool, database, deadline_at, prefer):
         self._pool = pool
         self._database = database
         self._deadline_at = deadline_at
+        self._prefer = prefer
 
     async def __aenter__(self):
-        self._connection = await self._pool.acquire(self._deadline_at)
+        self._connection = await self._pool.acquire(self._deadline_at, self._prefer)
         if self._database and self._connection.database != self._database:
             await self._select()
         return self._connection
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -9,7 +9,7 @@
 from cardamomdrift.position import Position
 from cardamomdrift.routing.cost import CostBook
 from cardamomdrift.routing.dispatch import Dispatcher, ForRead
-from cardamomdrift.routing.group import VmIdentity
+from cardamomdrift.routing.identity import VmIdentity
 from cardamomdrift.routing.view import make_view
 from tests.test_decisions import ticket
 from tests.values import bundle
