--- a/cardamomdrift/peers/announcer.py
+++ b/cardamomdrift/peers/announcer.py
@@ -178,7 +178,9 @@
         return news
 
     def _note_lost(self, now):
-        for name in self._roster.peers:
+        for name, peer in self._roster.peers.items():
+            if peer.heard_at is None:
+                continue
             fresh = self._roster.is_fresh(name, now, LOST_TIME)
             if fresh and name in self._lost:
                 self._lost.discard(name)
--- a/cardamomdrift/platform/callers.py
+++ b/cardamomdrift/platform/callers.py
@@ -102,6 +102,10 @@
             return
         except PacketTooLarge as error:
             self._log.warning("caller's message too large", error=str(error))
+        except Exception as error:
+            self._log.error(
+                "session failed", error=f"{type(error).__name__} {error}", exc_info=True
+            )
         finally:
             self._sessions.discard(session)
             session.stream.close()
--- a/cardamomdrift/routing/dispatch.py
+++ b/cardamomdrift/routing/dispatch.py
@@ -254,7 +254,8 @@
                     in_flight=runtime.in_flight,
                     limit=runtime.limit,
                     service_time=ticket.cost,
-                    long_allowed=self._takes_long(name, lane, long_allowed),
+                    long_allowed=not ticket.long
+                    or self._takes_long(name, lane, long_allowed),
                     penalty=penalty if name == lane else 0.0,
                 )
             )
