A single silent daemon no longer ends the permission to use a primary

Change: one silent daemon is allowed from three daemons on; whoever replaces a primary needs the word of one other daemon that all the rest count. Ruled out: a majority on both sides; it would stop replacements when two of four daemons are lost.

--- a/cardamomdrift/failover/permission.py
+++ b/cardamomdrift/failover/permission.py
@@ -4,43 +4,65 @@
 
 Until when this daemon may take a group's settled primary for the present one.
 
-Every heartbeat promises that its sender has begun no replacement beyond the generation
-that it names.  If every daemon that anyone counts has promised lately, nobody has
-replaced a primary; a read of the store shows the same, since a replacement is written
-there first.  Whoever replaces a primary waits until all others have released it, or
-until what they rely on has run out.  Ages are measured with the boot clock, so a VM
-that was suspended relies on nothing it knew before.
+Every heartbeat promises that its sender knows of no replacement beyond the generation
+that it names.  If every daemon that anyone counts, one excepted, has promised lately,
+nobody has replaced a primary; a read of the store shows the same, since a replacement
+is written there first.  Whoever replaces a primary waits until all others have released
+it, or, with one other daemon's word, until what the rest rely on has run out.  Ages are
+measured with the boot clock, so a VM that was suspended relies on nothing that it knew
+before.
 """
 
 import math
 
 PERMISSION_TIME = 1.2  # seconds; a heartbeat and its echo come several times within it
+SILENT_ALLOWED = 1  # daemons that may be silent, so that one loss costs no permission
+SILENT_MINIMUM = 3  # daemons from which on one may be silent
+ACKNOWLEDGED_NEEDED = SILENT_ALLOWED  # other daemons that must know of a replacement
 
 
 def promised_until(roster, now):
-    """Return until when the promises of all daemons hold; minus infinity if never.
+    """Return until when the promises of the daemons hold; minus infinity if never.
 
     The daemons that count are those of this one and, in turn, those that they count.
+
+    Parameters
+    ----------
+    roster : Roster
+    now : float
+        Boot clock.
     """
+    promises = _promises(roster, now)
+    excepted = SILENT_ALLOWED if len(promises) + 1 >= SILENT_MINIMUM else 0
+    oldest = sorted(promises)[excepted] if promises else now
+    return min(oldest, now) + PERMISSION_TIME
+
+
+def _promises(roster, now):
+    """Return when each other daemon that counts has promised last."""
+    promises = []
     wanted = list(roster.peers)
     seen = {roster.vm}
-    oldest = math.inf
     while wanted:
         name = wanted.pop()
         if name in seen:
             continue
         seen.add(name)
         peer = roster.peers.get(name)
-        if peer is None or peer.sent_after is None:
-            return -math.inf
-        if roster.vm not in peer.heartbeat.members:
-            return -math.inf
-        if not peer.heartbeat.leaving:
-            oldest = min(oldest, peer.sent_after)
-        if now > oldest + PERMISSION_TIME:
-            return -math.inf
+        if peer is None or peer.heartbeat is None:
+            promises.append(-math.inf)
+            continue
+        promises.append(_promised_at(roster, peer, now))
         wanted.extend(peer.heartbeat.members)
-    return now + PERMISSION_TIME if oldest == math.inf else oldest + PERMISSION_TIME
+    return promises
+
+
+def _promised_at(roster, peer, now):
+    if peer.heartbeat.leaving:
+        return now
+    if peer.sent_after is None or roster.vm not in peer.heartbeat.members:
+        return -math.inf
+    return peer.sent_after
 
 
 class Permission:
--- a/cardamomdrift/failover/replacement.py
+++ b/cardamomdrift/failover/replacement.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-from cardamomdrift.failover.permission import PERMISSION_TIME
+from cardamomdrift.failover.permission import ACKNOWLEDGED_NEEDED, PERMISSION_TIME
 
 REFUSED_TIME = 0.15  # seconds; a connection that was reset is opened anew in 30 ms
 SILENT_TIME = 0.5  # seconds; two pings that find no answer
@@ -169,7 +169,20 @@
     return now + call_time < intent.begun_at + INTENT_TIME
 
 
-def is_released(intent, others, now):
+def has_quorum(acknowledged, others):
+    """Whether enough daemons know of a replacement that no other relies on them.
+
+    Parameters
+    ----------
+    acknowledged : int
+        Other daemons that know of it and that all the rest count.
+    others : int
+        Other daemons altogether.
+    """
+    return acknowledged >= min(ACKNOWLEDGED_NEEDED, others)
+
+
+def is_released(intent, others, quorum_at, now):
     """Whether nobody uses the old primary any more.
 
     Parameters
@@ -177,12 +190,17 @@
     intent : Intent
     others : dict of str to int
         Generation that each other daemon has released, by name.
+    quorum_at : float or None
+        Since when enough daemons have known of the replacement.
     now : float
         Boot clock.
     """
     if all(released >= intent.generation for released in others.values()):
         return True
-    return now >= intent.committed_at + PERMISSION_TIME + RELEASE_MARGIN
+    if quorum_at is None:
+        return False
+    since = max(intent.committed_at, quorum_at)
+    return now >= since + PERMISSION_TIME + RELEASE_MARGIN
 
 
 def takeover_at(seen_at):
--- a/cardamomdrift/failover/replacer.py
+++ b/cardamomdrift/failover/replacer.py
@@ -31,6 +31,7 @@
 )
 from cardamomdrift.failover.replacement import (
     CATCH_UP_TIME,
+    INTENT_TIME,
     RANK_DELAY,
     Candidate,
     Intent,
@@ -38,6 +39,7 @@
     Reason,
     answers_needed,
     choose_candidate,
+    has_quorum,
     is_released,
     may_call,
     reason_to_replace,
@@ -421,24 +423,46 @@
         names = (self._control.listed | set(self._roster.peers)) - {self._roster.vm}
         group = cluster.group.name
         lead = cluster.leadership
-        while lead.released < intent.generation or not is_released(
-            intent, self._released(group, names), boot_clock()
-        ):
+        quorum_at = None
+        while True:
+            now = boot_clock()
+            if now >= intent.begun_at + INTENT_TIME:
+                raise ReplacementFailed("too few daemons know of it")
+            released = self._released(group, names)
+            known = self._acknowledged(group, released, intent.generation)
+            if quorum_at is None and has_quorum(known, len(released)):
+                quorum_at = now
+            own = lead.released >= intent.generation
+            if own and is_released(intent, released, quorum_at, now):
+                break
             await asyncio.sleep(POLL_INTERVAL)
-        now = boot_clock()
+        missing = [name for name, one in released.items() if one < intent.generation]
         self._log.info(
             "old primary released",
             group=group,
             generation=intent.generation,
             waited_ms=round((now - intent.committed_at) * 1000),
-            missing=",".join(
-                name
-                for name, released in self._released(group, names).items()
-                if released < intent.generation
-            )
-            or None,
+            missing=",".join(missing) or None,
         )
 
+    def _acknowledged(self, group, released, generation):
+        """Return how many others know of a replacement and are counted by the rest."""
+        knowing = {
+            name
+            for name in released
+            if self._known_generation(name, group) >= generation
+        }
+        rest = released.keys() - knowing
+        return sum(
+            all(self._roster.is_counted_by(name, one) for one in rest)
+            for name in knowing
+        )
+
+    def _known_generation(self, name, group):
+        peer = self._roster.peers.get(name)
+        claim = peer and peer.heartbeat and peer.heartbeat.groups.get(group)
+        return claim.generation if claim else -1
+
     def _released(self, group, names):
         """Return the generation that each other daemon has released."""
         released = {}
--- a/cardamomdrift/peers/roster.py
+++ b/cardamomdrift/peers/roster.py
@@ -26,11 +26,14 @@
     knows_us : bool
         Whether it has echoed a stamp of this incarnation.
     added_at : float
+    began_at : float or None
+        When its present incarnation was first heard.
     """
 
     name: str
     address: str
     added_at: float
+    began_at: float | None = None
     heartbeat: object = None
     heard_at: float | None = None
     sent_after: float | None = None
@@ -123,8 +126,19 @@
             # A restarted daemon may not know of this one yet.
             peer.knows_us = False
             peer.sent_after = None
+        if not same:
+            peer.began_at = now
         return True
 
+    def is_counted_by(self, name, other):
+        """Whether another daemon is known to count a daemon's present incarnation."""
+        peer, counting = self._peers.get(name), self._peers.get(other)
+        if peer is None or counting is None or counting.sent_after is None:
+            return False
+        if peer.began_at is None or counting.sent_after < peer.began_at:
+            return False
+        return name in counting.heartbeat.members
+
     def is_fresh(self, name, now, limit):
         """Whether a daemon's last heartbeat came within some seconds."""
         peer = self._peers.get(name)
--- a/cardamomdrift/routing/statements.py
+++ b/cardamomdrift/routing/statements.py
@@ -290,7 +290,13 @@
         running[task] = attempt
         # An attempt that loses goes on to its end, so that its connection is kept.
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._end_attempt)
+
+    def _end_attempt(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            # Whoever still waits for the attempt logs it with the request.
+            self._cluster.log.debug("attempt failed", error=str(task.exception()))
 
     async def _first_answer(self, request, tried, running):
         """Return the first Reply, or None if another attempt is to be made."""
