--- a/bench/load.py
+++ b/bench/load.py
@@ -13,9 +13,9 @@
 from asyncmy.errors import Error
 from hdrh.histogram import HdrHistogram
 
+from cardamomdrift.jsonc import load_jsonc
 from cardamomdrift.standins.deployment import make_deployment
 from cardamomdrift.standins.fleet import LocalFleet
-from cardamomdrift.util import load_jsonc
 
 MICROSECONDS = 1_000_000  # per second
 LONGEST = 120 * MICROSECONDS
--- a/cardamomdrift/command.py
+++ b/cardamomdrift/command.py
@@ -28,6 +28,7 @@
     PlatformUnavailable,
     SettingsError,
 )
+from cardamomdrift.jsonc import load_jsonc
 from cardamomdrift.peers.link import ask
 from cardamomdrift.peers.messages import (
     BurnQuery,
@@ -37,7 +38,6 @@
 )
 from cardamomdrift.settings import load_settings
 from cardamomdrift.telemetry.burn import format_burn
-from cardamomdrift.util import load_jsonc
 
 REFUSED = 1
 BAD_INPUT = 2
--- a/cardamomdrift/demo.py
+++ b/cardamomdrift/demo.py
@@ -18,10 +18,10 @@
 from hdrh.histogram import HdrHistogram
 
 from cardamomdrift.errors import OutcomeUnknown
+from cardamomdrift.jsonc import load_jsonc
 from cardamomdrift.standins.deployment import make_deployment
 from cardamomdrift.standins.fleet import LocalFleet
 from cardamomdrift.telemetry.log import setup_logging
-from cardamomdrift.util import load_jsonc
 
 DAEMONS = 3
 SEED = 7
--- a/cardamomdrift/failover/permission.py
+++ b/cardamomdrift/failover/permission.py
@@ -15,6 +15,8 @@
 
 import math
 
+from cardamomdrift.util import seconds
+
 PERMISSION_TIME = 1.2  # seconds; a heartbeat and its echo come several times within it
 SILENT_ALLOWED = 1  # daemons that may be silent, so that one loss costs no permission
 SILENT_MINIMUM = 3  # daemons from which on one may be silent
@@ -53,14 +55,14 @@
             promises.append(-math.inf)
             continue
         promises.append(_promised_at(roster, peer, now))
-        wanted.extend(peer.heartbeat.members)
+        wanted.extend(peer.members)
     return promises
 
 
 def _promised_at(roster, peer, now):
     if peer.heartbeat.leaving:
         return now
-    if peer.sent_after is None or roster.vm not in peer.heartbeat.members:
+    if peer.sent_after is None or roster.vm not in peer.members:
         return -math.inf
     return peer.sent_after
 
@@ -105,5 +107,5 @@
         heartbeat = peer.heartbeat
         if peer.sent_after is None or not heartbeat.listed:
             return
-        if heartbeat.confirmed_age is not None:
-            self.note_confirmed(peer.sent_after - heartbeat.confirmed_age)
+        if heartbeat.confirmed_age_ms is not None:
+            self.note_confirmed(peer.sent_after - seconds(heartbeat.confirmed_age_ms))
--- a/cardamomdrift/failover/replacer.py
+++ b/cardamomdrift/failover/replacer.py
@@ -48,7 +48,7 @@
 from cardamomdrift.membership.control import LIVE_TIME
 from cardamomdrift.membership.rendezvous import rank
 from cardamomdrift.ports import Committed
-from cardamomdrift.util import cancel_all
+from cardamomdrift.util import cancel_all, seconds
 
 TICK = 0.05  # seconds
 CALL_TIME = 0.6  # seconds for one call of the platform; it takes 20 ms
@@ -203,9 +203,10 @@
             claim = peer.heartbeat.groups.get(cluster.group.name)
             if claim is None or claim.generation != generation:
                 continue
-            silences.append(claim.silence)
-            if claim.contact_age is not None:
-                contacts.append(claim.contact_age + now - peer.heard_at)
+            silences.append(seconds(claim.silence_ms))
+            if claim.contact_age_ms is not None:
+                age = seconds(claim.contact_age_ms)
+                contacts.append(age + now - peer.heard_at)
         return min(contacts, default=None), max(silences)
 
     def _delay(self, cluster, now):
--- /dev/null
+++ b/cardamomdrift/http/client.py
@@ -0,0 +1,164 @@
+"""
+HTTP client
+===========
+
+Calls of one server with a time limit each.  A connection whose answer did not come in
+time is reset, so that nothing held up on the way is delivered later.
+"""
+
+import asyncio
+import socket
+import struct
+from dataclasses import dataclass
+
+import h11
+
+RECEIVE_SIZE = 64 * 1024  # bytes read at once
+BODY_LIMIT = 16 * 1024 * 1024  # bytes of an answer; a page of the store has 1 MB
+IDLE_LIMIT = 4  # connections kept open
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class CallFailed(Exception):
+    """No whole answer came; the server may have done what was asked."""
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """An answer."""
+
+    status: int
+    body: bytes
+
+
+class _Connection:
+    """One connection to the server."""
+
+    def __init__(self, reader, writer):
+        self._reader = reader
+        self._writer = writer
+        self._protocol = h11.Connection(h11.CLIENT)
+
+    @property
+    def usable(self):
+        """Whether another call may use it."""
+        if self._writer.is_closing() or self._reader.at_eof():
+            return False
+        return self._protocol.our_state is h11.IDLE
+
+    async def call(self, request, body):
+        """Send a request and return its Response."""
+        data = self._protocol.send(request)
+        if body:
+            data += self._protocol.send(h11.Data(data=body))
+        data += self._protocol.send(h11.EndOfMessage())
+        self._writer.write(data)
+        response = await self._receive()
+        if self._protocol.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
+            self._protocol.start_next_cycle()
+        else:
+            self.reset()
+        return response
+
+    async def _receive(self):
+        status, parts, size = 0, [], 0
+        while True:
+            event = self._protocol.next_event()
+            if event is h11.NEED_DATA:
+                self._protocol.receive_data(await self._reader.read(RECEIVE_SIZE))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > BODY_LIMIT:
+                    raise CallFailed("the answer is too long")
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return Response(status, b"".join(parts))
+            else:
+                raise CallFailed("the connection was closed")
+
+    def reset(self):
+        """End the connection; what has not left yet never will."""
+        raw = self._writer.get_extra_info("socket")
+        if raw is not None and raw.fileno() >= 0:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self._writer.transport.abort()
+
+
+class HttpClient:
+    """Client of one server; an async context manager.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``.
+    """
+
+    def __init__(self, address):
+        self._address = address
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._idle = []
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *exc_info):
+        while self._idle:
+            self._idle.pop().reset()
+
+    async def call(self, method, target, timeout, body=b"", headers=()):
+        """Make a call and return its Response.
+
+        Parameters
+        ----------
+        method : str
+        target : str
+            Path and query.
+        timeout : float
+            Seconds, connecting included.
+        body : bytes
+        headers : sequence of (str, str)
+
+        Raises
+        ------
+        CallFailed
+        """
+        fields = [("Host", self._address), ("Content-Type", "application/json")]
+        fields.extend(headers)
+        if body or method != "GET":
+            fields.append(("Content-Length", str(len(body))))
+        request = h11.Request(method=method, target=target, headers=fields)
+        connection = None
+        try:
+            async with asyncio.timeout(timeout):
+                connection = self._take_idle() or await self._connect()
+                response = await connection.call(request, body)
+        except (OSError, h11.RemoteProtocolError) as error:
+            self._drop(connection)
+            reason = f"{type(error).__name__} {error}".rstrip()
+            raise CallFailed(reason) from error
+        except BaseException:
+            self._drop(connection)
+            raise
+        if connection.usable and len(self._idle) < IDLE_LIMIT:
+            self._idle.append(connection)
+        return response
+
+    @staticmethod
+    def _drop(connection):
+        if connection is not None:
+            connection.reset()
+
+    def _take_idle(self):
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable:
+                return connection
+            connection.reset()
+        return None
+
+    async def _connect(self):
+        return _Connection(*await asyncio.open_connection(self._host, self._port))
--- /dev/null
+++ b/cardamomdrift/http/server.py
@@ -0,0 +1,88 @@
+"""
+HTTP server
+===========
+
+Answers GET requests on a few paths, one request for each connection.
+"""
+
+import asyncio
+
+import h11
+
+RECEIVE_SIZE = 16 * 1024  # bytes read at once
+REQUEST_TIME = 2.0  # seconds for a whole request
+METHODS = (b"GET", b"HEAD")
+
+
+class HttpServer:
+    """Serves some paths at one address; an async context manager.
+
+    Parameters
+    ----------
+    address : (str, int)
+    handlers : dict of str to callable
+        Returns status, content type and body, by path.
+    log : structlog logger
+    """
+
+    def __init__(self, address, handlers, log):
+        self._address = address
+        self._handlers = handlers
+        self._log = log
+        self._server = None
+
+    async def __aenter__(self):
+        host, port = self._address
+        self._server = await asyncio.start_server(self._serve, host, port)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            async with asyncio.timeout(REQUEST_TIME):
+                await self._answer(reader, writer)
+        except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
+            self._log.info(
+                "http request not answered", error=f"{type(error).__name__} {error}"
+            )
+        finally:
+            writer.close()
+
+    async def _answer(self, reader, writer):
+        protocol = h11.Connection(h11.SERVER)
+        request = await self._read_request(protocol, reader)
+        if request is None:
+            return
+        path = request.target.partition(b"?")[0].decode("ascii", "replace")
+        handler = self._handlers.get(path)
+        if handler is None or request.method not in METHODS:
+            status, kind, body = 404, "text/plain", b""
+        else:
+            status, kind, body = handler()
+        headers = [
+            ("Content-Type", kind),
+            ("Content-Length", str(len(body))),
+            ("Connection", "close"),
+        ]
+        data = protocol.send(h11.Response(status_code=status, headers=headers))
+        if body and request.method == b"GET":
+            data += protocol.send(h11.Data(data=body))
+        writer.write(data)
+        await writer.drain()
+
+    @staticmethod
+    async def _read_request(protocol, reader):
+        """Return the request, or None if the connection ended before it."""
+        request = None
+        while True:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                protocol.receive_data(await reader.read(RECEIVE_SIZE))
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.EndOfMessage):
+                return request
+            elif isinstance(event, h11.ConnectionClosed):
+                return None
--- /dev/null
+++ b/cardamomdrift/jsonc.py
@@ -0,0 +1,23 @@
+"""
+JSON with comments
+==================
+
+Reads the files that operators write.
+"""
+
+from pathlib import Path
+
+import json5
+
+
+def load_jsonc(path):
+    """Return the value in a file of JSON with comments.
+
+    Raises
+    ------
+    OSError
+        If the file cannot be read.
+    ValueError
+        If it is not JSON; the text names line and column.
+    """
+    return json5.loads(Path(path).read_text(encoding="utf-8"))
--- a/cardamomdrift/peers/announcer.py
+++ b/cardamomdrift/peers/announcer.py
@@ -6,15 +6,21 @@
 """
 
 import asyncio
+import math
 
 from cardamomdrift.clock import boot_clock
 from cardamomdrift.peers.heartbeat import GroupClaim, Heartbeat
-from cardamomdrift.util import cancel_all
+from cardamomdrift.util import MILLISECONDS, cancel_all, seconds
 
-INTERVAL = 0.2  # seconds; six heartbeats within the time of permission
+INTERVAL = 0.25  # seconds; almost five heartbeats within the time of permission
 LOST_TIME = 1.0  # seconds without a heartbeat before a daemon counts as lost in the log
 
 
+def _milliseconds(age):
+    """Return an age in seconds as whole milliseconds, never too short."""
+    return math.ceil(age * MILLISECONDS)
+
+
 class Announcer:
     """This daemon's heartbeats; an async context manager.
 
@@ -86,16 +92,19 @@
 
     def _send(self, peer, now, members, groups):
         last = peer.heartbeat
+        digest = self._roster.digest
+        same = last is not None and peer.knows_us and last.digest == digest
         confirmed = self._permission.confirmed_at
         heartbeat = Heartbeat(
             sender=self._roster.vm,
             incarnation=self._roster.incarnation,
-            stamp=now,
+            stamp=math.floor(now * MILLISECONDS),
             echo_incarnation=last.incarnation if last else "",
-            echo=last.stamp if last else 0.0,
-            held=now - peer.heard_at if last else 0.0,
-            members=members,
-            confirmed_age=now - confirmed if confirmed > 0 else None,
+            echo=last.stamp if last else 0,
+            held_ms=math.floor((now - peer.heard_at) * MILLISECONDS) if last else 0,
+            digest=digest,
+            members=None if same else members,
+            confirmed_age_ms=_milliseconds(now - confirmed) if confirmed > 0 else None,
             listed=peer.name in self._control.listed,
             store_reachable=self._control.reachable,
             version=self._configuration.version,
@@ -122,9 +131,9 @@
             primary=lead.primary,
             released=lead.released,
             position=(sample.floor.term, sample.floor.sequence) if sample else None,
-            position_age=now - sample.begun_at if sample else 0.0,
-            contact_age=contact,
-            silence=silence or 0.0,
+            position_age_ms=_milliseconds(now - sample.begun_at) if sample else 0,
+            contact_age_ms=None if contact is None else _milliseconds(contact),
+            silence_ms=_milliseconds(silence or 0.0),
         )
 
     # Receiving
@@ -138,7 +147,7 @@
         peer = self._roster.peers[heartbeat.sender]
         if not self._control.listed:
             # The store cannot be read yet; the others know who counts.
-            for name, address in heartbeat.members.items():
+            for name, address in peer.members.items():
                 self._roster.add(name, address, now)
         news = self._take_claims(peer, now)
         usable = self._permission.holds(now)
@@ -173,7 +182,7 @@
                     source=peer.name,
                 )
             if claim.position is not None and peer.sent_after is not None:
-                begun = peer.sent_after - claim.position_age
+                begun = peer.sent_after - seconds(claim.position_age_ms)
                 cluster.take_sample(begun, claim.position)
         return news
 
--- a/cardamomdrift/peers/heartbeat.py
+++ b/cardamomdrift/peers/heartbeat.py
@@ -11,11 +11,14 @@
 
 import msgspec
 
+from cardamomdrift.util import hash_number
+
 SIZE_LIMIT = 60_000  # bytes of one datagram
+DIGEST_MASK = 0xFFFFFFFF  # 32 bits; a few dozen sets of daemons in a day
 
 
 class GroupClaim(msgspec.Struct, array_like=True, frozen=True):
-    """What a daemon knows of one database group; times are in seconds.
+    """What a daemon knows of one database group; times are in milliseconds.
 
     Attributes
     ----------
@@ -29,11 +32,11 @@
         Generation for which it has stopped using all earlier primaries.
     position : (int, int) or None
         What the primary's log had reached.
-    position_age : float
+    position_age_ms : int
         How long ago that was at the latest.
-    contact_age : float or None
+    contact_age_ms : int or None
         How long ago the primary last answered it.
-    silence : float
+    silence_ms : int
         For how long the primary has answered it nothing.
     """
 
@@ -43,30 +46,33 @@
     primary: str
     released: int
     position: tuple[int, int] | None = None
-    position_age: float = 0.0
-    contact_age: float | None = None
-    silence: float = 0.0
+    position_age_ms: int = 0
+    contact_age_ms: int | None = None
+    silence_ms: int = 0
 
 
 class Heartbeat(msgspec.Struct, array_like=True, frozen=True):
-    """A daemon's state; times are in seconds of its boot clock.
+    """A daemon's state; stamps are in milliseconds of its boot clock.
 
     Attributes
     ----------
     sender : str
     incarnation : str
         Changes when the daemon starts or registers again.
-    stamp : float
+    stamp : int
         When it was sent.
     echo_incarnation : str
         Incarnation of the receiver that the echo belongs to; empty without an echo.
-    echo : float
+    echo : int
         Newest stamp of the receiver.
-    held : float
-        Seconds from the echoed stamp's arrival to this heartbeat.
-    members : dict of str to str
-        Address of every daemon that the sender counts, itself included.
-    confirmed_age : float or None
+    held_ms : int
+        From the echoed stamp's arrival to this heartbeat.
+    digest : int
+        Hash of the daemons that the sender counts.
+    members : dict of str to str or None
+        Address of each of them, the sender included; None if the receiver counts the
+        same, as its last heartbeat says.
+    confirmed_age_ms : int or None
         How long ago the sender began the last read of the store that all its claims
         include.
     listed : bool
@@ -81,12 +87,13 @@
 
     sender: str
     incarnation: str
-    stamp: float
+    stamp: int
     echo_incarnation: str
-    echo: float
-    held: float
-    members: dict[str, str]
-    confirmed_age: float | None
+    echo: int
+    held_ms: int
+    digest: int
+    members: dict[str, str] | None
+    confirmed_age_ms: int | None
     listed: bool
     store_reachable: bool
     version: int
@@ -94,6 +101,12 @@
     groups: dict[str, GroupClaim]
 
 
+def members_digest(members):
+    """Return a hash of names and addresses that fits a few bytes."""
+    parts = (f"{name}={address}" for name, address in sorted(members.items()))
+    return hash_number(*parts) & DIGEST_MASK
+
+
 class _Datagrams(asyncio.DatagramProtocol):
     """Passes datagrams on; a failed one is made up for by the next heartbeat."""
 
--- a/cardamomdrift/peers/roster.py
+++ b/cardamomdrift/peers/roster.py
@@ -6,7 +6,10 @@
 it only takes in heartbeats and reads of the store.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from cardamomdrift.peers.heartbeat import members_digest
+from cardamomdrift.util import seconds
 
 
 @dataclass(slots=True)
@@ -28,6 +31,8 @@
     added_at : float
     began_at : float or None
         When its present incarnation was first heard.
+    members : dict of str to str
+        Daemons that it counts, with their addresses; empty if not known.
     """
 
     name: str
@@ -38,6 +43,7 @@
     heard_at: float | None = None
     sent_after: float | None = None
     knows_us: bool = False
+    members: dict = field(default_factory=dict)
 
 
 class Roster:
@@ -55,6 +61,7 @@
         self._address = address
         self._incarnation = incarnation
         self._peers = {}
+        self._digest = None
 
     @property
     def vm(self):
@@ -89,47 +96,68 @@
             peer.knows_us = False
             peer.sent_after = None
 
+    @property
+    def digest(self):
+        """Hash of the daemons counted, this one included."""
+        if self._digest is None:
+            self._digest = members_digest(self.addresses())
+        return self._digest
+
     def add(self, name, address, now):
         """Count a daemon; return whether it is new."""
         if name == self._vm:
             return False
         peer = self._peers.get(name)
-        if peer is None:
-            self._peers[name] = Peer(name, address, now)
-            return True
-        if peer.address != address:
+        if peer is not None and peer.address == address:
+            return False
+        self._digest = None
+        if peer is not None:
             peer.address = address
-        return False
-
-    def remove(self, name):
-        """Stop counting a daemon that can promote nothing any more."""
-        return self._peers.pop(name, None) is not None
+            return False
+        self._peers[name] = Peer(name, address, now)
+        return True
 
     def take(self, heartbeat, now):
         """Take in a heartbeat; return whether it is newer than the last one."""
         name = heartbeat.sender
-        address = heartbeat.members.get(name)
-        if name == self._vm or address is None:
+        if name == self._vm:
             return False
-        self.add(name, address, now)
-        peer = self._peers[name]
+        peer = self._peers.get(name)
+        members = self._members_of(heartbeat, peer)
+        if peer is None:
+            if name not in members:
+                return False
+            self.add(name, members[name], now)
+            peer = self._peers[name]
+        elif name in members:
+            self.add(name, members[name], now)
         last = peer.heartbeat
         same = last is not None and last.incarnation == heartbeat.incarnation
-        if same and heartbeat.stamp <= last.stamp:
+        if same and heartbeat.stamp < last.stamp:
             return False
         peer.heartbeat = heartbeat
         peer.heard_at = now
-        if heartbeat.echo_incarnation == self._incarnation:
-            peer.knows_us = True
-            peer.sent_after = heartbeat.echo + heartbeat.held
-        elif not same:
+        peer.members = members
+        if not same:
             # A restarted daemon may not know of this one yet.
             peer.knows_us = False
             peer.sent_after = None
-        if not same:
             peer.began_at = now
+        if heartbeat.echo_incarnation == self._incarnation:
+            peer.knows_us = True
+            peer.sent_after = seconds(heartbeat.echo + heartbeat.held_ms)
         return True
 
+    def _members_of(self, heartbeat, peer):
+        """Return the daemons that a heartbeat's sender counts; empty if not known."""
+        if heartbeat.members is not None:
+            return heartbeat.members
+        if heartbeat.digest == self.digest:
+            return self.addresses()
+        if peer is not None and members_digest(peer.members) == heartbeat.digest:
+            return peer.members
+        return {}
+
     def is_counted_by(self, name, other):
         """Whether another daemon is known to count a daemon's present incarnation."""
         peer, counting = self._peers.get(name), self._peers.get(other)
@@ -137,7 +165,7 @@
             return False
         if peer.began_at is None or counting.sent_after < peer.began_at:
             return False
-        return name in counting.heartbeat.members
+        return name in counting.members
 
     def is_fresh(self, name, now, limit):
         """Whether a daemon's last heartbeat came within some seconds."""
@@ -171,5 +199,5 @@
         for name, address in registered.items():
             self.add(name, address, now)
         for name in before - registered.keys():
-            del self._peers[name]
+            self.remove(name)
         return before != set(self._peers)
--- /dev/null
+++ b/cardamomdrift/platform/__main__.py
@@ -0,0 +1,13 @@
+"""Starts the daemon; imports leave no garbage, so none is looked for meanwhile."""
+
+import gc
+import sys
+
+gc.disable()
+
+from cardamomdrift.platform.daemon import main  # noqa: E402
+
+gc.enable()
+gc.freeze()
+
+sys.exit(main())
--- a/cardamomdrift/platform/catalog.py
+++ b/cardamomdrift/platform/catalog.py
@@ -6,9 +6,9 @@
 project's types.  An entry that cannot be read names no instance.
 """
 
-from typing import Literal
+from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+import msgspec
 from returns.result import Failure, Success
 
 from cardamomdrift.deployment import (
@@ -19,8 +19,8 @@
     RouteKind,
 )
 from cardamomdrift.errors import BundleError
-from cardamomdrift.platform.settings import split_address
-from cardamomdrift.util import fault_lines, seconds
+from cardamomdrift.platform.settings import Address, Name, Positive, split_address
+from cardamomdrift.util import seconds
 
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
@@ -33,56 +33,55 @@
 }
 
 
-class _Model(BaseModel):
-    model_config = ConfigDict(extra="ignore")
-
-
-class _Route(_Model):
+class _Route(msgspec.Struct, rename="camel"):
     # "host" is the name of the database that callers connect to, "backend" the group.
-    host: str = Field(min_length=1)
-    backend: str = Field(min_length=1)
-    kind: Literal[tuple(ROUTE_KINDS)] = Field(alias="routeType")
-    timeout_ms: float = Field(alias="timeoutMs", gt=0)
-    target_ms: float = Field(alias="targetLatencyMs", gt=0)
+    host: Name
+    backend: Name
+    route_type: Literal["primary", "bounded_staleness", "read_your_writes"]
+    timeout_ms: Positive
+    target_latency_ms: Positive
     priority: int = 0
-    max_staleness_ms: float | None = Field(default=None, alias="maxStalenessMs")
+    max_staleness_ms: Positive | None = None
 
 
-class _Backend(_Model):
-    name: str = Field(min_length=1)
-    connections: int = Field(alias="maxConns", gt=0)
-    synchronous: int = Field(default=0, alias="syncReplicas")
+class _Backend(msgspec.Struct, rename="camel"):
+    name: Name
+    max_conns: Annotated[int, msgspec.Meta(gt=0)]
+    sync_replicas: int = 0
 
 
-class _Limits(_Model):
-    transaction_idle_ms: float = Field(alias="txIdleMs", gt=0)
+class _Limits(msgspec.Struct, rename="camel"):
+    tx_idle_ms: Positive
 
 
-class _Config(_Model):
+class _Config(msgspec.Struct):
     version: int
     routes: list[_Route]
     backends: list[_Backend]
     limits: _Limits
 
 
-class _Entry(_Model):
-    model_config = ConfigDict(extra="ignore", strict=True)
-
-    backend: str = Field(min_length=1)
-    address: str = Field(pattern=r"^[0-9.]+:\d+$")
+class _Entry(msgspec.Struct, rename="camel"):
+    backend: Name
+    address: Address
     zone: str
     state: Literal["ready", "draining"]
-    role: Literal["primary", "replica"] = Field(alias="dbRole")
+    db_role: Literal["primary", "replica"]
+    # Unix milliseconds; at the top level of all that an instance says of itself.
     born: int = 0
 
 
+_decode_config = msgspec.json.Decoder(_Config).decode
+_decode_entry = msgspec.json.Decoder(_Entry).decode
+
+
 def _make_route(model):
     return Route(
         database=model.host,
-        kind=ROUTE_KINDS[model.kind],
+        kind=ROUTE_KINDS[model.route_type],
         group=model.backend,
         timeout=seconds(model.timeout_ms),
-        target=seconds(model.target_ms),
+        target=seconds(model.target_latency_ms),
         # The platform's highest priority is 0, the queue's is the largest number.
         priority=-model.priority,
         max_age=seconds(model.max_staleness_ms),
@@ -98,18 +97,18 @@
         Success of Deployment, or Failure of BundleError.
     """
     try:
-        model = _Config.model_validate_json(value)
-    except ValidationError as error:
-        return Failure(BundleError(fault_lines(error, f"{CONFIG_TABLE}/{CONFIG_KEY}")))
+        model = _decode_config(value)
+    except msgspec.DecodeError as error:
+        return Failure(BundleError([f"{CONFIG_TABLE}/{CONFIG_KEY}: {error}"]))
     return Success(
         Deployment(
             version=model.version,
             routes={one.host: _make_route(one) for one in model.routes},
             groups={
-                one.name: Group(one.name, one.connections, one.synchronous)
+                one.name: Group(one.name, one.max_conns, one.sync_replicas)
                 for one in model.backends
             },
-            transaction_idle=seconds(model.limits.transaction_idle_ms),
+            transaction_idle=seconds(model.limits.tx_idle_ms),
         )
     )
 
@@ -129,10 +128,10 @@
         Success of InstanceRecord, or Failure of BundleError.
     """
     try:
-        model = _Entry.model_validate_json(value)
-        host, port = split_address(model.address)
-    except ValidationError as error:
-        return Failure(BundleError(fault_lines(error, f"{INSTANCE_TABLE}/{name}")))
+        model = _decode_entry(value)
+    except msgspec.DecodeError as error:
+        return Failure(BundleError([f"{INSTANCE_TABLE}/{name}: {error}"]))
+    host, port = split_address(model.address)
     return Success(
         InstanceRecord(
             name=name,
@@ -141,7 +140,7 @@
             port=port,
             failure_domain=model.zone,
             draining=model.state == "draining",
-            primary=model.role == "primary",
+            primary=model.db_role == "primary",
             started_at_ms=model.born,
         )
     )
--- a/cardamomdrift/platform/daemon.py
+++ b/cardamomdrift/platform/daemon.py
@@ -13,13 +13,14 @@
 import sys
 import time
 from contextlib import AsyncExitStack
+from importlib import import_module
 
-from aiohttp import web
 from returns.result import Failure, Success
 
 from cardamomdrift.bundle.configuration import Configuration
 from cardamomdrift.failover.permission import Permission
 from cardamomdrift.failover.replacer import Replacer
+from cardamomdrift.http.server import HttpServer
 from cardamomdrift.membership.control import ControlPlane
 from cardamomdrift.membership.feed import TableFeed
 from cardamomdrift.membership.instance_list import InstanceList
@@ -47,13 +48,7 @@
     Clusters,
 )
 from cardamomdrift.routing.identity import VmIdentity
-from cardamomdrift.telemetry.exposition import (
-    LoopDelay,
-    RequestMetrics,
-    add_part_instruments,
-    expose,
-    make_exposed_metrics,
-)
+from cardamomdrift.telemetry.delay import LoopDelay
 from cardamomdrift.telemetry.lines import LineWriter
 from cardamomdrift.telemetry.log import make_log, setup_bounded_logging
 from cardamomdrift.telemetry.recorder import RequestRecorder
@@ -63,6 +58,7 @@
 METRICS_PATH = "/metrics"
 UNROUTED_TIME = 2.3  # seconds until the balancer has stopped sending callers
 CLOSE_INTERVAL = 0.1  # seconds between two looks at the sessions while stopping
+METRICS_DELAY = 3.0  # seconds; loading them would make callers wait at the start
 EXIT_TIME = 0.7  # seconds of the grace kept for the end of the process
 
 
@@ -87,20 +83,18 @@
         self.roster = Roster(settings.vm, settings.address, secrets.token_hex(4))
         self.permission = Permission(self.roster)
         self.instances = InstanceList()
-        self._metrics = make_exposed_metrics(settings.vm)
-        recorder = RequestRecorder(
-            self.log, self.permission, RequestMetrics(self._metrics)
-        )
+        self._exposition = None
+        self._recorder = RequestRecorder(self.log, self.permission)
         context = ClusterContext(
             vm=VmIdentity(settings.vm, settings.failure_domain),
             connector=lambda record: make_connector(record, settings.vm),
             permission=self.permission,
-            members=lambda: self.roster.names,
+            members=self._members,
             announce=lambda: self.announcer.announce(),
             clock=clock,
             log=self.log,
         )
-        self.clusters = Clusters(context, self.instances, recorder)
+        self.clusters = Clusters(context, self.instances, self._recorder)
         self.configuration = Configuration(
             decode_deployment, self._on_deployment, self.log
         )
@@ -134,7 +128,6 @@
         )
         self.callers = CallerServer(settings.callers, self.clusters, self.log)
         self.loop_delay = LoopDelay()
-        add_part_instruments(self._metrics, self)
 
     @property
     def version(self):
@@ -146,6 +139,11 @@
         """Whether the balancer may send callers."""
         return not self._stopping and self.version > 0 and len(self.instances) > 0
 
+    def _members(self):
+        """Return who shares the connections, once a list of the daemons is known."""
+        known = self.control.listed or self.roster.peers
+        return self.roster.names if known else ()
+
     # Start
 
     async def __aenter__(self):
@@ -164,8 +162,8 @@
             )
         )
         await enter(self.loop_delay)
-        await self._serve_http(settings.readiness, READINESS_PATH, self._readiness)
-        await self._serve_http(settings.metrics, METRICS_PATH, expose)
+        await enter(self._http(settings.readiness, READINESS_PATH, self._readiness))
+        await enter(self._http(settings.metrics, METRICS_PATH, self._expose))
         await enter(self._feed(CONFIG_TABLE, self._on_config_rows))
         await enter(self._feed(INSTANCE_TABLE, self._on_instance_rows))
         await enter(self.control)
@@ -175,6 +173,7 @@
         self._tasks = [
             asyncio.create_task(self._maintain()),
             asyncio.create_task(self._trim()),
+            asyncio.create_task(self._load_metrics()),
         ]
         self.log.info(
             "daemon started",
@@ -187,18 +186,14 @@
     def _feed(self, table, on_rows):
         return TableFeed(self.store, table, on_rows, self._on_reachable, self.log)
 
-    async def _serve_http(self, address, path, handler):
-        application = web.Application()
-        application.router.add_get(path, handler)
-        runner = web.AppRunner(application, access_log=None)
-        await runner.setup()
-        self._stack.push_async_callback(runner.cleanup)
-        await web.TCPSite(runner, *address).start()
+    def _http(self, address, path, handler):
+        return HttpServer(address, {path: handler}, self.log)
 
     async def __aexit__(self, *exc_info):
         await cancel_all(self._tasks)
         await self._stack.aclose()
-        self._metrics.close()
+        if self._exposition is not None:
+            self._exposition.close()
 
     # Events
 
@@ -236,8 +231,20 @@
             return self.configuration.reply()
         return JsonReply(b"{}")
 
-    async def _readiness(self, _request):
-        return web.Response(status=200 if self.ready else 503)
+    def _readiness(self):
+        return 200 if self.ready else 503, "text/plain", b""
+
+    async def _load_metrics(self):
+        """Load the metrics library, once callers are being served."""
+        await asyncio.sleep(METRICS_DELAY)
+        module = import_module("cardamomdrift.telemetry.exposition")
+        self._exposition = module.Exposition(self._settings.vm, self)
+        self._recorder.use_metrics(self._exposition.requests)
+
+    def _expose(self):
+        if self._exposition is None:
+            return 503, "text/plain", b""
+        return self._exposition.render()
 
     async def _maintain(self):
         clock = asyncio.get_running_loop().time
@@ -304,7 +311,3 @@
         case Success(settings):
             asyncio.run(run(settings, writer))
             return os.EX_OK
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/cardamomdrift/platform/settings.py
+++ b/cardamomdrift/platform/settings.py
@@ -5,57 +5,49 @@
 The settings file that the platform lays down, checked, as the project's own type.
 """
 
-import json
 import os
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+import msgspec
 from returns.result import Failure, Success
 
 from cardamomdrift.errors import SettingsError
-from cardamomdrift.util import fault_lines, seconds
+from cardamomdrift.util import seconds
 
 SETTINGS_VARIABLE = "CARDAMOMDRIFT_SETTINGS"
 METRICS_PORT = 9464  # as in the deploy file
 
+Address = Annotated[str, msgspec.Meta(pattern=r"^[^:]+:\d+$")]
+Name = Annotated[str, msgspec.Meta(min_length=1)]
+Positive = Annotated[float, msgspec.Meta(gt=0)]
 
-class _Model(BaseModel):
-    model_config = ConfigDict(extra="ignore")
 
+class _Bounds(msgspec.Struct, rename="camel"):
+    grace_s: Positive
 
-class _Bounds(_Model):
-    grace_s: float = Field(alias="graceS", gt=0)
-    drain_ms: float = Field(alias="drainMs", gt=0)
 
+class _Server(msgspec.Struct):
+    address: Address
 
-class _Store(_Model):
-    address: str = Field(pattern=r".+:\d+$")
-    writes_per_s: float = Field(alias="writesPerS", gt=0)
-    reads_per_s: float = Field(alias="readsPerS", gt=0)
 
+class _Listen(msgspec.Struct):
+    front: Address
+    ready: Address
 
-class _Cloud(_Model):
-    address: str = Field(pattern=r".+:\d+$")
 
-
-class _Listen(_Model):
-    front: str = Field(pattern=r".+:\d+$")
-    ready: str = Field(pattern=r".+:\d+$")
-    control: str | None = None
-
-
-class _SettingsModel(_Model):
-    node_name: str = Field(alias="nodeName", min_length=1)
-    ip: str = Field(min_length=1)
+class _SettingsModel(msgspec.Struct, rename="camel"):
+    node_name: Name
+    ip: Name
     zone: str
     listen: _Listen
-    internal_ports: tuple[int, int] = Field(alias="internalPorts")
-    seeds: list[str] = []
-    heartbeat_ms: float = Field(alias="heartbeatMs", gt=0)
+    internal_ports: tuple[int, int]
+    heartbeat_ms: Positive
     bounds: _Bounds
-    platform: _Store
-    cloud: _Cloud = Field(alias="cloudApi")
+    platform: _Server
+    cloud_api: _Server
+    seeds: list[Address] = []
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,7 +111,7 @@
         peer_port=model.internal_ports[0],
         seeds=tuple(split_address(seed)[0] for seed in model.seeds),
         store=model.platform.address,
-        promotions=model.cloud.address,
+        promotions=model.cloud_api.address,
         instance_heartbeat=seconds(model.heartbeat_ms),
         grace=model.bounds.grace_s,
     )
@@ -135,9 +127,8 @@
     """
     path = path or os.environ.get(SETTINGS_VARIABLE, "")
     try:
-        value = json.loads(Path(path).read_text(encoding="utf-8"))
-        return Success(make_site_settings(_SettingsModel.model_validate(value)))
-    except ValidationError as error:
-        return Failure(SettingsError(fault_lines(error, path)))
+        model = msgspec.json.decode(Path(path).read_bytes(), type=_SettingsModel)
+        return Success(make_site_settings(model))
     except (OSError, ValueError) as error:
+        # The text names the key, as a path from the top.
         return Failure(SettingsError([f"{path or SETTINGS_VARIABLE}: {error}"]))
--- a/cardamomdrift/platform/store.py
+++ b/cardamomdrift/platform/store.py
@@ -6,14 +6,14 @@
 once and has a time limit, and a connection whose answer did not come is closed.
 """
 
-import asyncio
 import base64
 import binascii
+from urllib.parse import urlencode
 
 import msgspec
-from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
 from cardamomdrift.errors import PlatformRefused, PlatformUnavailable
+from cardamomdrift.http.client import CallFailed, HttpClient
 from cardamomdrift.ports import (
     Changes,
     Committed,
@@ -27,7 +27,6 @@
 WATCH_MARGIN = 0.5  # seconds that an answer may come after the wait's end
 ROW_PART = ""  # all rows of the project and of the platform lie in one part
 PAGE = 500  # rows of one answer at most
-CONNECTIONS = 4  # two watches, a read and a change at once
 
 _encode = msgspec.json.encode
 _decode = msgspec.json.decode
@@ -52,16 +51,14 @@
     """
 
     def __init__(self, address):
-        self._base = f"http://{address}"
-        self._session = None
+        self._client = HttpClient(address)
         self.counts = {"ok": 0, "refused": 0, "unavailable": 0}
 
     async def __aenter__(self):
-        self._session = ClientSession(connector=TCPConnector(limit=CONNECTIONS))
         return self
 
     async def __aexit__(self, *exc_info):
-        await self._session.close()
+        await self._client.__aexit__(*exc_info)
 
     async def read(self, table):
         """Return the Snapshot of a table."""
@@ -120,25 +117,16 @@
             return Conflict({row.key: row for row in rows})
         return Committed(answer["rowVersion"])
 
-    async def _call(self, method, path, query=None, body=None, timeout=CALL_TIMEOUT):
+    async def _call(self, method, path, query=None, body=b"", timeout=CALL_TIMEOUT):
         """Return the decoded answer; None if the history is gone."""
-        headers = {"Content-Type": "application/json"}
+        target = path if query is None else f"{path}?{urlencode(query)}"
         try:
-            async with self._session.request(
-                method,
-                self._base + path,
-                params=query,
-                data=body,
-                headers=headers,
-                timeout=ClientTimeout(total=timeout),
-            ) as response:
-                data = await response.read()
-                status = response.status
-        except (ClientError, OSError, asyncio.TimeoutError) as error:
+            response = await self._client.call(method, target, timeout, body)
+        except (CallFailed, TimeoutError) as error:
             self.counts["unavailable"] += 1
             reason = f"{path}: {type(error).__name__} {error}".rstrip()
             raise PlatformUnavailable(reason) from error
-        return self._check(path, status, data)
+        return self._check(path, response.status, response.body)
 
     def _check(self, path, status, data):
         if status in (429, 503):
--- a/cardamomdrift/routing/cluster.py
+++ b/cardamomdrift/routing/cluster.py
@@ -18,14 +18,15 @@
 from cardamomdrift.position import Position
 from cardamomdrift.routing.cost import CostBook
 from cardamomdrift.routing.dispatch import Dispatcher
-from cardamomdrift.routing.floor import FloorHistory, FloorRule, Sample
 from cardamomdrift.routing.instance import InstanceRuntime
 from cardamomdrift.routing.reached import ReachedView
+from cardamomdrift.routing.samples import FloorHistory, FloorRule, Sample
 from cardamomdrift.upstreams.pinger import Pinger
 from cardamomdrift.upstreams.pool import InstancePool
 from cardamomdrift.util import cancel_all
 
 QUEUE_LIMIT = 500  # requests; at 10 KB each this bounds a group's queue to 5 MB
+FIRST_SHARE = 1  # connections to an instance until the other daemons are known
 WARM_CONNECTIONS = 1  # opened to each instance ahead of the first request
 WARM_TIMEOUT = 1.0  # seconds
 PING_AFTER = 0.1  # seconds without an answer before an instance is asked
@@ -46,7 +47,7 @@
         Takes an InstanceRecord and returns a coroutine function that connects.
     permission : Permission
     members : callable
-        Returns the names of all VMs, as a tuple.
+        Returns the names of all VMs, as a tuple; empty while they are not known.
     announce : callable
         Sends heartbeats at once.
     clock : callable
@@ -258,11 +259,12 @@
         """Take this VM's share of each instance's connections."""
         members = self._context.members()
         for name, runtime in self._instances.items():
-            share = divide(
-                self._group.connections, members, self._context.vm.name, name
-            )
+            share = FIRST_SHARE
+            if members:
+                vm = self._context.vm.name
+                share = max(divide(self._group.connections, members, vm, name), 1)
             if runtime.pool.limit != share:
-                runtime.set_share(max(share, 1))
+                runtime.set_share(share)
                 self._warm(runtime)
 
     def _warm(self, runtime):
--- a/cardamomdrift/routing/floor.py
+++ b/cardamomdrift/routing/floor.py
@@ -7,39 +7,9 @@
 of the group's instances reported to a probe begun at a known time.
 """
 
-import math
-from bisect import bisect_left
-from dataclasses import dataclass
-
 from cardamomdrift.bundle.model import Consistency, Durability
-from cardamomdrift.position import ORIGIN, Position
-
-SAMPLE_LIMIT = 512  # samples
-SPACING = 0.05  # seconds
-
-
-@dataclass(frozen=True, slots=True)
-class FloorRule:
-    """What a read has to see.
-
-    Attributes
-    ----------
-    since : float or None
-        The read needs a sample begun at this time or later; None if it needs none.
-    at_least : Position
-        Position that it has to see in any case.
-    """
-
-    since: float | None
-    at_least: Position
-
-
-@dataclass(frozen=True, slots=True)
-class Sample:
-    """A floor and the time at which its probe began."""
-
-    begun_at: float
-    floor: Position
+from cardamomdrift.position import ORIGIN
+from cardamomdrift.routing.samples import FloorRule
 
 
 def make_rule(options, arrived_at, connected_at, written, token_position):
@@ -95,46 +65,3 @@
     ):
         return None
     return max(one.position for one in statuses.values())
-
-
-class FloorHistory:
-    """Recent samples of one group, oldest first."""
-
-    def __init__(self):
-        self._times = []
-        self._floors = []
-
-    @property
-    def newest(self):
-        """When the newest sample was begun; minus infinity before the first."""
-        return self._times[-1] if self._times else -math.inf
-
-    @property
-    def last(self):
-        """The newest sample, or None."""
-        if not self._times:
-            return None
-        return Sample(self._times[-1], self._floors[-1])
-
-    def add(self, sample):
-        """Add a sample; one begun before the last one adds nothing."""
-        if self._times and sample.begun_at <= self._times[-1]:
-            return
-        if len(self._times) > 1 and self._times[-1] - self._times[-2] < SPACING:
-            # Close together they would push out the old ones, which serve aged reads.
-            self._times.pop()
-            self._floors.pop()
-        self._times.append(sample.begun_at)
-        self._floors.append(sample.floor)
-        if len(self._times) >= 2 * SAMPLE_LIMIT:
-            del self._times[:SAMPLE_LIMIT]
-            del self._floors[:SAMPLE_LIMIT]
-
-    def find(self, rule):
-        """Return the lowest known floor that suits a rule, or None."""
-        if rule.since is None:
-            return rule.at_least
-        index = bisect_left(self._times, rule.since)
-        if index == len(self._times):
-            return None
-        return max(self._floors[index], rule.at_least)
--- a/cardamomdrift/routing/transactions.py
+++ b/cardamomdrift/routing/transactions.py
@@ -25,7 +25,7 @@
 from cardamomdrift.mysql.wire import Ok
 from cardamomdrift.routing.answers import make_answer
 from cardamomdrift.routing.dispatch import ForTransaction
-from cardamomdrift.routing.floor import FloorRule
+from cardamomdrift.routing.samples import FloorRule
 from cardamomdrift.routing.writes import (
     DUPLICATE_KEY,
     READ_ONLY,
--- a/cardamomdrift/routing/watch.py
+++ b/cardamomdrift/routing/watch.py
@@ -10,7 +10,6 @@
 import asyncio
 from dataclasses import dataclass
 
-from cardamomdrift.routing.floor import FloorHistory, Sample
 from cardamomdrift.routing.proof import (
     FloorProven,
     FloorQuestion,
@@ -18,6 +17,7 @@
     answer,
     wanted_instances,
 )
+from cardamomdrift.routing.samples import FloorHistory, Sample
 
 SAMPLES_IN_AGE = 8
 REFRESH_TIME = 1.0  # seconds
--- a/cardamomdrift/settings.py
+++ b/cardamomdrift/settings.py
@@ -15,7 +15,8 @@
 from returns.result import Failure, Success
 
 from cardamomdrift.errors import SettingsError
-from cardamomdrift.util import fault_lines, load_jsonc, seconds
+from cardamomdrift.jsonc import load_jsonc
+from cardamomdrift.util import fault_lines, seconds
 
 Name = Annotated[str, Field(pattern=r"^[a-z][a-z0-9_-]{0,62}$")]
 Port = Annotated[int, Field(ge=0, le=65535)]
--- a/cardamomdrift/telemetry/exposition.py
+++ b/cardamomdrift/telemetry/exposition.py
@@ -7,14 +7,11 @@
 
 import asyncio
 
-from aiohttp import web
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from prometheus_client import REGISTRY, generate_latest
 
 from cardamomdrift.telemetry.metrics import Metrics
 
-DELAY_INTERVAL = 0.5  # seconds between two measurements of the loop's delay
-
 
 class RequestMetrics:
     """Counts and times of requests.
@@ -46,34 +43,6 @@
         self._refused.add(1, {"kind": kind, "outcome": outcome})
 
 
-class LoopDelay:
-    """Measures how late the loop runs its timers; an async context manager."""
-
-    def __init__(self):
-        self._task = None
-        self.worst = 0.0
-
-    async def __aenter__(self):
-        self._task = asyncio.create_task(self._run())
-        return self
-
-    async def __aexit__(self, *exc_info):
-        self._task.cancel()
-
-    async def _run(self):
-        clock = asyncio.get_running_loop().time
-        while True:
-            started = clock()
-            await asyncio.sleep(DELAY_INTERVAL)
-            late = clock() - started - DELAY_INTERVAL
-            self.worst = max(self.worst, late)
-
-    def take_worst(self):
-        """Return the longest delay since the last call."""
-        worst, self.worst = self.worst, 0.0
-        return worst
-
-
 def _reads(parts):
     for cluster in parts.clusters:
         for role, count in cluster.counts.reads.items():
@@ -180,30 +149,38 @@
 )
 
 
-def make_exposed_metrics(vm):
-    """Return Metrics whose values `expose` renders."""
-    return Metrics(vm, PrometheusMetricReader(disable_target_info=True))
+def _bind(read, parts):
+    return lambda: read(parts)
 
 
-def add_part_instruments(metrics, parts):
-    """Add every instrument of the tables.
+class Exposition:
+    """Metrics of a daemon.
 
     Parameters
     ----------
-    metrics : Metrics
+    vm : str
     parts : object
         The daemon, with its parts as attributes.
     """
 
-    def bind(read):
-        return lambda: read(parts)
-
-    for name, unit, description, read in COUNTERS:
-        metrics.observe_counter(f"cardamomdrift.{name}", unit, description, bind(read))
-    for name, unit, description, read in GAUGES:
-        metrics.observe_gauge(f"cardamomdrift.{name}", unit, description, bind(read))
-
-
-async def expose(_request):
-    """Answer with all metrics as text."""
-    return web.Response(body=generate_latest(REGISTRY), content_type="text/plain")
+    def __init__(self, vm, parts):
+        self._metrics = Metrics(vm, PrometheusMetricReader(disable_target_info=True))
+        self.requests = RequestMetrics(self._metrics)
+        for name, unit, description, read in COUNTERS:
+            self._add(
+                self._metrics.observe_counter, name, unit, description, read, parts
+            )
+        for name, unit, description, read in GAUGES:
+            self._add(self._metrics.observe_gauge, name, unit, description, read, parts)
+
+    @staticmethod
+    def _add(observe, name, unit, description, read, parts):
+        observe(f"cardamomdrift.{name}", unit, description, lambda: read(parts))
+
+    def render(self):
+        """Return status, content type and text of all metrics."""
+        return 200, "text/plain", generate_latest(REGISTRY)
+
+    def close(self):
+        """Stop the instruments."""
+        self._metrics.close()
--- a/cardamomdrift/telemetry/recorder.py
+++ b/cardamomdrift/telemetry/recorder.py
@@ -11,12 +11,38 @@
 from cardamomdrift.util import MILLISECONDS
 
 SERVED = "served"
+HELD_CALLS = 5000  # requests; more than a daemon gets until its metrics are loaded
 
 
 def _milliseconds(seconds):
     return None if seconds is None else round(seconds * MILLISECONDS, 1)
 
 
+class HeldMetrics:
+    """Holds what is recorded before the metrics library has been loaded."""
+
+    def __init__(self):
+        self._calls = []
+
+    def observe(self, *values):
+        """Hold a request's kind, outcome and times."""
+        self._hold("observe", values)
+
+    def count(self, *values):
+        """Hold a request that was refused at once."""
+        self._hold("count", values)
+
+    def _hold(self, name, values):
+        if len(self._calls) < HELD_CALLS:
+            self._calls.append((name, values))
+
+    def replay(self, metrics):
+        """Record everything held in the real metrics."""
+        for name, values in self._calls:
+            getattr(metrics, name)(*values)
+        self._calls.clear()
+
+
 class RequestRecorder:
     """Records requests.
 
@@ -24,12 +50,16 @@
     ----------
     log : structlog logger
     permission : Permission
-    metrics : RequestMetrics
     """
 
-    def __init__(self, log, permission, metrics):
+    def __init__(self, log, permission):
         self._log = log
         self._permission = permission
+        self._metrics = HeldMetrics()
+
+    def use_metrics(self, metrics):
+        """Record in a RequestMetrics from now on, and what was held before."""
+        self._metrics.replay(metrics)
         self._metrics = metrics
 
     def record(self, request_id, database, request, error, now):
--- a/cardamomdrift/util.py
+++ b/cardamomdrift/util.py
@@ -6,9 +6,7 @@
 """
 
 import asyncio
-from pathlib import Path
 
-import json5
 import xxhash
 
 MILLISECONDS = 1000.0  # per second
@@ -30,19 +28,6 @@
     return xxhash.xxh3_128_hexdigest(text.encode())
 
 
-def load_jsonc(path):
-    """Return the value in a file of JSON with comments.
-
-    Raises
-    ------
-    OSError
-        If the file cannot be read.
-    ValueError
-        If it is not JSON; the text names line and column.
-    """
-    return json5.loads(Path(path).read_text(encoding="utf-8"))
-
-
 def fault_lines(error, place):
     """Return a line for each fault of a validation error of pydantic."""
     lines = []
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -33,7 +33,7 @@
 from cardamomdrift.position import ORIGIN, Position
 from cardamomdrift.routing.choice import Candidate, Hold, Probe, Serve, choose
 from cardamomdrift.routing.cost import CostBook, long_instances
-from cardamomdrift.routing.floor import FloorHistory, FloorRule, Sample, make_rule
+from cardamomdrift.routing.floor import make_rule
 from cardamomdrift.routing.proof import (
     Pending,
     Replaced,
@@ -41,6 +41,7 @@
     WriteQuestion,
     answer_write,
 )
+from cardamomdrift.routing.samples import FloorHistory, FloorRule, Sample
 from cardamomdrift.routing.view import make_view
 from cardamomdrift.sessions.options import check_options
 from cardamomdrift.telemetry.burn import GOOD, BurnBook
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -5,7 +5,7 @@
 
 from cardamomdrift.mysql.contract import InstanceStatus
 from cardamomdrift.position import ORIGIN, Position
-from cardamomdrift.routing.floor import FloorRule
+from cardamomdrift.routing.samples import FloorRule
 from cardamomdrift.routing.view import make_view
 from cardamomdrift.routing.watch import StatusWatch
 from tests.values import bundle
