--- a/cardamomdrift/failover/permission.py
+++ b/cardamomdrift/failover/permission.py
@@ -5,12 +5,15 @@
 Until when this daemon may take a group's settled primary for the present one.
 
 Every heartbeat promises that its sender knows of no replacement beyond the generation
-that it names.  If every daemon that anyone counts, one excepted, has promised lately,
-nobody has replaced a primary; a read of the store shows the same, since a replacement
-is written there first.  Whoever replaces a primary waits until all others have released
-it, or, with one other daemon's word, until what the rest rely on has run out.  Ages are
-measured with the boot clock, so a VM that was suspended relies on nothing that it knew
-before.
+that it names.  If every daemon that anyone counts has promised lately, nobody has
+replaced a primary; a read of the store shows the same, since a replacement is written
+there first.  One daemon may be silent for some seconds, so that its loss alone costs
+no permission.  Whoever replaces a primary waits until all others have released it, or,
+with one other daemon's word, until what the rest rely on has run out.
+
+A daemon's row is removed only after it has not been heard for longer than it may have
+relied on whoever removes it, so dropping it breaks no promise.  Ages are measured with
+the boot clock: a VM that was suspended relies on nothing that it knew before.
 """
 
 import math
@@ -18,9 +21,10 @@
 from cardamomdrift.util import seconds
 
 PERMISSION_TIME = 1.2  # seconds; a heartbeat and its echo come several times within it
-SILENT_ALLOWED = 1  # daemons that may be silent, so that one loss costs no permission
+SILENT_TIME = 6.0  # seconds for which one daemon may be silent; with the next, below 8
+ECHO_TIME = 1.5  # seconds after which a silent daemon's stamp is no longer echoed
 SILENT_MINIMUM = 3  # daemons from which on one may be silent
-ACKNOWLEDGED_NEEDED = SILENT_ALLOWED  # other daemons that must know of a replacement
+ACKNOWLEDGED_NEEDED = 1  # other daemons that must know of a replacement
 
 
 def promised_until(roster, now):
@@ -34,10 +38,15 @@
     now : float
         Boot clock.
     """
-    promises = _promises(roster, now)
-    excepted = SILENT_ALLOWED if len(promises) + 1 >= SILENT_MINIMUM else 0
-    oldest = sorted(promises)[excepted] if promises else now
-    return min(oldest, now) + PERMISSION_TIME
+    promises = sorted(_promises(roster, now))
+    if not promises:
+        return now + PERMISSION_TIME
+    strict = min(promises[0], now) + PERMISSION_TIME
+    if len(promises) + 1 < SILENT_MINIMUM:
+        return strict
+    silent, *others = promises
+    lenient = min(others[0] + PERMISSION_TIME, silent + SILENT_TIME)
+    return max(strict, lenient)
 
 
 def _promises(roster, now):
@@ -67,6 +76,11 @@
     return peer.sent_after
 
 
+def relied_on_until(roster):
+    """Return until when daemons that were dropped may rely on a read of the store."""
+    return roster.dropped_at + PERMISSION_TIME
+
+
 class Permission:
     """What this daemon may rely on, from promises and from reads of the store."""
 
@@ -90,9 +104,13 @@
         return now < self.until
 
     def note_roster(self, now):
-        """Take in that the roster has changed; alone, only the store counts."""
+        """Take in that the roster has changed; alone, only the store counts.
+
+        What was promised holds whatever else has become known.
+        """
         if self._roster.peers:
-            self._promised_until = promised_until(self._roster, now)
+            until = promised_until(self._roster, now)
+            self._promised_until = max(self._promised_until, until)
 
     def note_confirmed(self, begun_at):
         """Take in a read of the store that lists this daemon.
--- a/cardamomdrift/failover/replacer.py
+++ b/cardamomdrift/failover/replacer.py
@@ -14,10 +14,10 @@
 from cardamomdrift.clock import boot_clock
 from cardamomdrift.errors import (
     CardamomdriftError,
-    PlatformRefused,
     PlatformUnavailable,
     UpstreamError,
 )
+from cardamomdrift.failover.permission import relied_on_until
 from cardamomdrift.failover.records import (
     DUTY_KEY,
     LEAD_PREFIX,
@@ -45,6 +45,7 @@
     reason_to_replace,
     takeover_at,
 )
+from cardamomdrift.loops import repeat
 from cardamomdrift.membership.control import LIVE_TIME
 from cardamomdrift.membership.rendezvous import rank
 from cardamomdrift.ports import Committed
@@ -106,7 +107,7 @@
         self.counts = {"succeeded": 0, "failed": 0}
 
     async def __aenter__(self):
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(repeat("replacer", self._run, self._log))
         return self
 
     async def __aexit__(self, *exc_info):
@@ -126,11 +127,10 @@
         self._stopping = True
 
     async def _run(self):
-        while True:
-            now = boot_clock()
-            for cluster in self._clusters:
-                self._look(cluster, now)
-            await asyncio.sleep(TICK)
+        await asyncio.sleep(TICK)
+        now = boot_clock()
+        for cluster in self._clusters:
+            self._look(cluster, now)
 
     # When
 
@@ -238,13 +238,7 @@
         started = boot_clock()
         try:
             primary = await self._run_replacement(cluster, reason)
-        except (
-            PlatformUnavailable,
-            PlatformRefused,
-            UpstreamError,
-            TimeoutError,
-            ReplacementFailed,
-        ) as error:
+        except Exception as error:
             self.counts["failed"] += 1
             self._log.warning(
                 "replacement failed",
@@ -434,6 +428,7 @@
             if quorum_at is None and has_quorum(known, len(released)):
                 quorum_at = now
             own = lead.released >= intent.generation
+            own = own and now > relied_on_until(self._roster)
             if own and is_released(intent, released, quorum_at, now):
                 break
             await asyncio.sleep(POLL_INTERVAL)
--- a/cardamomdrift/membership/control.py
+++ b/cardamomdrift/membership/control.py
@@ -15,6 +15,7 @@
     PlatformRefused,
     PlatformUnavailable,
 )
+from cardamomdrift.failover.permission import ECHO_TIME, SILENT_TIME
 from cardamomdrift.failover.records import (
     LEAD_PREFIX,
     MEMBER_PREFIX,
@@ -26,6 +27,7 @@
     lead_key,
     member_key,
 )
+from cardamomdrift.loops import repeat
 from cardamomdrift.membership.rendezvous import rank
 from cardamomdrift.ports import Committed
 from cardamomdrift.util import cancel_all
@@ -34,7 +36,9 @@
 CONFIRM_MARGIN = 0.5  # seconds of permission left at which the store is read
 RANK_DELAY = 0.1  # seconds for each live daemon that comes first
 LIVE_TIME = 1.0  # seconds since the last heartbeat of a daemon that lives
-GONE_TIME = 8.0  # seconds without a heartbeat; more than a restart takes
+# Seconds without a heartbeat after which a daemon is removed: more than a restart
+# takes, and than it may rely on whoever removes it.
+GONE_TIME = SILENT_TIME + ECHO_TIME + 0.5
 ALONE_TIME = 24.0  # seconds, for a daemon that hears nobody else
 SILENT_READ_INTERVAL = 2.0  # seconds between reads while a daemon is silent
 PAUSE_LIMIT = 1.0  # seconds between two steps after which the VM was suspended
@@ -93,21 +97,20 @@
         return self._listed
 
     async def __aenter__(self):
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(repeat("control", self._run, self._log))
         return self
 
     async def __aexit__(self, *exc_info):
         await cancel_all([self._task])
 
     async def _run(self):
-        while True:
-            now = boot_clock()
-            try:
-                await self._step(now)
-            except (PlatformUnavailable, PlatformRefused) as error:
-                self._note_reachable(False, error)
-                self._not_before = now + RETRY_INTERVAL
-            await asyncio.sleep(TICK)
+        now = boot_clock()
+        try:
+            await self._step(now)
+        except (PlatformUnavailable, PlatformRefused) as error:
+            self._note_reachable(False, error)
+            self._not_before = now + RETRY_INTERVAL
+        await asyncio.sleep(TICK)
 
     async def _step(self, now):
         if now - self._stepped_at > PAUSE_LIMIT:
@@ -185,7 +188,7 @@
     def _register_again(self):
         """Begin a new registration, since the others have removed this daemon."""
         self._registered = False
-        self._roster.renew(secrets.token_hex(4))
+        self._roster.renew(secrets.token_hex(4), boot_clock())
         self._log.warning("registration was removed", vm=self._roster.vm)
 
     def _take_leads(self, rows):
--- a/cardamomdrift/membership/feed.py
+++ b/cardamomdrift/membership/feed.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from cardamomdrift.errors import PlatformRefused, PlatformUnavailable
+from cardamomdrift.loops import repeat
 from cardamomdrift.ports import HistoryGone
 from cardamomdrift.util import cancel_all
 
@@ -49,19 +50,19 @@
         self._task = None
 
     async def __aenter__(self):
-        self._task = asyncio.create_task(self._run())
+        name = f"feed of {self._table}"
+        self._task = asyncio.create_task(repeat(name, self._run, self._log))
         return self
 
     async def __aexit__(self, *exc_info):
         await cancel_all([self._task])
 
     async def _run(self):
-        while True:
-            try:
-                await self._step()
-            except (PlatformUnavailable, PlatformRefused) as error:
-                self._note(False, error)
-                await asyncio.sleep(RETRY_INTERVAL)
+        try:
+            await self._step()
+        except (PlatformUnavailable, PlatformRefused) as error:
+            self._note(False, error)
+            await asyncio.sleep(RETRY_INTERVAL)
 
     async def _step(self):
         if self._state is None:
--- a/cardamomdrift/peers/announcer.py
+++ b/cardamomdrift/peers/announcer.py
@@ -9,6 +9,8 @@
 import math
 
 from cardamomdrift.clock import boot_clock
+from cardamomdrift.failover.permission import ECHO_TIME
+from cardamomdrift.loops import repeat
 from cardamomdrift.peers.heartbeat import GroupClaim, Heartbeat
 from cardamomdrift.util import MILLISECONDS, cancel_all, seconds
 
@@ -57,7 +59,7 @@
         self._port = port
 
     async def __aenter__(self):
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(repeat("announcer", self._run, self._log))
         return self
 
     async def __aexit__(self, *exc_info):
@@ -68,17 +70,16 @@
         self._poked.set()
 
     async def _run(self):
-        while True:
-            now = boot_clock()
-            self.send_all()
-            self._note_lost(now)
-            self._permission.note_roster(now)
-            try:
-                async with asyncio.timeout(INTERVAL):
-                    await self._poked.wait()
-            except TimeoutError:
-                pass
-            self._poked.clear()
+        now = boot_clock()
+        self.send_all()
+        self._note_lost(now)
+        self._permission.note_roster(now)
+        try:
+            async with asyncio.timeout(INTERVAL):
+                await self._poked.wait()
+        except TimeoutError:
+            pass
+        self._poked.clear()
 
     # Sending
 
@@ -94,14 +95,16 @@
         last = peer.heartbeat
         digest = self._roster.digest
         same = last is not None and peer.knows_us and last.digest == digest
+        # An echo is a promise, which a daemon not heard for long must not get.
+        echoed = last is not None and now - peer.heard_at <= ECHO_TIME
         confirmed = self._permission.confirmed_at
         heartbeat = Heartbeat(
             sender=self._roster.vm,
             incarnation=self._roster.incarnation,
             stamp=math.floor(now * MILLISECONDS),
-            echo_incarnation=last.incarnation if last else "",
-            echo=last.stamp if last else 0,
-            held_ms=math.floor((now - peer.heard_at) * MILLISECONDS) if last else 0,
+            echo_incarnation=last.incarnation if echoed else "",
+            echo=last.stamp if echoed else 0,
+            held_ms=math.floor((now - peer.heard_at) * MILLISECONDS) if echoed else 0,
             digest=digest,
             members=None if same else members,
             confirmed_age_ms=_milliseconds(now - confirmed) if confirmed > 0 else None,
@@ -142,6 +145,8 @@
         """Take in another daemon's heartbeat."""
         now = boot_clock()
         known = self._roster.peers.get(heartbeat.sender)
+        last = known and known.heartbeat
+        begins = last is None or last.incarnation != heartbeat.incarnation
         if not self._roster.take(heartbeat, now):
             return
         peer = self._roster.peers[heartbeat.sender]
@@ -159,7 +164,7 @@
             self._on_change()
         elif not usable and self._permission.holds(now):
             self._clusters.pump()
-        if news or not peer.knows_us or known is None:
+        if news or begins or not peer.knows_us:
             self._poked.set()
 
     def _take_claims(self, peer, now):
--- a/cardamomdrift/peers/roster.py
+++ b/cardamomdrift/peers/roster.py
@@ -45,6 +45,11 @@
     knows_us: bool = False
     members: dict = field(default_factory=dict)
 
+    @property
+    def is_leaving(self):
+        """Whether it has said that it will promote nothing any more."""
+        return self.heartbeat is not None and self.heartbeat.leaving
+
 
 class Roster:
     """Daemons that this one counts.
@@ -54,14 +59,17 @@
     vm : str
     address : str
     incarnation : str
+    now : float
+        Boot clock.
     """
 
-    def __init__(self, vm, address, incarnation):
+    def __init__(self, vm, address, incarnation, now):
         self._vm = vm
         self._address = address
         self._incarnation = incarnation
         self._peers = {}
         self._digest = None
+        self._dropped_at = now
 
     @property
     def vm(self):
@@ -89,13 +97,22 @@
         known[self._vm] = self._address
         return known
 
-    def renew(self, incarnation):
+    def renew(self, incarnation, now):
         """Begin a new registration: nobody counts as knowing this daemon."""
         self._incarnation = incarnation
+        self._dropped_at = now
         for peer in self._peers.values():
             peer.knows_us = False
             peer.sent_after = None
 
+    @property
+    def dropped_at(self):
+        """When a daemon that may live was last dropped, or this one began.
+
+        Until then the store may have listed it.
+        """
+        return self._dropped_at
+
     @property
     def digest(self):
         """Hash of the daemons counted, this one included."""
@@ -167,6 +184,11 @@
             return False
         return name in counting.members
 
+    def remove(self, name):
+        """Stop counting a daemon that can promote nothing any more."""
+        self._digest = None
+        return self._peers.pop(name, None) is not None
+
     def is_fresh(self, name, now, limit):
         """Whether a daemon's last heartbeat came within some seconds."""
         peer = self._peers.get(name)
@@ -199,5 +221,7 @@
         for name, address in registered.items():
             self.add(name, address, now)
         for name in before - registered.keys():
+            if not self._peers[name].is_leaving:
+                self._dropped_at = now
             self.remove(name)
         return before != set(self._peers)
--- a/cardamomdrift/platform/daemon.py
+++ b/cardamomdrift/platform/daemon.py
@@ -18,9 +18,11 @@
 from returns.result import Failure, Success
 
 from cardamomdrift.bundle.configuration import Configuration
+from cardamomdrift.clock import boot_clock
 from cardamomdrift.failover.permission import Permission
 from cardamomdrift.failover.replacer import Replacer
 from cardamomdrift.http.server import HttpServer
+from cardamomdrift.loops import repeat
 from cardamomdrift.membership.control import ControlPlane
 from cardamomdrift.membership.feed import TableFeed
 from cardamomdrift.membership.instance_list import InstanceList
@@ -80,7 +82,9 @@
         self.writer = writer
         self.log = make_log(settings.vm)
         self.store = HttpStore(settings.store)
-        self.roster = Roster(settings.vm, settings.address, secrets.token_hex(4))
+        self.roster = Roster(
+            settings.vm, settings.address, secrets.token_hex(4), boot_clock()
+        )
         self.permission = Permission(self.roster)
         self.instances = InstanceList()
         self._exposition = None
@@ -171,8 +175,8 @@
         await enter(self.replacer)
         await enter(self.callers)
         self._tasks = [
-            asyncio.create_task(self._maintain()),
-            asyncio.create_task(self._trim()),
+            asyncio.create_task(repeat("maintenance", self._maintain, self.log)),
+            asyncio.create_task(repeat("trim", self._trim, self.log)),
             asyncio.create_task(self._load_metrics()),
         ]
         self.log.info(
@@ -247,19 +251,16 @@
         return self._exposition.render()
 
     async def _maintain(self):
-        clock = asyncio.get_running_loop().time
-        while True:
-            now = clock()
-            if self.instances.expire(now):
-                await self.clusters.set_instances()
-            self.clusters.watch(now)
-            self.writer.flush()
-            await asyncio.sleep(MAINTENANCE_INTERVAL)
+        await asyncio.sleep(MAINTENANCE_INTERVAL)
+        now = asyncio.get_running_loop().time()
+        if self.instances.expire(now):
+            await self.clusters.set_instances()
+        self.clusters.watch(now)
+        self.writer.flush()
 
     async def _trim(self):
-        while True:
-            await asyncio.sleep(TRIM_INTERVAL)
-            self.clusters.trim(asyncio.get_running_loop().time())
+        await asyncio.sleep(TRIM_INTERVAL)
+        self.clusters.trim(asyncio.get_running_loop().time())
 
     # Stop
 
--- a/cardamomdrift/routing/cluster.py
+++ b/cardamomdrift/routing/cluster.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 
@@ -30,6 +31,7 @@
 WARM_CONNECTIONS = 1  # opened to each instance ahead of the first request
 WARM_TIMEOUT = 1.0  # seconds
 PING_AFTER = 0.1  # seconds without an answer before an instance is asked
+PING_OTHERS_AFTER = 0.5  # seconds; half of the age at which their answer counts
 SAMPLE_AGE = 0.5  # seconds; a third of the shortest stated age of the bundles in use
 RELEASE_TIME = 0.15  # seconds that answers of a leaving primary are waited for
 RELEASE_POLL = 0.005  # seconds
@@ -429,16 +431,22 @@
 
     def watch(self, now):
         """Ask instances whose answer is overdue, and for samples that reads need."""
-        for runtime in self._instances.values():
-            if runtime.silence.unanswered(now) > PING_AFTER or not runtime.usable:
-                if not runtime.leaving:
-                    runtime.prober.want()
         primary = self._instances.get(self.leadership.primary)
+        suspect = primary is None or self._is_overdue(primary, now)
+        for runtime in self._instances.values():
+            # Whether the others answer tells a lost primary from a daemon cut off.
+            stale = now - (runtime.answered_at or -math.inf) > PING_OTHERS_AFTER
+            if self._is_overdue(runtime, now) or (suspect and stale):
+                runtime.prober.want()
         if primary is None or now - self._read_at > READ_MEMORY:
             return
         if boot_clock() - self._floors.newest > SAMPLE_AGE:
             primary.prober.want()
 
+    @staticmethod
+    def _is_overdue(runtime, now):
+        return runtime.failed or runtime.silence.unanswered(now) > PING_AFTER
+
     def trim(self, now):
         """Close connections that have been idle for long."""
         for runtime in self._instances.values():
--- a/cardamomdrift/routing/instance.py
+++ b/cardamomdrift/routing/instance.py
@@ -95,6 +95,11 @@
         silent = self._silence.unanswered(self._clock()) > SILENCE_LIMIT
         return not self.leaving and not silent and self._failed_at is None
 
+    @property
+    def failed(self):
+        """Whether it failed a request and has not answered a probe since."""
+        return self._failed_at is not None
+
     def note_failure(self):
         """Send no new requests there until a probe begun from now on is answered."""
         self._failed_at = self._clock()
--- a/cardamomdrift/routing/statements.py
+++ b/cardamomdrift/routing/statements.py
@@ -38,6 +38,7 @@
 HEDGE_FACTOR = 6.0  # of the expected time; one statement in a hundred takes longer
 HEDGE_MINIMUM = 0.05  # seconds
 HEDGE_SHARE = 0.45  # of the time within which an answer is of full use
+ATTEMPTS_AT_ONCE = 3  # instances of a group
 RETRY_KINDS = frozenset((Refusal.FAILED, Refusal.TIMED_OUT))
 
 
@@ -334,28 +335,28 @@
             request.trace.events.append(str(failure))
 
     def _patience(self, request, running):
-        """Return the seconds to wait before a second attempt is worth while."""
-        if len(running) > 1:
+        """Return the seconds to wait before a further attempt is worth while."""
+        if len(running) >= ATTEMPTS_AT_ONCE:
             return None
         expected = self._cluster.costs.expected(request.route.database)
         hedge = max(HEDGE_MINIMUM, HEDGE_FACTOR * expected)
         return min(hedge, HEDGE_SHARE * request.route.target)
 
     def _may_hedge(self, request, tried, running):
-        [attempt] = running.values()
         cluster = self._cluster
-        if request.route.kind is RouteKind.PRIMARY or attempt.name is None:
+        waiting = {attempt.name for attempt in running.values()}
+        if request.route.kind is RouteKind.PRIMARY or None in waiting:
             return False
-        names = {attempt.name, *tried}
+        names = waiting | tried
         free = any(
             name not in names and one.usable and one.in_flight < one.limit
             for name, one in cluster.instances.items()
         )
         if not free or not cluster.budget.spend():
             return False
-        tried.add(attempt.name)
+        tried |= waiting
         cluster.counts.hedges += 1
-        request.trace.events.append(f"{attempt.name}: slow, asked another")
+        request.trace.events.append(f"{' '.join(waiting)}: slow, asked another")
         return True
 
     async def _read_once(self, request, floor, excluded, attempt):
--- /dev/null
+++ b/cardamomdrift/standins/entries.py
@@ -0,0 +1,93 @@
+"""
+Platform entries
+================
+
+Rows that the operator and the instances write to the platform's store.
+"""
+
+import json
+
+
+def instance_entry(group, instance, **changes):
+    """Return an instance's entry as bytes."""
+    entry = {
+        "backend": group,
+        "address": instance.address,
+        "zone": "z1",
+        "version": "v1",
+        "slots": 2,
+        "state": "draining" if instance.draining else "ready",
+        "coldLeftMs": 0,
+        "dbRole": "primary" if instance.primary else "replica",
+        "sequence": 1,
+        "born": 1000,
+    }
+    return json.dumps(entry | changes).encode()
+
+
+def route(database, kind, group, **changes):
+    """Return one route of a configuration."""
+    entry = {
+        "name": f"r-{database}",
+        "host": database,
+        "prefix": "/",
+        "routeType": kind,
+        "timeoutMs": 800,
+        "targetLatencyMs": 200,
+        "priority": 1,
+        "backend": group,
+    }
+    if kind != "primary":
+        entry["maxStalenessMs"] = 1500
+    return entry | changes
+
+
+def configuration(version, routes, groups, transaction_idle_ms=3000):
+    """Return a configuration as bytes.
+
+    Parameters
+    ----------
+    version : int
+    routes : list
+    groups : dict of str to int
+        Connections that each instance takes, by group.
+    transaction_idle_ms : int
+    """
+    backends = [
+        {"name": name, "healthPath": "/health", "maxConns": most, "syncReplicas": 0}
+        for name, most in groups.items()
+    ]
+    return json.dumps(
+        {
+            "version": version,
+            "routes": routes,
+            "backends": backends,
+            "limits": {"txIdleMs": transaction_idle_ms, "idleTimeoutMs": 15000},
+        }
+    ).encode()
+
+
+def settings(name, address, store, ports, **changes):
+    """Return a daemon's settings file as text.
+
+    Parameters
+    ----------
+    name, address, store : str
+    ports : sequence of int
+        Ports for callers, readiness, and the first and last between daemons.
+    """
+    front, ready, first, last = ports
+    value = {
+        "nodeName": name,
+        "role": "entry",
+        "ip": address,
+        "zone": "z1",
+        "listen": {"front": f"{address}:{front}", "ready": f"{address}:{ready}"},
+        "internalPorts": [first, last],
+        "seeds": [],
+        "heartbeatMs": 1200,
+        "bounds": {"graceS": 6, "drainMs": 7000},
+        "platform": {"address": store, "form": "table"},
+        "cloudApi": {"address": store, "ratePerS": 50.0},
+    }
+    return json.dumps(value | changes)
--- /dev/null
+++ b/cardamomdrift/standins/lines.py
@@ -0,0 +1,329 @@
+"""
+Line protocol stand-in
+======================
+
+Instances of one database group that speak the platform's wire, with replication that
+lags, promotion, and faults: crashed, silent, answers lost.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from cardamomdrift.standins.entries import instance_entry
+
+PROMOTION_TIME = 0.05  # seconds until a promoted instance takes writes
+
+
+@dataclass
+class InstanceFaults:
+    """What goes wrong at an instance.
+
+    Attributes
+    ----------
+    silent : bool
+        It takes connections and bytes and answers nothing.
+    lose_answers : int
+        Statements that run and are not answered.
+    busy : int
+        Statements that are refused as BUSY.
+    deaf : bool
+        It receives nothing from its primary.
+    """
+
+    silent: bool = False
+    lose_answers: int = 0
+    busy: int = 0
+    deaf: bool = False
+
+
+@dataclass
+class LineSession:
+    """One connection to an instance."""
+
+    values: dict = field(default_factory=dict)
+    prepared: dict = field(default_factory=dict)
+    state: str = "I"
+    read_only: bool = False
+    written: list = field(default_factory=list)
+
+
+class LineInstance:
+    """One instance; an async context manager.
+
+    Parameters
+    ----------
+    group : LineGroup
+    name : str
+    host : str
+    """
+
+    def __init__(self, group, name, host="127.0.0.1"):
+        self._group = group
+        self._host = host
+        self._server = None
+        self._writers = set()
+        self.name = name
+        self.port = 0
+        self.term = 1
+        self.log = []
+        self.primary = False
+        self.draining = False
+        self.lag = 0.0
+        self.work = 0.0
+        self.faults = InstanceFaults()
+        self.runs = []
+        self.opened = 0
+
+    @property
+    def address(self):
+        """``ip:port``."""
+        return f"{self._host}:{self.port}"
+
+    @property
+    def position(self):
+        """TERM.NUMBER of the log's end."""
+        return f"{self.log[-1][0] if self.log else self.term}.{len(self.log)}"
+
+    @property
+    def connections(self):
+        """Number of open connections."""
+        return len(self._writers)
+
+    async def __aenter__(self):
+        await self.start()
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.crash()
+
+    async def start(self):
+        """Listen, at the same address as before."""
+        self._server = await asyncio.start_server(self._serve, self._host, self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def crash(self):
+        """End at once; the log stays."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        self.opened += 1
+        session = LineSession()
+        try:
+            word, _, rest = (await self._read(reader)).partition(" ")
+            service, _who, wanted = [*rest.split(" "), ""][:3]
+            if word != "START" or service != self._group.name or wanted != self.name:
+                writer.write(f"ERROR WRONGNODE {self.name}\r\n".encode())
+                return
+            if len(self._writers) > self._group.connections:
+                writer.write(f"ERROR CONNLIMIT {self.name}\r\n".encode())
+                return
+            if self.faults.silent:
+                await asyncio.sleep(3600)
+            writer.write(f"READY I {self.position}\r\n".encode())
+            while True:
+                line = await self._read(reader)
+                _, request_id, text = line.split(" ", 2)
+                await self._answer(writer, session, request_id, text)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    @staticmethod
+    async def _read(reader):
+        return (await reader.readuntil(b"\r\n")).decode()[:-2]
+
+    async def _answer(self, writer, session, request_id, text):
+        lines = await self._run(session, request_id, text)
+        if self.faults.silent:
+            return
+        ran = any(line.startswith("COMPLETE sig") for line in lines)
+        if ran and self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return
+        lines.append(f"READY {session.state} {self.position}")
+        writer.write("".join(f"{line}\r\n" for line in lines).encode())
+
+    async def _run(self, session, request_id, text):
+        word, _, rest = text.partition(" ")
+        if word == "WAITLSN":
+            position, _, text = rest.partition(" ")
+            if not self._reached(position):
+                return [f"ERROR LAGGING {self.name}"]
+            word, _, rest = text.partition(" ")
+        handler = getattr(self, f"_do_{word.lower()}", None)
+        if handler is None:
+            return [f"ERROR MALFORMED {word}"]
+        works = word in ("READ", "WRITE", "EXECUTE", "COMMIT")
+        if works and self.faults.busy > 0:
+            self.faults.busy -= 1
+            return [f"ERROR BUSY {self.name}"]
+        if works and self.work:
+            await asyncio.sleep(self.work)
+        return handler(session, request_id, rest)
+
+    def _reached(self, position):
+        term, _, number = position.partition(".")
+        own_term, _, own_number = self.position.partition(".")
+        return (int(own_term), int(own_number)) >= (int(term), int(number))
+
+    def _sign(self, request_id, text, session):
+        self.runs.append((request_id, text, dict(session.values)))
+        return f"COMPLETE sig-{self.name}-{request_id}"
+
+    # Statements
+
+    def _do_begin(self, session, _request_id, rest):
+        if rest != "READ" and not self.primary:
+            return [f"ERROR READONLY {self.name}"]
+        session.state, session.read_only = "T", rest == "READ"
+        session.written = []
+        return ["COMPLETE -"]
+
+    def _do_rollback(self, session, _request_id, _rest):
+        session.state = "I"
+        return ["COMPLETE -"]
+
+    def _do_commit(self, session, request_id, _rest):
+        session.state = "I"
+        if session.written and not self.primary:
+            return [f"ERROR READONLY {self.name}"]
+        for entry in session.written:
+            self._group.append(self, entry)
+        return [self._sign(request_id, "COMMIT", session)]
+
+    def _do_read(self, session, request_id, rest):
+        row = f"ROW {rest}={self._value(rest)}"
+        return [self._sign(request_id, f"READ {rest}", session), row][::-1]
+
+    def _value(self, item):
+        values = [data for _, name, data in self.log if name == item]
+        return values[-1] if values else ""
+
+    def _do_write(self, session, request_id, rest):
+        item, _, data = rest.partition(" ")
+        if not self.primary:
+            session.state = "E" if session.state == "T" else session.state
+            return [f"ERROR READONLY {self.name}"]
+        if session.state == "T":
+            session.written.append((item, data))
+        else:
+            self._group.append(self, (item, data))
+        return [self._sign(request_id, f"WRITE {rest}", session)]
+
+    def _do_execute(self, session, request_id, rest):
+        name, _, arguments = rest.partition(" ")
+        if name not in session.prepared:
+            return [f"ERROR NOSUCHSTMT {name}"]
+        if session.prepared[name] == "WRITE":
+            return self._do_write(session, request_id, arguments)
+        return self._do_read(session, request_id, arguments)
+
+    def _do_set(self, session, _request_id, rest):
+        name, _, value = rest.partition(" ")
+        session.values[name] = value
+        return ["COMPLETE -"]
+
+    def _do_parse(self, session, _request_id, rest):
+        name, kind, _shape = rest.split(" ", 2)
+        session.prepared[name] = kind
+        return ["COMPLETE -"]
+
+    def _do_reset(self, session, _request_id, _rest):
+        session.values.clear()
+        session.prepared.clear()
+        return ["COMPLETE -"]
+
+    def _do_status(self, _session, _request_id, _rest):
+        role = "primary" if self.primary else "replica"
+        row = f"ROW {role} {self.term} {self.position} 0 0 0 {self.connections}"
+        return [row, "COMPLETE -"]
+
+
+class LineGroup:
+    """One database group; an async context manager.
+
+    Parameters
+    ----------
+    name : str
+    hosts : sequence of str
+        Address of each instance; the first leads.
+    connections : int
+        Connections that each instance takes.
+    """
+
+    def __init__(self, name, hosts=("127.0.0.1",) * 3, connections=16):
+        self.name = name
+        self.connections = connections
+        self.instances = {
+            f"{name}-{index}": LineInstance(self, f"{name}-{index}", host)
+            for index, host in enumerate(hosts)
+        }
+        next(iter(self.instances.values())).primary = True
+        self._tasks = set()
+
+    @property
+    def primary(self):
+        """The instance that leads the highest term."""
+        leading = [one for one in self.instances.values() if one.primary]
+        return max(leading, key=lambda one: one.term)
+
+    async def __aenter__(self):
+        for one in self.instances.values():
+            await one.start()
+        return self
+
+    async def __aexit__(self, *exc_info):
+        for task in self._tasks:
+            task.cancel()
+        for one in self.instances.values():
+            await one.crash()
+
+    def append(self, primary, entry):
+        """Add an entry to the primary's log and send it to its replicas."""
+        record = (primary.term, *entry)
+        primary.log.append(record)
+        for one in self.instances.values():
+            if one is not primary and not one.faults.deaf and one.term <= primary.term:
+                self._run(self._replicate(primary, one, len(primary.log)))
+
+    async def _replicate(self, primary, replica, length):
+        await asyncio.sleep(replica.lag)
+        if replica.term > primary.term:
+            return
+        if replica.term < primary.term:
+            # It follows the new primary, also if it led before.
+            replica.term, replica.primary, replica.log = primary.term, False, []
+        if len(replica.log) < length:
+            replica.log = list(primary.log[:length])
+
+    def promote(self, _group, name):
+        """Make an instance lead the next term; return whether it runs."""
+        instance = self.instances.get(name)
+        if instance is None or instance._server is None:
+            return False
+        if instance is not self.primary:
+            self._run(self._lead(instance))
+        return True
+
+    async def _lead(self, instance):
+        await asyncio.sleep(PROMOTION_TIME)
+        instance.term = self.primary.term + 1
+        instance.primary = True
+
+    def _run(self, work):
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def entries(self):
+        """Return the instances' entries in the platform's list, by name."""
+        return {
+            one.name: instance_entry(self.name, one) for one in self.instances.values()
+        }
--- /dev/null
+++ b/cardamomdrift/standins/rows.py
@@ -0,0 +1,202 @@
+"""
+Row store stand-in
+==================
+
+The platform's table store and promotion call over HTTP, in memory, with faults: down,
+slow, silent, answers lost after the change, history dropped.
+"""
+
+import asyncio
+import base64
+from dataclasses import dataclass
+
+from aiohttp import web
+
+STEP = 0.005  # seconds between two looks of a waiting feed
+
+
+@dataclass
+class StoreFaults:
+    """What goes wrong at the store.
+
+    Attributes
+    ----------
+    down : bool
+        Every call gets 503.
+    silent : bool
+        No call gets an answer.
+    delay : float
+        Seconds before each answer.
+    lose_answers : int
+        Changes that take effect and are not answered.
+    """
+
+    down: bool = False
+    silent: bool = False
+    delay: float = 0.0
+    lose_answers: int = 0
+
+
+class StoreDoor:
+    """An address of the store with faults of its own; an async context manager.
+
+    Parameters
+    ----------
+    store : RowStore
+    host : str
+    """
+
+    def __init__(self, store, host="127.0.0.1"):
+        self._store = store
+        self._host = host
+        self._runner = None
+        self.faults = StoreFaults()
+        self.address = ""
+        self.calls = 0
+
+    async def __aenter__(self):
+        application = web.Application(middlewares=[self._apply_faults])
+        self._store.add_routes(application.router, self)
+        self._runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, self._host, 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        self.address = f"{self._host}:{port}"
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._runner.cleanup()
+
+    @web.middleware
+    async def _apply_faults(self, request, handler):
+        self.calls += 1
+        faults = self.faults
+        if faults.silent:
+            await asyncio.sleep(3600)
+        if faults.down:
+            return web.Response(status=503)
+        if faults.delay:
+            await asyncio.sleep(faults.delay)
+        response = await handler(request)
+        if request.method == "POST" and faults.lose_answers > 0:
+            faults.lose_answers -= 1
+            request.transport.abort()
+        return response
+
+
+class RowStore:
+    """Rows and what changed them.
+
+    Parameters
+    ----------
+    promote : callable, optional
+        Takes group and instance of a promotion; returns whether the instance runs.
+    """
+
+    def __init__(self, promote=None):
+        self._promote = promote
+        self._rows = {}
+        self._history = []
+        self._version = 0
+        self._history_from = 0
+        self.promotions = []
+
+    def add_routes(self, router, door):
+        """Serve the store's calls through a door."""
+        router.add_post("/v1/rows-tx", self._change)
+        router.add_get("/v1/rows-get", self._get)
+        router.add_get("/v1/rows-feed", lambda request: self._feed(request, door))
+        router.add_post("/promotion", self._take_promotion)
+
+    # Direct use by tests
+
+    def put(self, table, key, value):
+        """Write a row as the operator or an instance does."""
+        self._version += 1
+        self._rows[(table, key)] = (value, self._version)
+        self._history.append((self._version, table, key))
+
+    def remove(self, table, key):
+        """Remove a row."""
+        if self._rows.pop((table, key), None) is not None:
+            self._version += 1
+            self._history.append((self._version, table, key))
+
+    def get(self, table, key):
+        """Return a row's value, or None."""
+        row = self._rows.get((table, key))
+        return None if row is None else row[0]
+
+    def drop_history(self):
+        """Forget what has changed so far."""
+        self._history_from = self._version
+        self._history.clear()
+
+    # Calls
+
+    def _render(self, table, key):
+        row = self._rows.get((table, key))
+        shown = {"table": table, "part": "", "key": key}
+        if row is None:
+            return shown | {"deleted": True, "rowVersion": self._version}
+        value, version = row
+        encoded = base64.b64encode(value).decode()
+        return shown | {"value": encoded, "rowVersion": version}
+
+    async def _get(self, request):
+        table = request.query["table"]
+        start = request.query.get("from", "")
+        limit = int(request.query.get("limit", "500"))
+        keys = sorted(k for t, k in self._rows if t == table and k >= start)
+        rows = [self._render(table, key) for key in keys[:limit]]
+        more = len(keys) > limit
+        return web.json_response(
+            {"rows": rows, "hasMore": more, "rowVersion": self._version, "nowMs": 0}
+        )
+
+    async def _feed(self, request, door):
+        table, after = request.query["table"], int(request.query["after"])
+        deadline = (
+            asyncio.get_running_loop().time() + int(request.query["waitMs"]) / 1e3
+        )
+        while True:
+            if after < self._history_from:
+                return web.Response(status=410)
+            keys = [
+                k for version, t, k in self._history if t == table and version > after
+            ]
+            if keys or asyncio.get_running_loop().time() >= deadline:
+                break
+            if door.faults.down or door.faults.silent:
+                return web.Response(status=503)
+            await asyncio.sleep(STEP)
+        rows = [self._render(table, key) for key in dict.fromkeys(keys)]
+        return web.json_response(
+            {"rows": rows, "rowVersion": self._version, "nowMs": 0}
+        )
+
+    async def _change(self, request):
+        body = await request.json()
+        for one in body["expectedRev"]:
+            row = self._rows.get((one["table"], one["key"]))
+            if one["rowVersion"] != (row[1] if row else 0):
+                rows = [
+                    self._render(each["table"], each["key"])
+                    for each in body["expectedRev"]
+                    if (each["table"], each["key"]) in self._rows
+                ]
+                return web.json_response({"rows": rows}, status=412)
+        for one in body["puts"]:
+            self.put(one["table"], one["key"], base64.b64decode(one["value"]))
+        for one in body["remove"]:
+            self.remove(one["table"], one["key"])
+        return web.json_response({"rowVersion": self._version, "nowMs": 0})
+
+    async def _take_promotion(self, request):
+        body = await request.json()
+        holder = request.headers["X-Duty-Holder"]
+        token = int(request.headers["X-Fencing-Token"])
+        self.promotions.append((body["backend"], body["id"], holder, token))
+        runs = self._promote is None or self._promote(body["backend"], body["id"])
+        return web.Response(status=200 if runs else 409)
--- /dev/null
+++ b/tests/site.py
@@ -0,0 +1,183 @@
+"""A small site in one process: store, one database group, daemons, callers."""
+
+import asyncio
+import io
+import json
+import socket
+import tempfile
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+from cardamomdrift.platform.daemon import PlatformDaemon
+from cardamomdrift.platform.settings import load_site_settings
+from cardamomdrift.standins.entries import (
+    configuration,
+    instance_entry,
+    route,
+    settings,
+)
+from cardamomdrift.standins.lines import LineGroup
+from cardamomdrift.standins.rows import RowStore, StoreDoor
+from cardamomdrift.telemetry.log import setup_logging
+
+ROUTES = [
+    route("book", "primary", "g"),
+    route("look", "bounded_staleness", "g"),
+    route("crew", "read_your_writes", "g", maxStalenessMs=2500),
+]
+
+
+class Lines(io.StringIO):
+    """Target of logs with the parts of a LineWriter that a daemon uses."""
+
+    dropped = 0
+
+
+def free_port(host):
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
+
+
+class LineClient:
+    """A caller over the line protocol."""
+
+    def __init__(self, reader, writer):
+        self._reader = reader
+        self._writer = writer
+        self._count = 0
+        self.state = ""
+
+    @classmethod
+    async def open(cls, address, database, user="u"):
+        client = cls(*await asyncio.open_connection(*address))
+        client._writer.write(f"START {database} {user}\r\n".encode())
+        return client, await client._line()
+
+    async def _line(self):
+        line = await asyncio.wait_for(self._reader.readuntil(b"\r\n"), 5)
+        return line.decode()[:-2]
+
+    async def ask(self, text, request_id=None):
+        """Return the lines of the answer before READY."""
+        self._count += 1
+        request_id = request_id or f"id{id(self) % 9999}x{self._count}"
+        self._writer.write(f"QUERY {request_id} {text}\r\n".encode())
+        lines = []
+        while True:
+            line = await self._line()
+            if line.startswith("READY"):
+                self.state = line.split(" ")[1]
+                return lines
+            lines.append(line)
+
+    async def send_raw(self, data):
+        self._writer.write(data)
+        return await asyncio.wait_for(self._reader.read(65536), 5)
+
+    def close(self):
+        self._writer.close()
+
+    async def at_end(self):
+        return await asyncio.wait_for(self._reader.read(1), 8) == b""
+
+
+class Site:
+    """Store, group and daemons; an async context manager."""
+
+    def __init__(self, daemons=3, connections=16, routes=None, idle_ms=3000):
+        self._count = daemons
+        self._stack = AsyncExitStack()
+        self._folder = None
+        self._routes = ROUTES if routes is None else routes
+        self._idle_ms = idle_ms
+        self.group = LineGroup("g", connections=connections)
+        self.store = RowStore(promote=self.group.promote)
+        self.daemons = {}
+        self.doors = {}
+        self.log = Lines()
+
+    async def __aenter__(self):
+        setup_logging("info", self.log)
+        enter = self._stack.enter_async_context
+        self._folder = self._stack.enter_context(tempfile.TemporaryDirectory())
+        await enter(self.group)
+        self.ports = [free_port("127.0.0.2") for _ in range(4)]
+        self.configure(1)
+        self.list_instances()
+        for index in range(self._count):
+            await self.start(f"vm-{index + 1}")
+        await self.until(lambda: all(self.usable(one) for one in self.daemons))
+        return self
+
+    async def __aexit__(self, *exc_info):
+        for name in list(self.daemons):
+            await self.kill(name)
+        await self._stack.aclose()
+
+    def configure(self, version, routes=None):
+        body = configuration(version, routes or self._routes, {"g": 16}, self._idle_ms)
+        self.store.put("op", "config", body)
+
+    def list_instances(self):
+        for name, entry in self.group.entries().items():
+            self.store.put("servers", name, entry)
+
+    def relist(self, instance, **changes):
+        entry = instance_entry("g", instance, **changes)
+        self.store.put("servers", instance.name, entry)
+
+    def host(self, name):
+        return f"127.0.0.{int(name.split('-')[1]) + 1}"
+
+    async def start(self, name):
+        host = self.host(name)
+        path = Path(self._folder) / f"{name}.json"
+        if name not in self.doors:
+            door = StoreDoor(self.store)
+            self.doors[name] = await self._stack.enter_async_context(door)
+        address = self.doors[name].address
+        path.write_text(settings(name, host, address, self.ports))
+        daemon = PlatformDaemon(load_site_settings(path).unwrap(), self.log)
+        await daemon.__aenter__()
+        self.daemons[name] = daemon
+        return daemon
+
+    async def kill(self, name):
+        """End a daemon without any farewell."""
+        daemon = self.daemons.pop(name)
+        daemon.announcer.leaving = False
+        await daemon.__aexit__(None, None, None)
+
+    def turn_away(self, *names):
+        """Let the store refuse some daemons, or all."""
+        for name in names or self.doors:
+            self.doors[name].faults.down = True
+
+    def usable(self, name):
+        """Whether a daemon serves writes."""
+        cluster = self.daemons[name].clusters.get("g")
+        return cluster is not None and cluster.view.primary is not None
+
+    async def caller(self, name, database):
+        client, first = await LineClient.open(
+            (self.host(name), self.ports[0]), database
+        )
+        if not first.startswith("READY"):
+            raise AssertionError(first)
+        self._stack.callback(client.close)
+        return client
+
+    async def until(self, condition, timeout=5.0):
+        async with asyncio.timeout(timeout):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    def logged(self, event):
+        return [line for line in self.log.getvalue().splitlines() if event in line]
+
+
+def lead_row(site):
+    """Return the group's row of the daemons' table."""
+    value = site.store.get("cardamomdrift", "lead/g")
+    return None if value is None else json.loads(value)
--- /dev/null
+++ b/tests/test_replacement.py
@@ -0,0 +1,129 @@
+"""When a primary is replaced, by whom, and when the platform may be told."""
+
+import unittest
+from dataclasses import replace
+
+from cardamomdrift.failover.permission import PERMISSION_TIME
+from cardamomdrift.failover.replacement import (
+    INTENT_TIME,
+    LONE_TIME,
+    MISSING_TIME,
+    REFUSED_TIME,
+    RELEASE_MARGIN,
+    SETTLE_PAUSE,
+    SILENT_TIME,
+    Candidate,
+    Intent,
+    PrimaryEvidence,
+    Reason,
+    answers_needed,
+    choose_candidate,
+    has_quorum,
+    is_released,
+    may_call,
+    reason_to_replace,
+    takeover_at,
+)
+from cardamomdrift.position import Position
+
+WELL = PrimaryEvidence(
+    known=True,
+    listed=True,
+    missing_for=0.0,
+    draining=False,
+    unanswered=0.0,
+    refused=False,
+    replica_age=0.1,
+    peer_contact_age=0.1,
+    peer_silence=0.0,
+    settled_for=100.0,
+)
+LOST = {"peer_contact_age": None}
+
+
+class ReasonTest(unittest.TestCase):
+    CASES = (
+        ("answers", {}, None),
+        ("leaves", {"draining": True}, Reason.LEAVING),
+        ("lapsed a moment ago", {"listed": False, "missing_for": 1.0}, None),
+        ("gone", {"listed": False, "missing_for": MISSING_TIME}, Reason.MISSING),
+        ("slow", LOST | {"unanswered": SILENT_TIME - 0.1}, None),
+        ("silent to all", LOST | {"unanswered": SILENT_TIME}, Reason.UNREACHABLE),
+        ("silent here only", {"unanswered": SILENT_TIME}, None),
+        ("cut off from here", {"unanswered": LONE_TIME}, Reason.UNREACHABLE),
+        ("cut off from a peer", {"peer_silence": LONE_TIME}, Reason.UNREACHABLE),
+        (
+            "crashed",
+            LOST | {"refused": True, "unanswered": REFUSED_TIME},
+            Reason.UNREACHABLE,
+        ),
+        ("reset once", LOST | {"refused": True, "unanswered": 0.05}, None),
+        ("we are cut off", LOST | {"unanswered": 5.0, "replica_age": 3.0}, None),
+        ("we reach nothing", LOST | {"unanswered": 5.0, "replica_age": None}, None),
+        (
+            "new",
+            LOST | {"unanswered": 5.0, "settled_for": SETTLE_PAUSE - 0.1},
+            None,
+        ),
+    )
+
+    def test_reasons(self):
+        for name, changes, expected in self.CASES:
+            with self.subTest(name):
+                evidence = replace(WELL, **changes)
+                self.assertEqual(reason_to_replace(evidence), expected)
+
+
+class CandidateTest(unittest.TestCase):
+    def test_the_one_that_received_most_leads(self):
+        found = [
+            Candidate("b", Position(1, 7), False),
+            Candidate("c", Position(1, 9), False),
+        ]
+        self.assertEqual(choose_candidate(found, 1), "c")
+
+    def test_one_that_leaves_only_if_none_stays(self):
+        found = [
+            Candidate("b", Position(1, 7), False),
+            Candidate("c", Position(1, 9), True),
+        ]
+        self.assertEqual(choose_candidate(found, 1), "b")
+        self.assertEqual(choose_candidate(found[1:], 1), "c")
+
+    def test_with_synchronous_replicas_enough_must_be_asked(self):
+        self.assertEqual(answers_needed(2, 0), 1)
+        self.assertEqual(answers_needed(2, 1), 2)
+        self.assertEqual(answers_needed(4, 2), 3)
+        found = [Candidate("b", Position(1, 7), False)]
+        self.assertIsNone(choose_candidate(found, 2))
+
+
+class ReleaseTest(unittest.TestCase):
+    def setUp(self):
+        self.intent = Intent(3, 1, begun_at=10.0, committed_at=10.1)
+
+    def test_at_once_when_all_have_released(self):
+        self.assertTrue(is_released(self.intent, {"b": 3, "c": 4}, None, 10.1))
+
+    def test_after_the_time_of_permission_with_a_quorum(self):
+        others = {"b": 3, "c": 2}
+        due = 10.2 + PERMISSION_TIME + RELEASE_MARGIN
+        self.assertFalse(is_released(self.intent, others, 10.2, due - 0.01))
+        self.assertTrue(is_released(self.intent, others, 10.2, due))
+
+    def test_never_without(self):
+        self.assertFalse(is_released(self.intent, {"b": 2, "c": 2}, None, 99.0))
+
+    def test_quorum(self):
+        for known, others, expected in ((0, 0, True), (0, 2, False), (1, 4, True)):
+            self.assertEqual(has_quorum(known, others), expected)
+
+    def test_a_call_ends_before_another_daemon_may_take_over(self):
+        self.assertTrue(may_call(self.intent, 10.5, 0.6))
+        late = 10.0 + INTENT_TIME - 0.5
+        self.assertFalse(may_call(self.intent, late, 0.6))
+        self.assertGreater(takeover_at(10.1), 10.0 + INTENT_TIME)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_site.py
@@ -0,0 +1,351 @@
+"""The whole path on the platform, over sockets."""
+
+import asyncio
+import unittest
+
+from cardamomdrift.membership import control
+from tests.site import LineClient, Site, lead_row
+
+
+class CalmTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_session_reads_its_own_write_at_once(self):
+        async with Site() as site:
+            for one in site.group.instances.values():
+                one.lag = 0.2
+            crew = await site.caller("vm-1", "crew")
+            for number in range(10):
+                done = await crew.ask(f"WRITE a v{number}")
+                self.assertTrue(done[0].startswith("COMPLETE sig"), done)
+                rows = await crew.ask("READ a")
+                self.assertEqual(rows[0], f"ROW a=v{number}")
+
+    async def test_primary_routes_see_writes_through_other_daemons(self):
+        async with Site() as site:
+            for one in site.group.instances.values():
+                one.lag = 0.2
+            first = await site.caller("vm-1", "book")
+            second = await site.caller("vm-2", "book")
+            for number in range(10):
+                await first.ask(f"WRITE a v{number}")
+                rows = await second.ask("READ a")
+                self.assertEqual(rows[0], f"ROW a=v{number}")
+
+    async def test_reads_of_a_stated_age_are_never_older(self):
+        async with Site() as site:
+            for one in site.group.instances.values():
+                one.lag = 60.0
+            book = await site.caller("vm-1", "book")
+            look = await site.caller("vm-2", "look")
+            await book.ask("WRITE a new")
+            await asyncio.sleep(1.6)
+            rows = await look.ask("READ a")
+            self.assertEqual(rows[0], "ROW a=new")
+
+    async def test_replicas_serve_reads_that_they_may(self):
+        async with Site() as site:
+            look = await site.caller("vm-1", "look")
+            for _ in range(20):
+                await look.ask("READ a")
+                await asyncio.sleep(0.02)
+            counts = site.daemons["vm-1"].clusters.get("g").counts.reads
+            self.assertGreater(counts["replica"], counts["primary"])
+
+    async def test_unknown_database_and_removed_route(self):
+        async with Site(daemons=1) as site:
+            _, first = await LineClient.open(("127.0.0.2", site.ports[0]), "nowhere")
+            self.assertTrue(first.startswith("ERROR NOSUCHDB"), first)
+            look = await site.caller("vm-1", "look")
+            site.configure(2, [site._routes[0]])
+            await site.until(lambda: site.daemons["vm-1"].version == 2)
+            answer = await look.ask("READ a")
+            self.assertTrue(answer[0].startswith("ERROR NOSUCHDB"), answer)
+
+    async def test_readiness_and_metrics(self):
+        async with Site(daemons=1) as site:
+            daemon = site.daemons["vm-1"]
+            self.assertTrue(daemon.ready)
+            reader, writer = await asyncio.open_connection("127.0.0.2", site.ports[1])
+            writer.write(b"GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+            self.assertIn(b" 200 ", await reader.readline())
+            writer.close()
+
+
+class PinnedTest(unittest.IsolatedAsyncioTestCase):
+    async def test_values_and_names_follow_their_session(self):
+        async with Site(daemons=1) as site:
+            one = await site.caller("vm-1", "book")
+            other = await site.caller("vm-1", "book")
+            await one.ask("SET lang de")
+            await other.ask("SET lang fr")
+            await one.ask("PARSE s1 READ shape-a")
+            await other.ask("PARSE s1 WRITE shape-b")
+            for turn in range(5):
+                await one.ask("EXECUTE s1 item", f"one-{turn}")
+                await other.ask(f"EXECUTE s1 item v{turn}", f"other-{turn}")
+            runs = site.group.primary.runs
+            for request_id, text, values in runs:
+                mine = request_id.startswith("one")
+                self.assertEqual(values, {"lang": "de" if mine else "fr"})
+                self.assertTrue(text.startswith("READ" if mine else "WRITE"), text)
+            self.assertEqual(len(runs), 10)
+
+    async def test_a_transaction_keeps_its_connection(self):
+        async with Site(daemons=1) as site:
+            one = await site.caller("vm-1", "crew")
+            other = await site.caller("vm-1", "crew")
+            await one.ask("BEGIN")
+            self.assertEqual(one.state, "T")
+            await one.ask("WRITE a 1")
+            await other.ask("WRITE b 2")
+            self.assertEqual((await other.ask("READ a"))[0], "ROW a=")
+            done = await one.ask("COMMIT")
+            self.assertTrue(done[0].startswith("COMPLETE sig"), done)
+            self.assertEqual((await other.ask("READ b"))[0], "ROW b=2")
+            self.assertEqual((await one.ask("READ a"))[0], "ROW a=1")
+
+    async def test_a_caller_that_leaves_is_rolled_back(self):
+        async with Site(daemons=1) as site:
+            one = await site.caller("vm-1", "crew")
+            await one.ask("BEGIN")
+            await one.ask("WRITE a 1")
+            one.close()
+            daemon = site.daemons["vm-1"]
+            primary = daemon.clusters.get("g").instances["g-0"]
+            await site.until(lambda: primary.in_flight == 0)
+            other = await site.caller("vm-1", "book")
+            self.assertEqual((await other.ask("READ a"))[0], "ROW a=")
+
+    async def test_an_idle_transaction_is_ended(self):
+        async with Site(daemons=1, idle_ms=200) as site:
+            one = await site.caller("vm-1", "crew")
+            await one.ask("BEGIN")
+            await one.ask("WRITE a 1")
+            await asyncio.sleep(0.5)
+            answer = await one.ask("WRITE a 2")
+            self.assertTrue(answer[0].startswith("ERROR ABORTED"), answer)
+            self.assertEqual(one.state, "E")
+            await one.ask("ROLLBACK")
+            self.assertEqual(one.state, "I")
+
+    async def test_a_failed_transaction_takes_only_its_end(self):
+        async with Site(daemons=1) as site:
+            one = await site.caller("vm-1", "crew")
+            await one.ask("BEGIN")
+            answer = await one.ask("EXECUTE nothing x")
+            self.assertTrue(answer[0].startswith("ERROR NOSUCHSTMT"), answer)
+            answer = await one.ask("READ a")
+            self.assertTrue(answer[0].startswith("ERROR MALFORMED"), answer)
+            answer = await one.ask("COMMIT")
+            self.assertTrue(answer[0].startswith("ERROR ABORTED"), answer)
+            self.assertEqual(one.state, "I")
+
+
+class InstanceFaultTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_read_whose_answer_is_lost_is_asked_elsewhere(self):
+        async with Site(daemons=1) as site:
+            look = await site.caller("vm-1", "look")
+            await look.ask("READ a")
+            for one in site.group.instances.values():
+                one.faults.lose_answers = 1
+            site.group.primary.faults.lose_answers = 0
+            rows = await look.ask("READ a")
+            self.assertEqual(rows[0], "ROW a=")
+
+    async def test_a_write_whose_answer_is_lost_is_in_doubt_and_runs_once(self):
+        async with Site(daemons=1) as site:
+            book = await site.caller("vm-1", "book")
+            await book.ask("WRITE a 0")
+            site.group.primary.faults.lose_answers = 1
+            answer = await book.ask("WRITE a 1", "doubt")
+            self.assertTrue(answer[0].startswith("ERROR INDOUBT"), answer)
+            ids = [request_id for request_id, _, _ in site.group.primary.runs]
+            self.assertEqual(ids.count("doubt"), 1)
+
+    async def test_a_busy_instance_is_asked_again(self):
+        async with Site(daemons=1) as site:
+            book = await site.caller("vm-1", "book")
+            site.group.primary.faults.busy = 2
+            answer = await book.ask("WRITE a 1")
+            self.assertTrue(answer[0].startswith("COMPLETE sig"), answer)
+
+    async def test_connections_stay_within_the_share(self):
+        async with Site(daemons=3, connections=16) as site:
+            callers = [
+                await site.caller(f"vm-{index % 3 + 1}", "book") for index in range(30)
+            ]
+            for one in site.group.instances.values():
+                one.work = 0.01
+            await asyncio.gather(*(one.ask("WRITE a 1") for one in callers))
+            self.assertLessEqual(site.group.primary.connections, 16)
+            sums = [
+                daemon.clusters.get("g").instances["g-0"].pool.limit
+                for daemon in site.daemons.values()
+            ]
+            self.assertEqual(sum(sums), 15)
+
+
+class ReplacementTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_crashed_primary_is_replaced_and_writes_go_on(self):
+        async with Site() as site:
+            book = await site.caller("vm-1", "book")
+            await book.ask("WRITE a 1")
+            await asyncio.sleep(0.05)
+            started = asyncio.get_running_loop().time()
+            await site.group.primary.crash()
+            while True:
+                answer = await book.ask("WRITE a 2")
+                if answer[0].startswith("COMPLETE"):
+                    break
+                self.assertLess(asyncio.get_running_loop().time() - started, 5)
+            rows = await book.ask("READ a")
+            self.assertEqual(rows[0], "ROW a=2")
+            await site.until(lambda: lead_row(site)["settled"])
+            self.assertEqual(lead_row(site)["generation"], 1)
+            self.assertEqual(len(site.store.promotions), 1)
+
+    async def test_a_leaving_primary_hands_over_without_losing_a_write(self):
+        async with Site() as site:
+            book = await site.caller("vm-1", "book")
+            old = site.group.primary
+            for one in site.group.instances.values():
+                one.lag = 0.05
+            kept = []
+
+            async def write():
+                for number in range(80):
+                    answer = await book.ask(f"WRITE k{number} v")
+                    if answer[0].startswith("COMPLETE"):
+                        kept.append(number)
+                    await asyncio.sleep(0.01)
+
+            writing = asyncio.create_task(write())
+            await asyncio.sleep(0.1)
+            old.draining = True
+            site.relist(old)
+            await writing
+            await site.until(lambda: site.group.primary is not old)
+            written = {name for _, name, _ in site.group.primary.log}
+            self.assertEqual([one for one in kept if f"k{one}" not in written], [])
+            self.assertGreater(len(kept), 50)
+
+    async def test_no_replacement_while_only_a_route_is_slow(self):
+        async with Site() as site:
+            book = await site.caller("vm-1", "book")
+            site.group.primary.work = 0.3
+            for _ in range(5):
+                await book.ask("WRITE a 1")
+            self.assertEqual(site.store.promotions, [])
+
+    async def test_a_daemon_the_store_turns_away_goes_on(self):
+        async with Site() as site:
+            site.turn_away("vm-1")
+            await asyncio.sleep(2.0)
+            book = await site.caller("vm-1", "book")
+            answer = await book.ask("WRITE a 1")
+            self.assertTrue(answer[0].startswith("COMPLETE"), answer)
+
+    async def test_the_store_away_and_a_daemon_lost_together(self):
+        async with Site(daemons=4) as site:
+            site.turn_away()
+            await site.kill("vm-4")
+            await asyncio.sleep(2.5)
+            book = await site.caller("vm-1", "book")
+            answer = await book.ask("WRITE a 1")
+            self.assertTrue(answer[0].startswith("COMPLETE"), answer)
+
+    async def test_a_daemon_cut_off_from_all_stops_using_the_primary(self):
+        async with Site() as site:
+            site.turn_away("vm-1")
+            daemon = site.daemons["vm-1"]
+            daemon.announcer.take = lambda heartbeat: None
+            daemon.announcer._port._on_heartbeat = daemon.announcer.take
+            await asyncio.sleep(2.5)
+            self.assertFalse(site.usable("vm-1"))
+            book = await site.caller("vm-1", "book")
+            answer = await book.ask("WRITE a 1")
+            self.assertTrue(answer[0].startswith("ERROR BUSY"), answer)
+
+    async def test_a_lost_daemon_is_removed_from_the_store(self):
+        waits = control.GONE_TIME
+        control.GONE_TIME = 1.5
+        try:
+            async with Site() as site:
+                await site.kill("vm-3")
+                key = "member/vm-3"
+                await site.until(
+                    lambda: site.store.get("cardamomdrift", key) is None, 8
+                )
+                await site.until(lambda: len(site.daemons["vm-1"].roster.names) == 2, 8)
+        finally:
+            control.GONE_TIME = waits
+
+
+class ConfigurationTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_newer_one_reaches_a_daemon_that_the_store_turns_away(self):
+        async with Site() as site:
+            site.turn_away("vm-1")
+            site.configure(5)
+            await site.until(lambda: site.daemons["vm-1"].version == 5, 6)
+
+    async def test_unusable_ones_change_nothing(self):
+        async with Site(daemons=1) as site:
+            site.store.put("op", "config", b'{"version": 9}')
+            await site.until(lambda: site.logged("configuration not usable"))
+            self.assertEqual(site.daemons["vm-1"].version, 1)
+            site.configure(3)
+            await site.until(lambda: site.daemons["vm-1"].version == 3)
+            site.configure(2)
+            await site.until(lambda: site.logged("configuration passed over"))
+            self.assertEqual(site.daemons["vm-1"].version, 3)
+
+    async def test_history_that_is_gone_is_read_again(self):
+        async with Site(daemons=1) as site:
+            site.store.drop_history()
+            site.configure(4)
+            await site.until(lambda: site.daemons["vm-1"].version == 4, 6)
+
+    async def test_a_foreign_entry_names_no_instance(self):
+        async with Site(daemons=1) as site:
+            site.store.put("servers", "i-x", b"\xff\xfe")
+            site.store.put("servers", "i-y", b'{"backend": 7}')
+            await site.until(lambda: len(site.logged("instance entry not usable")) >= 2)
+            self.assertEqual(
+                set(site.daemons["vm-1"].clusters.get("g").instances),
+                {"g-0", "g-1", "g-2"},
+            )
+
+
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    async def test_sessions_end_between_statements_and_open_work_ends_first(self):
+        async with Site(daemons=2) as site:
+            daemon = site.daemons["vm-1"]
+            idle = await site.caller("vm-1", "look")
+            busy = await site.caller("vm-1", "crew")
+            await busy.ask("BEGIN")
+            await busy.ask("WRITE a 1")
+            stopping = asyncio.create_task(daemon.stop())
+            await asyncio.sleep(0.05)
+            self.assertFalse(daemon.ready)
+            self.assertTrue((await idle.ask("READ a"))[0].startswith("ROW"))
+            self.assertTrue(await idle.at_end())
+            done = await busy.ask("COMMIT")
+            self.assertTrue(done[0].startswith("COMPLETE sig"), done)
+            self.assertTrue(await busy.at_end())
+            await stopping
+            self.assertIsNone(site.store.get("cardamomdrift", "member/vm-1"))
+
+    async def test_malformed_and_endless_lines_end_their_session_only(self):
+        async with Site(daemons=1) as site:
+            other = await site.caller("vm-1", "look")
+            client, _ = await LineClient.open(("127.0.0.2", site.ports[0]), "look")
+            self.assertIn(b"MALFORMED", await client.send_raw(b"NONSENSE\r\n"))
+            client, _ = await LineClient.open(("127.0.0.2", site.ports[0]), "look")
+            try:
+                self.assertEqual(await client.send_raw(b"x" * (2 * 1024 * 1024)), b"")
+            except ConnectionError:
+                pass
+            self.assertTrue((await other.ask("READ a"))[0].startswith("ROW"))
+
+
+if __name__ == "__main__":
+    unittest.main()
