--- a/cardamomdrift/command.py
+++ b/cardamomdrift/command.py
@@ -36,8 +36,10 @@
     MetricsQuery,
     StatusQuery,
 )
+from cardamomdrift.platform.settings import load_site_settings
 from cardamomdrift.settings import load_settings
 from cardamomdrift.telemetry.burn import format_burn
+from cardamomdrift.telemetry.explain import explain, format_explanation
 
 REFUSED = 1
 BAD_INPUT = 2
@@ -256,6 +258,17 @@
     return {**first, "windows": windows, "causes": ordered}
 
 
+def _read_logs(files):
+    """Return the lines of some files, or of standard input."""
+    if not files:
+        return list(sys.stdin)
+    lines = []
+    for name in files:
+        with open(name, encoding="utf-8", errors="replace") as log:
+            lines.extend(log)
+    return lines
+
+
 class SettingsCommands:
     """Settings files."""
 
@@ -269,6 +282,16 @@
         found = _require(load_settings(file))
         return f"ok {found.vm} in {found.failure_domain} of {found.deployment}"
 
+    def check_platform(self, file):
+        """Check a settings file that the users' platform lays down.
+
+        Parameters
+        ----------
+        file : str
+        """
+        found = _require(load_site_settings(file))
+        return f"ok {found.vm} in {found.failure_domain}"
+
 
 class Commands:
     """The operators' tool."""
@@ -288,6 +311,23 @@
         """
         return json.dumps(_ask(address, StatusQuery()), indent=2)
 
+    def explain(self, request_id, *files):
+        """Print what the logs say of a request, and which line decided it.
+
+        Parameters
+        ----------
+        request_id : str
+        files : str
+            Logs of the daemons; standard input if there are none.
+        """
+        try:
+            found = explain(str(request_id), _read_logs(files))
+        except OSError as error:
+            _fail(error, BAD_INPUT)
+        print(format_explanation(request_id, found))
+        if not found.lines:
+            sys.exit(REFUSED)
+
     def drain(self, address):
         """Tell a daemon to shut down gracefully.
 
--- a/cardamomdrift/platform/daemon.py
+++ b/cardamomdrift/platform/daemon.py
@@ -15,6 +15,7 @@
 from contextlib import AsyncExitStack
 from importlib import import_module
 
+import msgspec
 from returns.result import Failure, Success
 
 from cardamomdrift.bundle.configuration import Configuration
@@ -29,7 +30,12 @@
 from cardamomdrift.peers.announcer import Announcer
 from cardamomdrift.peers.heartbeat import HeartbeatPort
 from cardamomdrift.peers.link import AnswerPort
-from cardamomdrift.peers.messages import BundleQuery, JsonReply
+from cardamomdrift.peers.messages import (
+    BundleQuery,
+    DrainRequest,
+    JsonReply,
+    StatusQuery,
+)
 from cardamomdrift.peers.roster import Roster
 from cardamomdrift.platform.callers import CallerServer
 from cardamomdrift.platform.catalog import (
@@ -78,6 +84,7 @@
         self._stack = AsyncExitStack()
         self._tasks = []
         self._stopping = False
+        self.drain_asked = asyncio.Event()
         clock = asyncio.get_running_loop().time
         self.writer = writer
         self.log = make_log(settings.vm)
@@ -231,9 +238,30 @@
             self.instances.note_outage(asyncio.get_running_loop().time())
 
     async def _answer(self, query):
-        if isinstance(query, BundleQuery):
-            return self.configuration.reply()
-        return JsonReply(b"{}")
+        match query:
+            case BundleQuery():
+                return self.configuration.reply()
+            case StatusQuery():
+                return JsonReply(msgspec.json.encode(self._status()))
+            case DrainRequest():
+                self.drain_asked.set()
+                return JsonReply(b'{"draining":true}')
+        return JsonReply(b'{"error":"not known to this daemon"}')
+
+    def _status(self):
+        """Return the daemon's state as plain values, for operators."""
+        return {
+            "vm": self._settings.vm,
+            "ready": self.ready,
+            "version": self.version,
+            "members": self.roster.names,
+            "store_reachable": self.control.reachable,
+            "permission_ms": round((self.permission.until - boot_clock()) * 1000)
+            if self.permission.until > 0
+            else None,
+            "sessions": self.callers.sessions,
+            "groups": {one.group.name: one.status() for one in self.clusters},
+        }
 
     def _readiness(self):
         return 200 if self.ready else 503, "text/plain", b""
@@ -287,15 +315,14 @@
 
 async def run(settings, writer):
     """Run a daemon until it is told to stop."""
-    stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     async with PlatformDaemon(settings, writer) as daemon:
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stopped.set)
+            loop.add_signal_handler(number, daemon.drain_asked.set)
         loop.add_signal_handler(
             signal.SIGHUP, lambda: daemon.log.info("settings signal, nothing to reload")
         )
-        await stopped.wait()
+        await daemon.drain_asked.wait()
         await daemon.stop()
     writer.flush()
 
--- a/cardamomdrift/platform/promotion.py
+++ b/cardamomdrift/platform/promotion.py
@@ -35,9 +35,8 @@
             # A connection for each call: one gone silent would cost a time limit.
             async with HttpClient(self._address) as client:
                 response = await client.call("POST", PATH, timeout, body, headers)
-        except (CallFailed, TimeoutError) as error:
-            reason = f"{PATH}: {type(error).__name__} {error}".rstrip()
-            raise PlatformUnavailable(reason) from error
+        except CallFailed as error:
+            raise PlatformUnavailable(f"{PATH}: {error}") from error
         if response.status in (200, 409):
             return response.status == 200
         raise PlatformUnavailable(f"{PATH}: status {response.status}")
--- a/cardamomdrift/platform/store.py
+++ b/cardamomdrift/platform/store.py
@@ -122,10 +122,9 @@
         target = path if query is None else f"{path}?{urlencode(query)}"
         try:
             response = await self._client.call(method, target, timeout, body)
-        except (CallFailed, TimeoutError) as error:
+        except CallFailed as error:
             self.counts["unavailable"] += 1
-            reason = f"{path}: {type(error).__name__} {error}".rstrip()
-            raise PlatformUnavailable(reason) from error
+            raise PlatformUnavailable(f"{path}: {error}") from error
         return self._check(path, response.status, response.body)
 
     def _check(self, path, status, data):
--- a/cardamomdrift/routing/cluster.py
+++ b/cardamomdrift/routing/cluster.py
@@ -447,6 +447,28 @@
     def _is_overdue(runtime, now):
         return runtime.failed or runtime.silence.unanswered(now) > PING_AFTER
 
+    def status(self):
+        """Return the group's state as plain values, for operators."""
+        lead = self.leadership
+        return {
+            "generation": lead.generation,
+            "settled": lead.settled,
+            "primary": lead.primary,
+            "usable_primary": self._view.primary,
+            "waiting": len(self._for_primary.queue) + len(self._for_any.queue),
+            "instances": {
+                name: {
+                    "position": str(self._view.instances[name].position),
+                    "usable": runtime.usable,
+                    "leaving": runtime.leaving,
+                    "in_flight": runtime.in_flight,
+                    "connections": runtime.pool.size,
+                    "share": runtime.pool.limit,
+                }
+                for name, runtime in self._instances.items()
+            },
+        }
+
     def trim(self, now):
         """Close connections that have been idle for long."""
         for runtime in self._instances.values():
--- /dev/null
+++ b/cardamomdrift/telemetry/explain.py
@@ -0,0 +1,211 @@
+"""
+Explanation
+===========
+
+Finds the log lines of one request in the logs of several daemons, the events around it
+that may have decided it, and names the line that did.
+"""
+
+import re
+from dataclasses import dataclass, field
+from datetime import datetime
+
+WINDOW = 2.0  # seconds before a request's end in which events may have decided it
+AROUND_LIMIT = 40  # events shown
+FAILED = "request failed"
+SERVED = "request served"
+
+# Events that decide requests of their group, or of all groups.
+GROUP_EVENTS = frozenset(
+    (
+        "primary suspected",
+        "replacement begun",
+        "replacement seen",
+        "candidate chosen",
+        "old primary released",
+        "promotion called",
+        "promotion call failed",
+        "replacement succeeded",
+        "replacement failed",
+        "primary changed",
+        "instance not answering",
+        "instance back",
+        "instance removed",
+    )
+)
+DAEMON_EVENTS = frozenset(
+    (
+        "daemon started",
+        "daemon stopping",
+        "daemon stopped",
+        "daemon silent",
+        "store lost",
+        "store answers",
+        "configuration in force",
+        "log lines left out",
+        "loop step failed",
+        "session failed",
+    )
+)
+
+_FIELD = re.compile(r"""([\w.]+)=("(?:[^"\\]|\\.)*"|\S*)""")
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One event of a log.
+
+    Attributes
+    ----------
+    at : float
+        Seconds since 1970.
+    fields : dict of str to str
+    text : str
+    """
+
+    at: float
+    fields: dict
+    text: str
+
+    @property
+    def event(self):
+        """What happened."""
+        return self.fields.get("event", "")
+
+    @property
+    def vm(self):
+        """Whose log it is."""
+        return self.fields.get("vm", "")
+
+
+@dataclass(slots=True)
+class Explanation:
+    """What the logs say of one request.
+
+    Attributes
+    ----------
+    lines : list of LogLine
+        Of the request, in order.
+    deciding : LogLine or None
+        The one that decided its outcome.
+    around : list of LogLine
+        Events that may have.
+    skipped : int
+        Lines that could not be read.
+    """
+
+    lines: list = field(default_factory=list)
+    deciding: LogLine | None = None
+    around: list = field(default_factory=list)
+    skipped: int = 0
+
+
+def parse_line(text):
+    """Return the LogLine in a text, or None if it is none.
+
+    What stands before the first field is passed over.
+    """
+    start = text.find("timestamp=")
+    if start < 0:
+        return None
+    fields = {}
+    for key, value in _FIELD.findall(text[start:]):
+        if value.startswith('"') and value.endswith('"') and len(value) > 1:
+            value = value[1:-1].replace('\\"', '"').replace("\\\\", "\\")
+        fields.setdefault(key, value)
+    try:
+        stamp = datetime.fromisoformat(fields["timestamp"])
+    except ValueError:
+        return None
+    return LogLine(stamp.timestamp(), fields, text[start:].rstrip("\n"))
+
+
+def explain(request_id, texts):
+    """Return the Explanation of a request.
+
+    Parameters
+    ----------
+    request_id : str
+    texts : iterable of str
+        Lines of the logs of any number of daemons.
+    """
+    found = Explanation()
+    events = []
+    for text in texts:
+        if not text.strip():
+            continue
+        line = parse_line(text)
+        if line is None or not line.event:
+            found.skipped += 1
+        elif line.fields.get("id") == request_id:
+            found.lines.append(line)
+        elif line.event in GROUP_EVENTS or line.event in DAEMON_EVENTS:
+            events.append(line)
+    found.lines.sort(key=lambda line: line.at)
+    if found.lines:
+        found.deciding = _decide(found.lines)
+        found.around = _select(events, found.deciding)
+    return found
+
+
+def _decide(lines):
+    failed = [line for line in lines if line.event == FAILED]
+    return failed[-1] if failed else lines[-1]
+
+
+def _select(events, deciding):
+    took = float(deciding.fields.get("took_ms") or 0.0) / 1000.0
+    begin, end = deciding.at - took - WINDOW, deciding.at
+    group = deciding.fields.get("group")
+    chosen = [
+        line
+        for line in events
+        if begin <= line.at <= end and _concerns(line, group, deciding.vm)
+    ]
+    return sorted(chosen, key=lambda line: line.at)[-AROUND_LIMIT:]
+
+
+def _concerns(line, group, vm):
+    if line.event in GROUP_EVENTS:
+        return line.fields.get("group") == group
+    return line.vm == vm or line.event.startswith("daemon")
+
+
+# What an outcome means, and where to look on.
+MEANINGS = {
+    "served": "answered",
+    "OutcomeUnknown": "sent and not answered, or answered by a primary that was"
+    " replaced meanwhile: it may have run",
+    "DeadlinePassed": "not run: no instance became free in time",
+    "NoPrimary": "not run: no primary could be used in time",
+    "Overloaded": "not run: refused because of load or too many retries",
+    "ReadFailed": "a read that no instance answered in time; it has no effect",
+    "TransactionLost": "rolled back: nothing of the transaction is kept",
+    "RefusedByInstance": "the instance refused the statement itself",
+    "UnknownDatabase": "not run: the configuration in force has no such route",
+    "UnknownStatement": "not run: the session has prepared no such name",
+    "BadRequest": "not run: the statement was malformed or out of place",
+}
+
+
+def format_explanation(request_id, found):
+    """Return an explanation as text."""
+    out = []
+    if found.skipped:
+        out.append(f"{found.skipped} lines could not be read and were skipped")
+    if not found.lines:
+        out.append(f"no line of these logs has id {request_id}")
+        return "\n".join(out)
+    outcome = found.deciding.fields.get("outcome", "")
+    out.append(f"request {request_id}: {MEANINGS.get(outcome, outcome)}")
+    out.append("lines of the request:")
+    for line in found.lines:
+        mark = "*" if line is found.deciding else " "
+        out.append(f" {mark} {line.text}")
+    out.append("  * decided the outcome")
+    if found.around:
+        out.append(f"events of its group and its VM in the {WINDOW:.0f} s before:")
+        out.extend(f"   {line.text}" for line in found.around)
+    else:
+        out.append(f"no event of its group or its VM in the {WINDOW:.0f} s before")
+    return "\n".join(out)
--- /dev/null
+++ b/tests/test_platform_edge.py
@@ -0,0 +1,442 @@
+"""Names, formats and calls of the platform."""
+
+import asyncio
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from returns.result import Failure, Success
+
+from cardamomdrift.deployment import RouteKind
+from cardamomdrift.errors import (
+    BadRequest,
+    CallerError,
+    DeadlinePassed,
+    NoPrimary,
+    OutcomeUnknown,
+    Overloaded,
+    PacketTooLarge,
+    PlatformRefused,
+    PlatformUnavailable,
+    ReadFailed,
+    RefusedByInstance,
+    TransactionLost,
+    UnknownDatabase,
+    UnknownStatement,
+    UpstreamBusy,
+    UpstreamLost,
+    UpstreamMismatch,
+    UpstreamUnreachable,
+)
+from cardamomdrift.http.client import CallFailed, HttpClient
+from cardamomdrift.platform.catalog import decode_deployment, decode_instance
+from cardamomdrift.platform.connection import make_connector
+from cardamomdrift.platform.lines import (
+    Query,
+    Start,
+    Terminate,
+    parse_message,
+    parse_ready,
+    parse_status,
+    render_answer,
+    render_command,
+    render_failure,
+)
+from cardamomdrift.platform.promotion import HttpPromotion
+from cardamomdrift.platform.settings import load_site_settings
+from cardamomdrift.platform.store import HttpStore
+from cardamomdrift.platform.stream import LineStream
+from cardamomdrift.ports import (
+    Committed,
+    Conflict,
+    HistoryGone,
+    Refusal,
+    TransactionState,
+)
+from cardamomdrift.position import Position
+from cardamomdrift.sessions.commands import (
+    Begin,
+    Commit,
+    Discard,
+    Execute,
+    Malformed,
+    Prepare,
+    Read,
+    Reset,
+    Rollback,
+    SetValue,
+    Write,
+)
+from cardamomdrift.standins.entries import (
+    configuration,
+    instance_entry,
+    route,
+    settings,
+)
+from cardamomdrift.standins.lines import LineGroup
+from cardamomdrift.standins.rows import RowStore, StoreDoor
+
+FLOOR = Position(3, 1207)
+
+
+class LinesTest(unittest.TestCase):
+    MESSAGES = (
+        ("START lepu270 u3f1", Start("lepu270", "u3f1")),
+        ("TERM", Terminate()),
+        ("QUERY 5c READ 1a4", Query("5c", Read("READ 1a4"))),
+        ("QUERY 5c WRITE 1a4 x y", Query("5c", Write("WRITE 1a4 x y"))),
+        ("QUERY 5c BEGIN", Query("5c", Begin(False))),
+        ("QUERY 5c BEGIN READ", Query("5c", Begin(True))),
+        ("QUERY 5c COMMIT", Query("5c", Commit())),
+        ("QUERY 5c ROLLBACK", Query("5c", Rollback())),
+        ("QUERY 5c SET tz a b", Query("5c", SetValue("tz", "a b"))),
+        ("QUERY 5c PARSE s1 WRITE q2 c", Query("5c", Prepare("s1", True, "q2 c"))),
+        ("QUERY 5c EXECUTE s1 1a4 x y", Query("5c", Execute("s1", "1a4 x y"))),
+        ("QUERY 5c CLOSE s1", Query("5c", Discard("s1"))),
+    )
+    MALFORMED = ("", "START", "QUERY", "QUERY 5c", "NONSENSE x")
+    BAD_COMMANDS = ("BEGIN WRITE", "PARSE s1", "PARSE s1 READS q", "JUMP", "SET")
+
+    def test_messages(self):
+        for line, expected in self.MESSAGES:
+            with self.subTest(line):
+                self.assertEqual(parse_message(line), expected)
+
+    def test_malformed_messages(self):
+        for line in self.MALFORMED:
+            with self.subTest(line):
+                self.assertIsInstance(parse_message(line), Malformed)
+
+    def test_malformed_commands_keep_their_id(self):
+        for text in self.BAD_COMMANDS:
+            with self.subTest(text):
+                message = parse_message(f"QUERY 5c {text}")
+                self.assertEqual(message.request_id, "5c")
+                self.assertIsInstance(message.command, Malformed)
+
+    RENDERED = (
+        (Read("READ 1a4", FLOOR), "WAITLSN 3.1207 READ 1a4"),
+        (Read("READ 1a4"), "READ 1a4"),
+        (Write("WRITE 1a4 x"), "WRITE 1a4 x"),
+        (Begin(True, FLOOR), "WAITLSN 3.1207 BEGIN READ"),
+        (Begin(False), "BEGIN"),
+        (Execute("r1", "1a4 x"), "EXECUTE r1 1a4 x"),
+        (SetValue("tz", "a b"), "SET tz a b"),
+        (Prepare("r1", False, "q2"), "PARSE r1 READ q2"),
+        (Reset(), "RESET"),
+    )
+
+    def test_what_instances_get(self):
+        for command, expected in self.RENDERED:
+            with self.subTest(expected):
+                self.assertEqual(render_command(command), expected)
+
+    def test_ready_and_status(self):
+        self.assertEqual(
+            parse_ready("I 3.1209"), (TransactionState.IDLE, Position(3, 1209))
+        )
+        self.assertEqual(parse_ready("T -"), (TransactionState.OPEN, None))
+        status = parse_status("replica 3 3.1209 0 12 2 17")
+        self.assertFalse(status.primary)
+        self.assertEqual((status.term, status.received), (3, Position(3, 1209)))
+
+    def test_answers(self):
+        data = render_answer(["a b"], "7.1f", TransactionState.OPEN, Position(2, 9))
+        self.assertEqual(data, b"ROW a b\r\nCOMPLETE 7.1f\r\nREADY T 2.9\r\n")
+        data = render_answer([], "", TransactionState.IDLE, None)
+        self.assertEqual(data, b"COMPLETE -\r\nREADY I -\r\n")
+
+    ERRORS = (
+        (OutcomeUnknown("x"), "INDOUBT"),
+        (ReadFailed("x"), "TIMEOUT"),
+        (UnknownDatabase("x"), "NOSUCHDB"),
+        (UnknownStatement("x"), "NOSUCHSTMT"),
+        (BadRequest("x"), "MALFORMED"),
+        (Overloaded("x", 0.2), "BUSY"),
+        (DeadlinePassed("x"), "BUSY"),
+        (NoPrimary("x"), "BUSY"),
+        (TransactionLost("x"), "ABORTED"),
+        (RefusedByInstance("EXECFAIL", "x"), "EXECFAIL"),
+        (CallerError("x"), "ABORTED"),
+    )
+
+    def test_errors(self):
+        for error, word in self.ERRORS:
+            with self.subTest(word):
+                line = render_failure(error, TransactionState.IDLE, None).decode()
+                self.assertTrue(line.startswith(f"ERROR {word} "), line)
+
+    def test_a_refusal_says_when_to_come_back(self):
+        line = render_failure(Overloaded("x", 0.2), TransactionState.IDLE, None)
+        self.assertIn(b"retry_after_ms=200", line)
+
+
+class CatalogTest(unittest.TestCase):
+    def test_a_configuration(self):
+        body = configuration(
+            7,
+            [
+                route("d1", "primary", "g"),
+                route("d2", "read_your_writes", "g", maxStalenessMs=2500, priority=2),
+            ],
+            {"g": 16},
+        )
+        deployment = decode_deployment(body).unwrap()
+        self.assertEqual(deployment.version, 7)
+        one = deployment.routes["d2"]
+        self.assertEqual(one.kind, RouteKind.READ_YOUR_WRITES)
+        self.assertEqual((one.max_age, one.priority), (2.5, -2))
+        self.assertEqual(deployment.groups["g"].connections, 16)
+
+    FAULTS = (
+        (b"\xff", "op/config"),
+        (b"{}", "version"),
+        (configuration(1, [{"host": "d"}], {}), "$.routes[0]"),
+        (configuration(1, [route("d", "sideways", "g")], {}), "routeType"),
+        (configuration(1, [], {"g": 0}), "maxConns"),
+    )
+
+    def test_faults_name_their_place(self):
+        for body, place in self.FAULTS:
+            with self.subTest(place):
+                match decode_deployment(body):
+                    case Failure(error):
+                        self.assertIn(place, str(error))
+                    case Success(_):
+                        self.fail("taken")
+
+    def test_entries(self):
+        instance = LineGroup("g").instances["g-0"]
+        instance.port = 7
+        record = decode_instance("g-0", instance_entry("g", instance)).unwrap()
+        self.assertEqual((record.address, record.port), ("127.0.0.1", 7))
+        self.assertTrue(record.primary)
+        bad = (
+            b"",
+            b"[]",
+            instance_entry("g", instance, state="asleep"),
+            instance_entry("g", instance, dbRole=None),
+            instance_entry("g", instance, address="nowhere"),
+            instance_entry("g", instance, born="yesterday"),
+        )
+        for value in bad:
+            with self.subTest(value):
+                self.assertIsInstance(decode_instance("g-0", value), Failure)
+
+
+class SettingsTest(unittest.TestCase):
+    def load(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.json"
+            path.write_text(text)
+            return load_site_settings(path)
+
+    def test_a_file(self):
+        text = settings("vm-1", "127.0.0.2", "127.0.0.1:9", (1, 2, 3, 4))
+        one = self.load(text).unwrap()
+        self.assertEqual((one.vm, one.callers), ("vm-1", ("127.0.0.2", 1)))
+        self.assertEqual((one.peer_port, one.grace), (3, 6))
+
+    def test_faults_name_file_and_key(self):
+        good = json.loads(settings("vm-1", "127.0.0.2", "127.0.0.1:9", (1, 2, 3, 4)))
+        cases = (
+            ("{", "settings.json"),
+            (json.dumps(good | {"nodeName": ""}), "nodeName"),
+            (json.dumps(good | {"heartbeatMs": 0}), "heartbeatMs"),
+            (json.dumps(good | {"bounds": {}}), "graceS"),
+            (json.dumps(good | {"platform": {"address": "x"}}), "platform.address"),
+        )
+        for text, place in cases:
+            with self.subTest(place):
+                error = self.load(text).failure()
+                self.assertIn(place, error.faults[0])
+                self.assertIn("settings.json", error.faults[0])
+
+    def test_a_missing_file(self):
+        self.assertIsInstance(load_site_settings("/nowhere/x.json"), Failure)
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.rows = RowStore()
+        self.door = await self.enterAsyncContext(StoreDoor(self.rows))
+        self.store = await self.enterAsyncContext(HttpStore(self.door.address))
+
+    async def test_reading_page_by_page(self):
+        for number in range(1203):
+            self.rows.put("t", f"k{number:05}", str(number).encode())
+        snapshot = await self.store.read("t")
+        self.assertEqual(len(snapshot.rows), 1203)
+        self.assertEqual(snapshot.rows["k01202"].value, b"1202")
+
+    async def test_changes_under_a_condition(self):
+        done = await self.store.commit("t", {"k": 0}, {"k": b"1"})
+        self.assertIsInstance(done, Committed)
+        again = await self.store.commit("t", {"k": 0}, {"k": b"2"})
+        self.assertIsInstance(again, Conflict)
+        self.assertEqual(again.rows["k"].value, b"1")
+        await self.store.commit("t", {"k": again.rows["k"].version}, {}, ["k"])
+        self.assertIsNone(self.rows.get("t", "k"))
+
+    async def test_watching(self):
+        snapshot = await self.store.read("t")
+        waiting = asyncio.create_task(self.store.watch("t", snapshot.version, 2.0))
+        await asyncio.sleep(0.05)
+        self.rows.put("t", "k", b"1")
+        changes = await waiting
+        self.assertEqual(changes.changed["k"].value, b"1")
+        self.rows.remove("t", "k")
+        changes = await self.store.watch("t", changes.version, 0.1)
+        self.assertEqual(changes.removed, {"k"})
+        self.rows.drop_history()
+        gone = await self.store.watch("t", 0, 0.1)
+        self.assertIsInstance(gone, HistoryGone)
+
+    async def test_faults(self):
+        self.door.faults.down = True
+        with self.assertRaises(PlatformUnavailable):
+            await self.store.read("t")
+        self.door.faults.down = False
+        self.door.faults.silent = True
+        with self.assertRaises(PlatformUnavailable):
+            await self.store.read("t")
+        self.door.faults.silent = False
+        self.assertEqual((await self.store.read("t")).rows, {})
+
+    async def test_an_answer_lost_after_the_change(self):
+        self.door.faults.lose_answers = 1
+        with self.assertRaises(PlatformUnavailable):
+            await self.store.commit("t", {"k": 0}, {"k": b"1"})
+        self.assertEqual(self.rows.get("t", "k"), b"1")
+
+    async def test_an_unknown_call(self):
+        with self.assertRaises(PlatformRefused):
+            await self.store._call("GET", "/v1/nothing")
+
+    async def test_a_promotion(self):
+        self.rows._promote = lambda group, instance: instance == "runs"
+        service = HttpPromotion(self.door.address)
+        self.assertTrue(await service.promote("g", "runs", "vm-1", 4, 1.0))
+        self.assertFalse(await service.promote("g", "gone", "vm-1", 4, 1.0))
+        self.assertEqual(self.rows.promotions[0], ("g", "runs", "vm-1", 4))
+        self.door.faults.down = True
+        with self.assertRaises(PlatformUnavailable):
+            await service.promote("g", "runs", "vm-1", 4, 1.0)
+
+
+class HttpClientTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_call_without_answer_resets_its_connection(self):
+        ended = asyncio.get_running_loop().create_future()
+
+        async def serve(reader, writer):
+            try:
+                await reader.read(100)
+                await reader.read(1)
+                ended.set_result("closed")
+            except ConnectionResetError:
+                ended.set_result("reset")
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        async with HttpClient(f"127.0.0.1:{port}") as client:
+            with self.assertRaises(CallFailed):
+                await client.call("GET", "/x", 0.1)
+            self.assertEqual(await asyncio.wait_for(ended, 2), "reset")
+        server.close()
+
+    async def test_nothing_listens(self):
+        async with HttpClient("127.0.0.1:1") as client:
+            with self.assertRaises(CallFailed):
+                await client.call("GET", "/x", 1.0)
+
+
+class ConnectionTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.group = await self.enterAsyncContext(LineGroup("g", connections=2))
+        self.instance = self.group.instances["g-0"]
+
+    def connector(self, **changes):
+        entry = instance_entry("g", self.instance, **changes)
+        record = decode_instance(changes.pop("id", "g-0"), entry).unwrap()
+        return make_connector(record, "vm-1")
+
+    async def test_statements_in_one_write(self):
+        connection = await self.connector()(1.0)
+        steps = [
+            (None, SetValue("a", "1")),
+            ("id1", Write("WRITE k v")),
+            ("id2", Read("READ k")),
+        ]
+        replies = await connection.exchange(steps)
+        self.assertEqual(replies[2].rows, ["k=v"])
+        self.assertEqual(replies[1].position, Position(1, 1))
+        self.assertTrue(connection.reusable)
+        connection.close()
+
+    async def test_refusals(self):
+        connection = await self.connector()(1.0)
+        far = Position(9, 9)
+        [reply] = await connection.exchange([("id1", Read("READ k", far))])
+        self.assertEqual(reply.refusal, Refusal.BEHIND)
+        self.assertTrue(reply.not_run)
+        connection.close()
+
+    async def test_another_instance_at_the_address(self):
+        entry = instance_entry("g", self.instance)
+        record = decode_instance("i-other", entry).unwrap()
+        with self.assertRaises(UpstreamMismatch):
+            await make_connector(record, "vm-1")(1.0)
+
+    async def test_too_many_connections(self):
+        held = [await self.connector()(1.0) for _ in range(2)]
+        with self.assertRaises(UpstreamBusy):
+            await self.connector()(1.0)
+        for one in held:
+            one.close()
+
+    async def test_a_silent_instance(self):
+        self.instance.faults.silent = True
+        with self.assertRaises(UpstreamUnreachable):
+            await self.connector()(0.2)
+
+    async def test_an_outstanding_answer_spoils_the_connection(self):
+        connection = await self.connector()(1.0)
+        self.instance.faults.lose_answers = 1
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await connection.exchange([("id1", Write("WRITE k v"))])
+        self.assertFalse(connection.reusable)
+        with self.assertRaises(UpstreamUnreachable):
+            await connection.exchange([("id2", Read("READ k"))])
+
+    async def test_a_crash_midway(self):
+        connection = await self.connector()(1.0)
+        self.instance.work = 1.0
+        asking = asyncio.create_task(connection.exchange([("id1", Read("READ k"))]))
+        await asyncio.sleep(0.05)
+        await self.instance.crash()
+        with self.assertRaises(UpstreamLost):
+            await asking
+
+
+class StreamTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_line_without_end_is_refused(self):
+        loop = asyncio.get_running_loop()
+        taken = loop.create_future()
+        server = await loop.create_server(
+            lambda: LineStream(taken.set_result), "127.0.0.1", 0
+        )
+        port = server.sockets[0].getsockname()[1]
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        stream = await taken
+        writer.write(b"x" * (1024 * 1024 + 10))
+        with self.assertRaises(PacketTooLarge):
+            await asyncio.wait_for(stream.read_line(), 5)
+        writer.close()
+        server.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
