A replaced primary that does not know it, and an old list of instances, lead no replacement

The next replacement chose the first replaced primary, which still took itself for one: it answered BEGIN at once, was taken to lead, and acknowledged writes until it reached the new one. Ruled out: the permission; every daemon had released in time in all three replacements. Change: only a daemon whose list is at most 4 s old replaces; an instance that says it leads is no candidate; a new primary must show a term above all seen; the old one is told to step down. Tests: tests/test_site.py, two new ones.

--- a/cardamomdrift/failover/replacement.py
+++ b/cardamomdrift/failover/replacement.py
@@ -106,11 +106,14 @@
     received : Position
         Last entry that it has received.
     draining : bool
+    term : int
+        Term that it follows.
     """
 
     name: str
     received: object
     draining: bool
+    term: int = 0
 
 
 def answers_needed(replicas, synchronous):
--- a/cardamomdrift/failover/replacer.py
+++ b/cardamomdrift/failover/replacer.py
@@ -48,6 +48,7 @@
 from cardamomdrift.loops import repeat
 from cardamomdrift.membership.control import LIVE_TIME
 from cardamomdrift.membership.rendezvous import rank
+from cardamomdrift.peers.heartbeat import leaders_digest
 from cardamomdrift.ports import Committed
 from cardamomdrift.util import cancel_all, seconds
 
@@ -150,11 +151,16 @@
                     generation=cluster.leadership.generation,
                     evidence=str(self._evidence(cluster, now)),
                 )
-        if reason is None or now < watch.not_before or not self._control.reachable:
+        if reason is None or now < watch.not_before or not self._is_able(cluster):
             return
         if now >= watch.since + self._delay(cluster, now):
             watch.task = asyncio.create_task(self._replace(cluster, reason, watch))
 
+    def _is_able(self, cluster):
+        """Whether this daemon knows enough to replace a primary."""
+        current = self._instances.is_current(cluster.clock())
+        return current and self._control.reachable
+
     def _find_reason(self, cluster, now):
         lead = cluster.leadership
         if not lead.settled:
@@ -189,8 +195,12 @@
     def _missing_for(self, cluster, now):
         """Return how long the list has lacked the primary, or named none."""
         lead = cluster.leadership
+        if not self._instances.is_current(cluster.clock()):
+            return 0.0
         if lead.primary:
-            return self._instances.missing_for(lead.primary, cluster.clock())
+            missing = self._instances.missing_for(lead.primary, cluster.clock())
+            # A new primary may not be listed yet.
+            return min(missing, now - lead.changed_at)
         return now - cluster.started_boot if cluster.instances else 0.0
 
     def _peers_say(self, cluster, now):
@@ -200,13 +210,14 @@
         for peer in self._roster.peers.values():
             if peer.heartbeat is None or now - peer.heard_at > LIVE_TIME:
                 continue
-            claim = peer.heartbeat.groups.get(cluster.group.name)
+            claim, at = peer.claims.get(cluster.group.name, (None, now))
             if claim is None or claim.generation != generation:
                 continue
-            silences.append(seconds(claim.silence_ms))
+            if now - at <= LIVE_TIME:
+                silences.append(seconds(claim.silence_ms))
             if claim.contact_age_ms is not None:
                 age = seconds(claim.contact_age_ms)
-                contacts.append(age + now - peer.heard_at)
+                contacts.append(age + now - at)
         return min(contacts, default=None), max(silences)
 
     def _delay(self, cluster, now):
@@ -265,13 +276,15 @@
         # Whoever held the duty before may have begun another one until then.
         await self._control.refresh()
         self._check_others(intent.token)
-        candidate = await self._find_candidate(cluster, reason, intent)
+        candidate, term = await self._find_candidate(cluster, intent)
         await self._wait_released(cluster, intent)
         if reason is Reason.LEAVING:
             await self._wait_caught_up(cluster, candidate)
         await self._call(cluster, candidate, intent)
-        term = await self._wait_leading(cluster, candidate)
+        term = await self._wait_leading(cluster, candidate, term)
+        old = cluster.instances.get(cluster.leadership.primary)
         await self._settle(cluster, candidate, term, intent)
+        await self._demote(old, term)
         return candidate
 
     async def _write_intent(self, cluster, reason):
@@ -370,7 +383,8 @@
             if now < takeover_at(cluster.leadership.changed_at):
                 raise ReplacementFailed("another daemon's replacement is under way")
 
-    async def _find_candidate(self, cluster, reason, intent):
+    async def _find_candidate(self, cluster, intent):
+        """Return the instance that is to lead, and the newest term seen."""
         lead = cluster.leadership
         others = [
             (name, one)
@@ -397,7 +411,7 @@
                         f"{one.name}={one.received}" for one in candidates
                     ),
                 )
-                return chosen
+                return chosen, max(lead.term, *(one.term for one in candidates))
             if boot_clock() >= deadline_at:
                 raise ReplacementFailed("too few replicas answer")
             await asyncio.sleep(POLL_INTERVAL)
@@ -412,7 +426,11 @@
                 error=f"{type(error).__name__} {error}",
             )
             return None
-        return Candidate(name, status.received, runtime.spec.draining)
+        if status.primary:
+            # A primary that was replaced before and does not know it yet.
+            return None
+        draining = runtime.spec.draining
+        return Candidate(name, status.received, draining, status.term)
 
     async def _wait_released(self, cluster, intent):
         names = (self._control.listed | set(self._roster.peers)) - {self._roster.vm}
@@ -456,21 +474,36 @@
 
     def _known_generation(self, name, group):
         peer = self._roster.peers.get(name)
-        claim = peer and peer.heartbeat and peer.heartbeat.groups.get(group)
+        if peer is None:
+            return -1
+        if self._agrees(peer):
+            return self._clusters.get(group).leadership.generation
+        claim, _ = peer.claims.get(group, (None, 0.0))
         return claim.generation if claim else -1
 
+    def _agrees(self, peer):
+        """Whether a daemon knows and has released just what this one has."""
+        own = leaders_digest(one.leadership for one in self._clusters)
+        return peer.heartbeat is not None and peer.heartbeat.agreed == own
+
     def _released(self, group, names):
         """Return the generation that each other daemon has released."""
         released = {}
         for name in names:
             peer = self._roster.peers.get(name)
-            heartbeat = peer and peer.heartbeat
-            claim = heartbeat and heartbeat.groups.get(group)
-            if heartbeat is not None and heartbeat.leaving:
+            if peer is not None and peer.is_leaving:
                 continue
-            released[name] = claim.released if claim else -1
+            released[name] = self._released_by(peer, group)
         return released
 
+    def _released_by(self, peer, group):
+        if peer is None:
+            return -1
+        if self._agrees(peer):
+            return self._clusters.get(group).leadership.released
+        claim, _ = peer.claims.get(group, (None, 0.0))
+        return claim.released if claim else -1
+
     async def _wait_caught_up(self, cluster, candidate):
         """Wait until the candidate has the old primary's last commits."""
         old = cluster.instances.get(cluster.leadership.primary)
@@ -515,21 +548,34 @@
             return
         raise ReplacementFailed("no time left to call the platform")
 
-    async def _wait_leading(self, cluster, candidate):
-        """Wait until the candidate takes writes and return its term."""
+    async def _wait_leading(self, cluster, candidate, old_term):
+        """Wait until the candidate leads a term above the old one and return it."""
         runtime = cluster.instances[candidate]
-        old_term = cluster.leadership.term
         deadline_at = boot_clock() + LEAD_TIME
         while boot_clock() < deadline_at:
             try:
-                position = await runtime.prober.ping(read_only=False)
+                # A ping takes no slot, but a primary of an old term answers it too.
+                if await runtime.prober.ping(read_only=False) is not None:
+                    status = await runtime.prober.status()
+                    if status.primary and status.term > old_term:
+                        return status.term
             except (UpstreamError, TimeoutError) as error:
                 self._log.info("new primary not reached", error=str(error))
-                position = None
-            if position is not None:
-                return max(position.term, old_term)
             await asyncio.sleep(POLL_INTERVAL)
-        raise ReplacementFailed(f"{candidate} does not take writes")
+        raise ReplacementFailed(f"{candidate} does not lead a new term")
+
+    async def _demote(self, old, term):
+        """Tell the old primary, which may not know yet; nothing depends on it."""
+        if old is None:
+            return
+        try:
+            await old.prober.demote(term)
+        except (UpstreamError, TimeoutError) as error:
+            self._log.info(
+                "old primary not told",
+                instance=old.spec.name,
+                error=f"{type(error).__name__} {error}",
+            )
 
     async def _settle(self, cluster, candidate, term, intent):
         """Let everyone use the new primary, and write it to the store."""
--- a/cardamomdrift/membership/feed.py
+++ b/cardamomdrift/membership/feed.py
@@ -35,7 +35,7 @@
     on_rows : coroutine function
         Takes the TableState after each change.
     on_reachable : callable
-        Takes whether the store answered.
+        Takes the table and whether the store answered, after each answer or failure.
     log : structlog logger
     """
 
@@ -94,4 +94,4 @@
             event = "store answers" if reachable else "store lost"
             emit = self._log.info if reachable else self._log.warning
             emit(event, table=self._table, error=str(error) if error else None)
-        self._on_reachable(reachable)
+        self._on_reachable(self._table, reachable)
--- a/cardamomdrift/membership/instance_list.py
+++ b/cardamomdrift/membership/instance_list.py
@@ -6,8 +6,10 @@
 while, since entries may lapse while the store is away although the instance lives.
 """
 
+import math
 from dataclasses import dataclass
 
+CURRENT_TIME = 4.0  # seconds; the store answers a watch after 3 s at the latest
 HOLD_TIME = 2.5  # seconds; a lapsed entry is back 2 s after the store's return
 
 
@@ -22,6 +24,15 @@
 
     def __init__(self):
         self._entries = {}
+        self._current_at = -math.inf
+
+    def note_current(self, now):
+        """Take in that the store has told all changes until now."""
+        self._current_at = now
+
+    def is_current(self, now):
+        """Whether the list is about as the store has it."""
+        return now - self._current_at <= CURRENT_TIME
 
     def take(self, records, now):
         """Take in all entries that the list has.
--- a/cardamomdrift/peers/announcer.py
+++ b/cardamomdrift/peers/announcer.py
@@ -11,10 +11,13 @@
 from cardamomdrift.clock import boot_clock
 from cardamomdrift.failover.permission import ECHO_TIME
 from cardamomdrift.loops import repeat
-from cardamomdrift.peers.heartbeat import GroupClaim, Heartbeat
+from cardamomdrift.peers.heartbeat import GroupClaim, Heartbeat, leaders_digest
 from cardamomdrift.util import MILLISECONDS, cancel_all, seconds
 
-INTERVAL = 0.25  # seconds; almost five heartbeats within the time of permission
+INTERVAL = 0.3  # seconds; four heartbeats within the time of permission
+SAMPLE_SPACING = 0.25  # seconds between two samples of a log that anyone sends
+WATCH_TIME = 1.0  # seconds for which all tell of a primary that one found silent
+SILENCE_SHOWN = 100  # milliseconds; a primary that answers sooner is no news
 LOST_TIME = 1.0  # seconds without a heartbeat before a daemon counts as lost in the log
 
 
@@ -51,6 +54,8 @@
         self._port = None
         self._poked = asyncio.Event()
         self._lost = set()
+        self._sampled = {}
+        self._watched = {}
         self._task = None
         self.leaving = False
 
@@ -85,13 +90,41 @@
 
     def send_all(self):
         """Send a heartbeat to every daemon that this one counts."""
+        self._send_to(list(self._roster.peers.values()))
+
+    def _send_to(self, peers):
         now = boot_clock()
         members = self._roster.addresses()
-        groups = {one.group.name: self._claim(one, now) for one in self._clusters}
-        for peer in list(self._roster.peers.values()):
-            self._send(peer, now, members, groups)
-
-    def _send(self, peer, now, members, groups):
+        agreed = leaders_digest(one.leadership for one in self._clusters)
+        claims = {one.group.name: self._claim(one, now) for one in self._clusters}
+        news = {
+            name: claim
+            for name, claim in claims.items()
+            if self._is_watched(name, claim, now) or self._is_sample_due(name, claim)
+        }
+        for peer in peers:
+            same = peer.heartbeat is not None and peer.heartbeat.agreed == agreed
+            groups = news if same and peer.knows_us else claims
+            self._send(peer, now, members, agreed, groups)
+
+    def _is_watched(self, name, claim, now):
+        """Whether anyone has lately found the group's primary silent."""
+        if claim.silence_ms > SILENCE_SHOWN:
+            self._watched[name] = now
+        return now - self._watched.get(name, -math.inf) <= WATCH_TIME
+
+    def _is_sample_due(self, name, claim):
+        """Whether the others lack a sample of the primary's log that is as new."""
+        if claim.position is None:
+            return False
+        begun = boot_clock() - seconds(claim.position_age_ms)
+        heard = self._sampled.get(name, -math.inf)
+        if begun < heard + SAMPLE_SPACING:
+            return False
+        self._sampled[name] = begun
+        return True
+
+    def _send(self, peer, now, members, agreed, groups):
         last = peer.heartbeat
         digest = self._roster.digest
         same = last is not None and peer.knows_us and last.digest == digest
@@ -112,6 +145,7 @@
             store_reachable=self._control.reachable,
             version=self._configuration.version,
             leaving=self.leaving,
+            agreed=agreed,
             groups=groups,
         )
         self._port.send(peer.address, heartbeat)
@@ -164,8 +198,10 @@
             self._on_change()
         elif not usable and self._permission.holds(now):
             self._clusters.pump()
-        if news or begins or not peer.knows_us:
+        if news:
             self._poked.set()
+        elif begins or not peer.knows_us:
+            self._send_to([peer])
 
     def _take_claims(self, peer, now):
         """Take in what a heartbeat says of the groups; return whether it is news."""
@@ -186,9 +222,14 @@
                     term=claim.term,
                     source=peer.name,
                 )
+            if claim.silence_ms > SILENCE_SHOWN:
+                # Whoever reaches the primary must say so soon.
+                news = news or now - self._watched.get(group, -math.inf) > WATCH_TIME
+                self._watched[group] = now
             if claim.position is not None and peer.sent_after is not None:
                 begun = peer.sent_after - seconds(claim.position_age_ms)
                 cluster.take_sample(begun, claim.position)
+                self._sampled[group] = max(self._sampled.get(group, begun), begun)
         return news
 
     def _note_lost(self, now):
--- a/cardamomdrift/peers/heartbeat.py
+++ b/cardamomdrift/peers/heartbeat.py
@@ -82,7 +82,10 @@
         Configuration in force.
     leaving : bool
         Whether the sender will promote nothing any more.
+    agreed : int
+        Hash of who leads the groups, as far as the sender knows.
     groups : dict of str to GroupClaim
+        Only the groups of which the receiver may not know the same.
     """
 
     sender: str
@@ -98,6 +101,7 @@
     store_reachable: bool
     version: int
     leaving: bool
+    agreed: int
     groups: dict[str, GroupClaim]
 
 
@@ -107,6 +111,15 @@
     return hash_number(*parts) & DIGEST_MASK
 
 
+def leaders_digest(leaderships):
+    """Return a hash of who leads some groups, and of what has been released."""
+    parts = (
+        f"{one.group}={one.generation}/{one.settled}/{one.primary}/{one.released}"
+        for one in sorted(leaderships, key=lambda one: one.group)
+    )
+    return hash_number(*parts) & DIGEST_MASK
+
+
 class _Datagrams(asyncio.DatagramProtocol):
     """Passes datagrams on; a failed one is made up for by the next heartbeat."""
 
--- a/cardamomdrift/peers/roster.py
+++ b/cardamomdrift/peers/roster.py
@@ -31,6 +31,8 @@
     added_at : float
     began_at : float or None
         When its present incarnation was first heard.
+    claims : dict of str to (GroupClaim, float)
+        What it said last of each group, and when that came.
     members : dict of str to str
         Daemons that it counts, with their addresses; empty if not known.
     """
@@ -44,6 +46,7 @@
     sent_after: float | None = None
     knows_us: bool = False
     members: dict = field(default_factory=dict)
+    claims: dict = field(default_factory=dict)
 
     @property
     def is_leaving(self):
@@ -153,6 +156,11 @@
         if same and heartbeat.stamp < last.stamp:
             return False
         peer.heartbeat = heartbeat
+        if not same:
+            peer.claims = {}
+        peer.claims |= {
+            group: (claim, now) for group, claim in heartbeat.groups.items()
+        }
         peer.heard_at = now
         peer.members = members
         if not same:
--- a/cardamomdrift/platform/daemon.py
+++ b/cardamomdrift/platform/daemon.py
@@ -233,9 +233,12 @@
         self.clusters.pump()
         self.announcer.announce()
 
-    def _on_reachable(self, reachable):
+    def _on_reachable(self, table, reachable):
+        now = asyncio.get_running_loop().time()
         if not reachable:
-            self.instances.note_outage(asyncio.get_running_loop().time())
+            self.instances.note_outage(now)
+        elif table == INSTANCE_TABLE:
+            self.instances.note_current(now)
 
     async def _answer(self, query):
         match query:
--- a/cardamomdrift/routing/cluster.py
+++ b/cardamomdrift/routing/cluster.py
@@ -96,6 +96,7 @@
         self._budget = RetryBudget()
         self._read_at = -READ_MEMORY
         self._failing = set()
+        self._suspect = False
         self._tasks = set()
         self._stack = AsyncExitStack()
         self.started_boot = boot_clock()
@@ -433,6 +434,9 @@
         """Ask instances whose answer is overdue, and for samples that reads need."""
         primary = self._instances.get(self.leadership.primary)
         suspect = primary is None or self._is_overdue(primary, now)
+        if suspect and not self._suspect:
+            self._context.announce()
+        self._suspect = suspect
         for runtime in self._instances.values():
             # Whether the others answer tells a lost primary from a daemon cut off.
             stale = now - (runtime.answered_at or -math.inf) > PING_OTHERS_AFTER
--- a/cardamomdrift/standins/lines.py
+++ b/cardamomdrift/standins/lines.py
@@ -240,6 +240,11 @@
         session.prepared.clear()
         return ["COMPLETE -"]
 
+    def _do_stepdown(self, _session, _request_id, rest):
+        if self.primary and self.term < int(rest):
+            self.primary = False
+        return ["COMPLETE -"]
+
     def _do_status(self, _session, _request_id, _rest):
         role = "primary" if self.primary else "replica"
         row = f"ROW {role} {self.term} {self.position} 0 0 0 {self.connections}"
--- a/cardamomdrift/upstreams/pinger.py
+++ b/cardamomdrift/upstreams/pinger.py
@@ -15,7 +15,7 @@
     UpstreamMismatch,
 )
 from cardamomdrift.ports import Refusal
-from cardamomdrift.sessions.commands import Begin, Rollback
+from cardamomdrift.sessions.commands import Begin, Rollback, StepDown
 from cardamomdrift.util import cancel_all
 
 PING_TIMEOUT = 0.25  # seconds; a handshake takes 12 ms and two crossings of a domain
@@ -113,10 +113,24 @@
         ------
         UpstreamError or TimeoutError
         """
+        return await self._ask_alone(lambda connection: connection.status())
+
+    async def demote(self, term):
+        """Make the instance a replica if it leads a lower term.
+
+        Raises
+        ------
+        UpstreamError or TimeoutError
+        """
+        steps = [(None, StepDown(term))]
+        await self._ask_alone(lambda connection: connection.exchange(steps))
+
+    async def _ask_alone(self, ask):
+        """Ask over a connection beyond the pool's share."""
         async with asyncio.timeout(PING_TIMEOUT):
             connection = await self._connect(PING_TIMEOUT)
             try:
-                return await connection.status()
+                return await ask(connection)
             finally:
                 connection.close()
 
--- a/tests/test_permission.py
+++ b/tests/test_permission.py
@@ -40,6 +40,7 @@
         "store_reachable": True,
         "version": 1,
         "leaving": False,
+        "agreed": 0,
         "groups": {},
     }
     return Heartbeat(**(values | changes))
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -228,6 +228,41 @@
             self.assertEqual([one for one in kept if f"k{one}" not in written], [])
             self.assertGreater(len(kept), 50)
 
+    async def test_a_replaced_primary_that_does_not_know_it_is_not_taken_again(self):
+        async with Site() as site:
+            first = site.group.primary
+            first.draining = True
+            site.relist(first)
+            await site.until(lambda: site.group.primary is not first)
+            await site.until(lambda: lead_row(site) and lead_row(site)["settled"])
+            second = site.group.primary
+            # The first one has missed the change and takes itself for the primary.
+            first.primary, first.draining, first.faults.deaf = True, False, True
+            site.relist(first)
+            second.draining = True
+            site.relist(second)
+            await site.until(lambda: lead_row(site)["generation"] == 2, 8)
+            await site.until(lambda: lead_row(site)["settled"], 8)
+            self.assertNotIn(lead_row(site)["primary"], (first.name, second.name))
+            book = await site.caller("vm-1", "book")
+            await book.ask("WRITE a 1")
+            self.assertEqual([one for one in first.runs if one[1] == "WRITE a 1"], [])
+
+    async def test_a_daemon_with_an_old_list_replaces_nobody(self):
+        async with Site() as site:
+            first = site.group.primary
+            site.turn_away("vm-1")
+            first.draining = True
+            site.relist(first)
+            await site.until(lambda: site.group.primary is not first, 8)
+            new = site.group.primary
+            daemon = site.daemons["vm-1"]
+            await daemon.clusters.get("g")._remove(new.name)
+            await asyncio.sleep(4.5)
+            site.doors["vm-1"].faults.down = False
+            await asyncio.sleep(1.0)
+            self.assertIs(site.group.primary, new)
+
     async def test_no_replacement_while_only_a_route_is_slow(self):
         async with Site() as site:
             book = await site.caller("vm-1", "book")
