--- a/cardamomdrift/standins/lines.py
+++ b/cardamomdrift/standins/lines.py
@@ -72,8 +72,14 @@
         self.work = 0.0
         self.faults = InstanceFaults()
         self.runs = []
+        self.committed = []
         self.opened = 0
 
+    @property
+    def running(self):
+        """Whether it listens."""
+        return self._server is not None
+
     @property
     def address(self):
         """``ip:port``."""
@@ -196,6 +202,8 @@
             return [f"ERROR READONLY {self.name}"]
         for entry in session.written:
             self._group.append(self, entry)
+        if session.written:
+            self._note_commit(request_id)
         return [self._sign(request_id, "COMMIT", session)]
 
     def _do_read(self, session, request_id, rest):
@@ -215,8 +223,14 @@
             session.written.append((item, data))
         else:
             self._group.append(self, (item, data))
+            self._note_commit(request_id)
         return [self._sign(request_id, f"WRITE {rest}", session)]
 
+    def _note_commit(self, request_id):
+        """Keep the request, its term and the newest term led when it committed."""
+        newest = self._group.newest_term
+        self.committed.append((request_id, "", self.term, newest))
+
     def _do_execute(self, session, request_id, rest):
         name, _, arguments = rest.partition(" ")
         if name not in session.prepared:
@@ -279,6 +293,11 @@
         leading = [one for one in self.instances.values() if one.primary]
         return max(leading, key=lambda one: one.term)
 
+    @property
+    def newest_term(self):
+        """The highest term that any instance has led."""
+        return max(one.term for one in self.instances.values() if one.primary)
+
     async def __aenter__(self):
         for one in self.instances.values():
             await one.start()
@@ -311,7 +330,7 @@
     def promote(self, _group, name):
         """Make an instance lead the next term; return whether it runs."""
         instance = self.instances.get(name)
-        if instance is None or instance._server is None:
+        if instance is None or not instance.running:
             return False
         if instance is not self.primary:
             self._run(self._lead(instance))
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults against real daemons in processes of their own."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,101 @@
+"""
+Soak
+====
+
+Runs daemons against random faults and checks the promises: ``python -m soak SEED
+SECONDS``.  Exits with 1 if one was broken; logs stay in the folder that it names.
+"""
+
+import asyncio
+import random
+import sys
+import tempfile
+from pathlib import Path
+
+from soak.callers import Caller
+from soak.checker import Checker
+from soak.faults import FaultMaker
+from soak.fleet import Fleet
+
+DAEMONS = 4
+CALLERS = 12
+START_TIME = 2.0  # seconds for the daemons to know each other
+REST_TIME = 3.0  # seconds without faults at the end
+SERVED_AT_REST = 20  # answers that callers must get in that time
+
+
+async def soak(seed, seconds, folder, module=("cardamomdrift.platform",)):
+    """Run one soak and return its Checker and the faults done.
+
+    Parameters
+    ----------
+    seed : int
+    seconds : float
+    folder : str
+        Where the daemons' logs go.
+    module : sequence of str
+        What starts a daemon.
+    """
+    chance = random.Random(seed)
+    async with Fleet(DAEMONS, folder, module) as fleet:
+        checker = Checker(fleet.group)
+        faults = FaultMaker(fleet, chance)
+        callers = [
+            Caller(number, fleet, checker, random.Random(chance.random()))
+            for number in range(CALLERS)
+        ]
+        await asyncio.sleep(START_TIME)
+        working = [asyncio.create_task(one.run()) for one in callers]
+        harming = asyncio.create_task(faults.run())
+        refreshing = asyncio.create_task(_refresh(fleet))
+        await asyncio.sleep(seconds)
+        harming.cancel()
+        await faults.heal()
+        await asyncio.sleep(REST_TIME)
+        before = sum(one.answers for one in callers)
+        await asyncio.sleep(REST_TIME)
+        if sum(one.answers for one in callers) - before < SERVED_AT_REST:
+            checker.faults.append("callers are not served after the faults")
+        for task in (refreshing, *working):
+            task.cancel()
+        await asyncio.wait(working)
+        for task in working:
+            if not task.cancelled() and task.exception() is not None:
+                checker.faults.append(f"caller failed: {task.exception()!r}")
+        checker.finish()
+        return checker, faults.done
+
+
+async def _refresh(fleet):
+    """Let the instances report changes of themselves, as on the platform."""
+    while True:
+        await asyncio.sleep(0.1)
+        fleet.list_instances()
+
+
+def main():
+    """Run the soak that the arguments ask for."""
+    seed = int(sys.argv[1]) if len(sys.argv) > 1 else random.randrange(1 << 30)
+    seconds = float(sys.argv[2]) if len(sys.argv) > 2 else 20.0
+    module = ("cardamomdrift.platform",)
+    if len(sys.argv) > 3:
+        module = ("soak.broken", sys.argv[3])
+    folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
+    checker, done = asyncio.run(soak(seed, seconds, folder, module))
+    print(
+        f"seed {seed}: {len(checker.writes)} writes, {checker.reads} reads checked, "
+        f"{len(done)} faults, {len(checker.faults)} promises broken; logs in {folder}"
+    )
+    for fault in checker.faults[:20]:
+        print(f"  {fault}")
+    if checker.faults:
+        print(f"  faults done: {' '.join(done)}")
+        return 1
+    for log in Path(folder).iterdir():
+        log.unlink()
+    Path(folder).rmdir()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/checker.py
@@ -0,0 +1,117 @@
+"""
+Checker
+=======
+
+What callers were told against what the instances did.  Each item is written by one
+caller only, with rising numbers, so any read can be judged.
+"""
+
+from dataclasses import dataclass, field
+
+STALE_SLACK = 0.05  # seconds between an answer's arrival here and the daemon's clock
+
+
+@dataclass
+class Write:
+    """One write of a caller; times are in seconds of the loop's clock."""
+
+    item: str
+    number: int
+    request_id: str
+    outcome: str = ""
+    acked_at: float | None = None
+
+
+@dataclass
+class Checker:
+    """Judges a soak while it runs and at its end.
+
+    Attributes
+    ----------
+    faults : list of str
+        Broken promises.
+    """
+
+    group: object
+    faults: list = field(default_factory=list)
+    writes: dict = field(default_factory=dict)
+    by_item: dict = field(default_factory=dict)
+    routes_seen: dict = field(default_factory=dict)
+    reads: int = 0
+
+    def begin_write(self, item, number, request_id):
+        """Note that a write is sent."""
+        write = Write(item, number, request_id)
+        self.writes[request_id] = write
+        self.by_item.setdefault(item, []).append(write)
+        return write
+
+    def end_write(self, write, outcome, now):
+        """Note what the caller was told."""
+        write.outcome = outcome
+        if outcome == "done":
+            write.acked_at = now
+            self._check_primary(write)
+
+    def _check_primary(self, write):
+        """An acknowledged write must have run at the primary of the newest term."""
+        for instance in self.group.instances.values():
+            for request_id, _text, term, newest in instance.committed:
+                if request_id == write.request_id and term < newest:
+                    self.faults.append(f"replaced primary acknowledged {request_id}")
+
+    def _kept(self, write):
+        """Whether a write is still in the primary's log; a promotion may undo it."""
+        data = str(write.number)
+        log = self.group.primary.log
+        return any(name == write.item and value == data for _, name, value in log)
+
+    def floor_of(self, item, before):
+        """Return the highest number acknowledged before a time and not undone."""
+        kept = [
+            write.number
+            for write in self.by_item.get(item, ())
+            if write.acked_at is not None
+            and write.acked_at < before
+            and self._kept(write)
+        ]
+        return max(kept, default=0)
+
+    def check_read(self, kind, item, floor, value, request_id):
+        """Judge a read by the number that it had to see at least."""
+        self.reads += 1
+        number = int(value or 0)
+        if number < floor:
+            text = f"{kind} read {request_id} of {item} gave {number}, not {floor}"
+            self.faults.append(text)
+
+    def check_answer(self, request_id, lines):
+        """An answer belongs to its request, and is whole."""
+        last = lines[-1]
+        if last.startswith("COMPLETE sig") and not last.endswith(f"-{request_id}"):
+            self.faults.append(f"answer {last} to request {request_id}")
+
+    def check_route(self, daemon, version, found):
+        """A route that a process has served stays."""
+        key = (daemon.name, daemon.incarnation)
+        newest = self.routes_seen.get(key, 0)
+        if found:
+            self.routes_seen[key] = max(newest, version)
+        elif version <= newest:
+            self.faults.append(f"{daemon.name} went back before version {version}")
+
+    def finish(self):
+        """Judge the writes once everything has come to rest."""
+        runs = {}
+        for instance in self.group.instances.values():
+            for request_id, *_ in instance.committed:
+                runs[request_id] = runs.get(request_id, 0) + 1
+        for request_id, write in self.writes.items():
+            count = runs.get(request_id, 0)
+            if count > 1:
+                self.faults.append(f"write {request_id} ran {count} times")
+            if write.outcome == "not run" and count:
+                self.faults.append(f"write {request_id} ran, although refused")
+            if write.outcome == "done" and not count:
+                self.faults.append(f"write {request_id} acknowledged, never ran")
+        return self.faults
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,208 @@
+"""
+Faults
+======
+
+What is done to the fleet: one table of faults, drawn at random, in series and
+overlapping.
+"""
+
+import asyncio
+import signal
+
+LONGEST = 4.0  # seconds of one fault
+LINK_KINDS = ("silenced", "cut_up", "cut_down", "refused", "delay")
+PAUSES = (0.2, 2.5)  # seconds between two faults
+
+
+class FaultMaker:
+    """Does harm until cancelled.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    random : random.Random
+    """
+
+    def __init__(self, fleet, random):
+        self._fleet = fleet
+        self._random = random
+        self._tasks = set()
+        self.done = []
+
+    async def run(self):
+        """Begin a fault every now and then; several may overlap."""
+        while True:
+            await asyncio.sleep(self._random.uniform(*PAUSES))
+            name = self._random.choice(list(FAULTS))
+            self.done.append(name)
+            task = asyncio.create_task(FAULTS[name](self))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def heal(self):
+        """End all faults and wait until the fleet is whole."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=2 * LONGEST + 8)
+        for one in self._fleet.daemons.values():
+            one.signal(signal.SIGCONT)
+            if not one.running:
+                await one.start()
+        for proxy in self._fleet.proxies.values():
+            proxy.faults.clear()
+        for door in self._fleet.doors.values():
+            door.faults.down = door.faults.silent = False
+            door.faults.delay, door.faults.lose_answers = 0.0, 0
+        for instance in self._fleet.group.instances.values():
+            instance.faults.deaf = instance.faults.silent = instance.draining = False
+            instance.lag = 0.008
+            if not instance.running:
+                await instance.start()
+        self._fleet.list_instances()
+
+    async def _last(self):
+        await asyncio.sleep(self._random.uniform(0.3, LONGEST))
+
+    def _daemon(self):
+        return self._random.choice(list(self._fleet.daemons.values()))
+
+    def _names(self):
+        names = list(self._fleet.daemons)
+        return self._random.choice((["*"], [self._random.choice(names)]))
+
+    async def kill(self):
+        """A daemon is killed and started again."""
+        daemon = self._daemon()
+        if daemon.stopping or not daemon.running:
+            return
+        daemon.stopping = True
+        await daemon.kill()
+        await self._last()
+        await daemon.start()
+
+    async def kill_all(self):
+        """All daemons are killed at once."""
+        chosen = [one for one in self._fleet.daemons.values() if not one.stopping]
+        for one in chosen:
+            one.stopping = True
+        await asyncio.gather(*(one.kill() for one in chosen))
+        await asyncio.gather(*(one.start() for one in chosen))
+
+    async def stop(self):
+        """A daemon is told to end and started again."""
+        daemon = self._daemon()
+        if daemon.stopping or not daemon.running:
+            return
+        await daemon.stop()
+        await daemon.start()
+
+    async def pause(self):
+        """A daemon stands still."""
+        daemon = self._daemon()
+        daemon.signal(signal.SIGSTOP)
+        await self._last()
+        daemon.signal(signal.SIGCONT)
+
+    async def store(self):
+        """The store fails for some daemons or for all."""
+        doors = self._fleet.doors
+        names = self._names()
+        chosen = list(doors.values()) if "*" in names else [doors[n] for n in names]
+        kind = self._random.choice(("down", "silent", "slow", "lost"))
+        for door in chosen:
+            door.faults.down = kind == "down"
+            door.faults.silent = kind == "silent"
+            door.faults.delay = 0.3 if kind == "slow" else 0.0
+            door.faults.lose_answers = 3 if kind == "lost" else 0
+        await self._last()
+        for door in chosen:
+            door.faults.down = door.faults.silent = False
+            door.faults.delay, door.faults.lose_answers = 0.0, 0
+
+    async def compact(self):
+        """The store forgets its history."""
+        self._fleet.store.drop_history()
+
+    async def link(self):
+        """Connections to an instance are silenced, cut one way, refused or slow."""
+        proxy = self._random.choice(list(self._fleet.proxies.values()))
+        names = set(self._names())
+        kind = self._random.choice(
+            ("silenced", "cut_up", "cut_down", "refused", "delay")
+        )
+        if kind == "delay":
+            proxy.faults.delay = 0.05
+        else:
+            getattr(proxy.faults, kind).update(names)
+        await self._last()
+        proxy.faults.clear()
+
+    async def reset(self):
+        """Connections to an instance are reset."""
+        proxy = self._random.choice(list(self._fleet.proxies.values()))
+        proxy.reset(self._names()[0])
+
+    async def crash(self):
+        """An instance ends and comes back with its log."""
+        instance = self._random.choice(list(self._fleet.group.instances.values()))
+        if not instance.running:
+            return
+        await instance.crash()
+        await self._last()
+        await instance.start()
+        self._fleet.list_instances()
+
+    async def deaf(self):
+        """A replica receives nothing for a while, then catches up."""
+        instance = self._random.choice(list(self._fleet.group.instances.values()))
+        instance.faults.deaf = True
+        await self._last()
+        instance.faults.deaf = False
+
+    async def lag(self):
+        """Replicas apply late."""
+        for instance in self._fleet.group.instances.values():
+            instance.lag = self._random.choice((0.008, 0.3, 1.0))
+        await self._last()
+        for instance in self._fleet.group.instances.values():
+            instance.lag = 0.008
+
+    async def drain(self):
+        """The primary is to leave, and stays after all."""
+        instance = self._fleet.group.primary
+        instance.draining = True
+        self._fleet.list_instances()
+        await self._last()
+        instance.draining = False
+        self._fleet.list_instances()
+
+    async def lose_answers(self):
+        """An instance runs statements and their answers are lost."""
+        instance = self._random.choice(list(self._fleet.group.instances.values()))
+        instance.faults.lose_answers = 5
+
+    async def configure(self):
+        """Configurations come in quick succession."""
+        for _ in range(self._random.randint(1, 5)):
+            self._fleet.configure()
+            await asyncio.sleep(0.1)
+
+
+FAULTS = {
+    name: getattr(FaultMaker, name)
+    for name in (
+        "kill",
+        "kill_all",
+        "stop",
+        "pause",
+        "store",
+        "compact",
+        "link",
+        "reset",
+        "crash",
+        "deaf",
+        "lag",
+        "drain",
+        "lose_answers",
+        "configure",
+    )
+}
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,174 @@
+"""
+Fleet
+=====
+
+The site of a soak: store and instances in this process, daemons in their own.
+"""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+import tempfile
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+from cardamomdrift.standins.entries import (
+    configuration,
+    instance_entry,
+    route,
+    settings,
+)
+from cardamomdrift.standins.lines import LineGroup
+from cardamomdrift.standins.rows import RowStore, StoreDoor
+from soak.proxy import InstanceProxy
+
+GRACE = 6.0  # seconds from SIGTERM to SIGKILL, as in the settings
+CONNECTIONS = 16
+
+
+def free_port(host):
+    """Return a port that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
+
+
+class DaemonProcess:
+    """One daemon's process, started and ended by this soak only."""
+
+    def __init__(self, name, host, path, log, module):
+        self.name = name
+        self.host = host
+        self._path = path
+        self._log = log
+        self._module = module
+        self._process = None
+        self.incarnation = 0
+        self.stopping = False
+
+    @property
+    def running(self):
+        """Whether the process lives."""
+        return self._process is not None and self._process.returncode is None
+
+    async def start(self):
+        """Start the process."""
+        self.incarnation += 1
+        self.stopping = False
+        environment = os.environ | {"CARDAMOMDRIFT_SETTINGS": str(self._path)}
+        with open(self._log, "ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                *self._module,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number):
+        """Send a signal to the process."""
+        if self.running:
+            self._process.send_signal(number)
+
+    async def stop(self):
+        """End the process gracefully, or by force after the grace."""
+        self.stopping = True
+        self.signal(signal.SIGTERM)
+        await self._wait(GRACE)
+        await self.kill()
+
+    async def kill(self):
+        """End the process at once."""
+        if self.running:
+            self._process.kill()
+        await self._wait(GRACE)
+
+    async def _wait(self, timeout):
+        if self._process is None:
+            return
+        try:
+            async with asyncio.timeout(timeout):
+                await self._process.wait()
+        except TimeoutError:
+            return
+
+
+class Fleet:
+    """Store, instances and daemons; an async context manager.
+
+    Parameters
+    ----------
+    count : int
+        Daemons.
+    folder : str
+        Where their logs go.
+    module : sequence of str
+        Module and arguments that start a daemon.
+    """
+
+    def __init__(self, count, folder, module=("cardamomdrift.platform",)):
+        self._count = count
+        self._folder = Path(folder)
+        self._module = module
+        self._stack = AsyncExitStack()
+        self.group = LineGroup("g", connections=CONNECTIONS)
+        self.store = RowStore(promote=self.group.promote)
+        self.doors = {}
+        self.proxies = {}
+        self.daemons = {}
+        self.version = 0
+        self.ports = ()
+
+    async def __aenter__(self):
+        enter = self._stack.enter_async_context
+        await enter(self.group)
+        for name, instance in self.group.instances.items():
+            instance.lag = 0.008
+            instance.work = 0.004
+            self.proxies[name] = await enter(InstanceProxy(instance))
+        self.ports = [free_port("127.0.0.2") for _ in range(4)]
+        self.configure()
+        self.list_instances()
+        secrets = self._stack.enter_context(tempfile.TemporaryDirectory())
+        for index in range(self._count):
+            await self._add(f"vm-{index + 1}", Path(secrets))
+        await asyncio.gather(*(one.start() for one in self.daemons.values()))
+        return self
+
+    async def __aexit__(self, *exc_info):
+        for one in self.daemons.values():
+            one.signal(signal.SIGCONT)
+        await asyncio.gather(*(one.kill() for one in self.daemons.values()))
+        await self._stack.aclose()
+
+    async def _add(self, name, secrets):
+        host = f"127.0.0.{int(name.split('-')[1]) + 1}"
+        door = await self._stack.enter_async_context(StoreDoor(self.store))
+        self.doors[name] = door
+        path = secrets / f"{name}.json"
+        path.write_text(settings(name, host, door.address, self.ports))
+        log = self._folder / f"{name}.log"
+        self.daemons[name] = DaemonProcess(name, host, path, log, self._module)
+
+    def configure(self):
+        """Write the next configuration: each adds a route and keeps the others."""
+        self.version += 1
+        routes = [
+            route("book", "primary", "g"),
+            route("look", "bounded_staleness", "g"),
+            route("crew", "read_your_writes", "g", maxStalenessMs=2500),
+        ]
+        routes += [route(f"v{n}", "primary", "g") for n in range(1, self.version + 1)]
+        body = configuration(self.version, routes, {"g": CONNECTIONS})
+        self.store.put("op", "config", body)
+
+    def list_instances(self):
+        """Write the entries of the instances that run, as they see themselves."""
+        for name, instance in self.group.instances.items():
+            address = f"127.0.0.1:{self.proxies[name].port}"
+            entry = instance_entry("g", instance, address=address)
+            if self.store.get("servers", name) != entry:
+                self.store.put("servers", name, entry)
