--- a/cardamomdrift/platform/daemon.py
+++ b/cardamomdrift/platform/daemon.py
@@ -174,7 +174,7 @@
         )
         await enter(self.loop_delay)
         await enter(self._http(settings.readiness, READINESS_PATH, self._readiness))
-        await enter(self._http(settings.metrics, METRICS_PATH, self._expose))
+        await self._serve_metrics()
         await enter(self._feed(CONFIG_TABLE, self._on_config_rows))
         await enter(self._feed(INSTANCE_TABLE, self._on_instance_rows))
         await enter(self.control)
@@ -197,6 +197,15 @@
     def _feed(self, table, on_rows):
         return TableFeed(self.store, table, on_rows, self._on_reachable, self.log)
 
+    async def _serve_metrics(self):
+        """Serve the metrics; callers do not depend on them."""
+        address = self._settings.metrics
+        server = self._http(address, METRICS_PATH, self._expose)
+        try:
+            await self._stack.enter_async_context(server)
+        except OSError as error:
+            self.log.error("metrics not served", port=address[1], error=str(error))
+
     def _http(self, address, path, handler):
         return HttpServer(address, {path: handler}, self.log)
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -129,7 +129,7 @@
             instance.lag = 0.008
             instance.work = 0.004
             self.proxies[name] = await enter(InstanceProxy(instance))
-        self.ports = [free_port("127.0.0.2") for _ in range(4)]
+        self.ports = [free_port("0.0.0.0") for _ in range(4)]
         self.configure()
         self.list_instances()
         secrets = self._stack.enter_context(tempfile.TemporaryDirectory())
@@ -145,7 +145,8 @@
         await self._stack.aclose()
 
     async def _add(self, name, secrets):
-        host = f"127.0.0.{int(name.split('-')[1]) + 1}"
+        # Daemons share their ports, so fleets side by side need other addresses.
+        host = f"127.{os.getpid() % 200 + 1}.0.{name.split('-')[1]}"
         door = await self._stack.enter_async_context(StoreDoor(self.store))
         self.doors[name] = door
         path = secrets / f"{name}.json"
