More daemons watch the store for longer, and tell each other of changes

Change: the wait grows with the daemons, to 18 s at most; heartbeats name the last change of the list of instances and its age, so one that missed it reads again after 0.5 s.

--- a/cardamomdrift/failover/replacer.py
+++ b/cardamomdrift/failover/replacer.py
@@ -151,15 +151,14 @@
                     generation=cluster.leadership.generation,
                     evidence=str(self._evidence(cluster, now)),
                 )
-        if reason is None or now < watch.not_before or not self._is_able(cluster):
+        if reason is None or now < watch.not_before or not self._is_able():
             return
         if now >= watch.since + self._delay(cluster, now):
             watch.task = asyncio.create_task(self._replace(cluster, reason, watch))
 
-    def _is_able(self, cluster):
+    def _is_able(self):
         """Whether this daemon knows enough to replace a primary."""
-        current = self._instances.is_current(cluster.clock())
-        return current and self._control.reachable
+        return self._instances.is_current and self._control.reachable
 
     def _find_reason(self, cluster, now):
         lead = cluster.leadership
@@ -195,7 +194,7 @@
     def _missing_for(self, cluster, now):
         """Return how long the list has lacked the primary, or named none."""
         lead = cluster.leadership
-        if not self._instances.is_current(cluster.clock()):
+        if not self._instances.is_current:
             return 0.0
         if lead.primary:
             missing = self._instances.missing_for(lead.primary, cluster.clock())
@@ -319,7 +318,7 @@
             primary=lead.primary,
             reason=reason.name.lower(),
             token=duty.token,
-            list_age_s=round(self._instances.age(cluster.clock()), 2),
+            list_age_s=round(self._instances.age(), 2),
         )
         begun_at = boot_clock()
         await self._commit_intent(expected, puts, key, record)
--- a/cardamomdrift/membership/feed.py
+++ b/cardamomdrift/membership/feed.py
@@ -2,7 +2,9 @@
 Table feed
 ==========
 
-Follows one table of the platform's store: reads it whole, then waits for changes.
+Follows one table of the platform's store: reads it whole, then waits for changes.  The
+more daemons follow it, the longer each waits; whoever hears that another one has seen a
+change that it has not reads the table again.
 """
 
 import asyncio
@@ -14,15 +16,29 @@
 from cardamomdrift.util import cancel_all
 
 WATCH_TIME = 3.0  # seconds; a connection gone silent is found this late
+WATCH_DAEMONS = 5  # daemons that wait for this time; more wait longer
+WATCH_MAXIMUM = 18.0  # seconds; the store keeps 20 s of history
+HINT_TIME = 0.5  # seconds that a change which others have seen may still be on its way
 RETRY_INTERVAL = 0.25  # seconds; five daemons then make 20 calls a second in an outage
 
 
 @dataclass(frozen=True, slots=True)
 class TableState:
-    """Rows of a table, by key, and the version that they stand for."""
+    """Rows of a table.
+
+    Attributes
+    ----------
+    rows : dict of str to Row
+        By key.
+    version : int
+        Version of the store that they stand for.
+    changed : int
+        Version of the last change of this table.
+    """
 
     rows: dict
     version: int
+    changed: int = 0
 
 
 class TableFeed:
@@ -36,10 +52,15 @@
         Takes the TableState after each change.
     on_reachable : callable
         Takes the table and whether the store answered, after each answer or failure.
+    daemons : callable
+        Returns how many daemons follow the table.
     log : structlog logger
     """
 
-    def __init__(self, store, table, on_rows, on_reachable, log):
+    def __init__(self, store, table, on_rows, on_reachable, daemons, log):
+        self._daemons = daemons
+        self._hinted = 0
+        self._hint = asyncio.Event()
         self._store = store
         self._table = table
         self._on_rows = on_rows
@@ -66,23 +87,61 @@
 
     async def _step(self):
         if self._state is None:
-            snapshot = await self._store.read(self._table)
-            self._note(True)
-            await self._take(TableState(snapshot.rows, snapshot.version))
+            await self._read()
+            return
+        changes = await self._wait_for_changes()
+        if changes is None:
+            self._log.info("others know of a change", table=self._table)
+            await self._read()
             return
-        changes = await self._store.watch(self._table, self._state.version, WATCH_TIME)
-        self._note(True)
         if isinstance(changes, HistoryGone):
             self._log.info("store history gone, reading again", table=self._table)
-            self._state = None
+            await self._read()
             return
         rows = self._state.rows
         if changes.changed or changes.removed:
             rows = {k: row for k, row in rows.items() if k not in changes.removed}
             rows |= changes.changed
-            await self._take(TableState(rows, changes.version))
+            await self._take(TableState(rows, changes.version, changes.newest))
         else:
-            self._state = TableState(rows, changes.version)
+            self._state = TableState(rows, changes.version, self._state.changed)
+        self._note(True)
+
+    async def _read(self):
+        hinted = self._hinted
+        snapshot = await self._store.read(self._table)
+        newest = max((row.version for row in snapshot.rows.values()), default=0)
+        state = TableState(snapshot.rows, snapshot.version, max(newest, hinted))
+        await self._take(state)
+        self._note(True)
+
+    async def _wait_for_changes(self):
+        """Return the next changes, or None if others know of one that has not come."""
+        share = max(1.0, self._daemons() / WATCH_DAEMONS)
+        wait = min(WATCH_TIME * share, WATCH_MAXIMUM)
+        watching = asyncio.create_task(
+            self._store.watch(self._table, self._state.version, wait)
+        )
+        hinting = asyncio.create_task(self._hint.wait())
+        try:
+            await asyncio.wait((watching, hinting), return_when=asyncio.FIRST_COMPLETED)
+            if not watching.done():
+                await asyncio.wait((watching,), timeout=HINT_TIME)
+            return watching.result() if watching.done() else None
+        finally:
+            self._hint.clear()
+            await cancel_all((watching, hinting))
+
+    @property
+    def changed(self):
+        """Version of the last change of the table that is known; 0 before the first."""
+        return 0 if self._state is None else self._state.changed
+
+    def hint(self, changed):
+        """Take in the version of the last change that another daemon knows."""
+        if self._state is not None and changed > self._state.changed:
+            self._hinted = max(self._hinted, changed)
+            self._hint.set()
 
     async def _take(self, state):
         self._state = state
--- a/cardamomdrift/membership/instance_list.py
+++ b/cardamomdrift/membership/instance_list.py
@@ -6,10 +6,10 @@
 while, since entries may lapse while the store is away although the instance lives.
 """
 
-import math
 from dataclasses import dataclass
 
 CURRENT_TIME = 4.0  # seconds; the store answers a watch after 3 s at the latest
+OLDEST = 1e6  # seconds; the age of a list that was never read
 HOLD_TIME = 2.5  # seconds; a lapsed entry is back 2 s after the store's return
 
 
@@ -20,23 +20,50 @@
 
 
 class InstanceList:
-    """Known instances; times are in seconds of the loop's clock."""
+    """Known instances; times are in seconds of the loop's clock.
 
-    def __init__(self):
+    Parameters
+    ----------
+    clock : callable
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
         self._entries = {}
-        self._current_at = -math.inf
+        self._current_at = -OLDEST
+        self._on_hint = None
+        self.changed = 0
+
+    def use_hints(self, on_hint):
+        """Set what takes the version of a change that another daemon knows."""
+        self._on_hint = on_hint
+
+    def note_current(self, changed):
+        """Take in that the store has told all changes until now.
+
+        Parameters
+        ----------
+        changed : int
+            Version of the last one.
+        """
+        self.changed = changed
+        self._current_at = self._clock()
 
-    def note_current(self, now):
-        """Take in that the store has told all changes until now."""
-        self._current_at = now
+    def hear(self, changed, age):
+        """Take in which list another daemon has, and how old that is in seconds."""
+        if changed == self.changed:
+            self._current_at = max(self._current_at, self._clock() - age)
+        elif self._on_hint is not None:
+            self._on_hint(changed)
 
-    def age(self, now):
+    def age(self):
         """Return how old the list is, in seconds."""
-        return now - self._current_at
+        return self._clock() - self._current_at
 
-    def is_current(self, now):
+    @property
+    def is_current(self):
         """Whether the list is about as the store has it."""
-        return self.age(now) <= CURRENT_TIME
+        return self.age() <= CURRENT_TIME
 
     def take(self, records, now):
         """Take in all entries that the list has.
--- a/cardamomdrift/peers/announcer.py
+++ b/cardamomdrift/peers/announcer.py
@@ -18,6 +18,7 @@
 SAMPLE_SPACING = 0.25  # seconds between two samples of a log that anyone sends
 WATCH_TIME = 1.0  # seconds for which all tell of a primary that one found silent
 SILENCE_SHOWN = 100  # milliseconds; a primary that answers sooner is no news
+OLDEST_LIST = 1_000_000  # milliseconds that a heartbeat tells of at most
 LOST_TIME = 1.0  # seconds without a heartbeat before a daemon counts as lost in the log
 
 
@@ -36,19 +37,29 @@
     control : ControlPlane
     clusters : Clusters
     configuration : Configuration
+    instances : InstanceList
     on_change : callable
         Called after who counts has changed.
     log : structlog logger
     """
 
     def __init__(
-        self, roster, permission, control, clusters, configuration, on_change, log
+        self,
+        roster,
+        permission,
+        control,
+        clusters,
+        configuration,
+        instances,
+        on_change,
+        log,
     ):
         self._roster = roster
         self._permission = permission
         self._control = control
         self._clusters = clusters
         self._configuration = configuration
+        self._instances = instances
         self._on_change = on_change
         self._log = log
         self._port = None
@@ -144,6 +155,8 @@
             listed=peer.name in self._control.listed,
             store_reachable=self._control.reachable,
             version=self._configuration.version,
+            list_changed=self._instances.changed,
+            list_age_ms=min(_milliseconds(self._instances.age()), OLDEST_LIST),
             leaving=self.leaving,
             agreed=agreed,
             groups=groups,
@@ -192,6 +205,9 @@
         usable = self._permission.holds(now)
         self._permission.note_relayed(peer)
         self._permission.note_roster(now)
+        if peer.sent_after is not None:
+            age = now - peer.sent_after + seconds(heartbeat.list_age_ms)
+            self._instances.hear(heartbeat.list_changed, age)
         self._configuration.hint(heartbeat.version, f"{peer.address}:{self._port.port}")
         if known is None:
             self._log.info("daemon heard", member=peer.name, address=peer.address)
--- a/cardamomdrift/peers/heartbeat.py
+++ b/cardamomdrift/peers/heartbeat.py
@@ -80,6 +80,10 @@
     store_reachable : bool
     version : int
         Configuration in force.
+    list_changed : int
+        Version of the last change of the list of instances that the sender knows.
+    list_age_ms : int
+        How old its list is.
     leaving : bool
         Whether the sender will promote nothing any more.
     agreed : int
@@ -100,6 +104,8 @@
     listed: bool
     store_reachable: bool
     version: int
+    list_changed: int
+    list_age_ms: int
     leaving: bool
     agreed: int
     groups: dict[str, GroupClaim]
--- a/cardamomdrift/platform/daemon.py
+++ b/cardamomdrift/platform/daemon.py
@@ -93,8 +93,9 @@
             settings.vm, settings.address, secrets.token_hex(4), boot_clock()
         )
         self.permission = Permission(self.roster)
-        self.instances = InstanceList()
+        self.instances = InstanceList(clock)
         self._exposition = None
+        self._instance_feed = None
         self._recorder = RequestRecorder(self.log, self.permission)
         context = ClusterContext(
             vm=VmIdentity(settings.vm, settings.failure_domain),
@@ -124,6 +125,7 @@
             self.control,
             self.clusters,
             self.configuration,
+            self.instances,
             self._on_members,
             self.log,
         )
@@ -176,7 +178,9 @@
         await enter(self._http(settings.readiness, READINESS_PATH, self._readiness))
         await self._serve_metrics()
         await enter(self._feed(CONFIG_TABLE, self._on_config_rows))
-        await enter(self._feed(INSTANCE_TABLE, self._on_instance_rows))
+        self._instance_feed = self._feed(INSTANCE_TABLE, self._on_instance_rows)
+        self.instances.use_hints(self._instance_feed.hint)
+        await enter(self._instance_feed)
         await enter(self.control)
         await enter(self.announcer)
         await enter(self.replacer)
@@ -195,7 +199,14 @@
         return self
 
     def _feed(self, table, on_rows):
-        return TableFeed(self.store, table, on_rows, self._on_reachable, self.log)
+        return TableFeed(
+            self.store,
+            table,
+            on_rows,
+            self._on_reachable,
+            lambda: len(self.roster.names),
+            self.log,
+        )
 
     async def _serve_metrics(self):
         """Serve the metrics; callers do not depend on them."""
@@ -247,7 +258,7 @@
         if not reachable:
             self.instances.note_outage(now)
         elif table == INSTANCE_TABLE:
-            self.instances.note_current(now)
+            self.instances.note_current(self._instance_feed.changed)
 
     async def _answer(self, query):
         match query:
--- a/cardamomdrift/platform/store.py
+++ b/cardamomdrift/platform/store.py
@@ -82,18 +82,19 @@
         answer = await self._call("GET", "/v1/rows-feed", query, timeout=timeout)
         if answer is None:
             return HistoryGone()
-        changed, removed = {}, set()
+        changed, removed, newest = {}, set(), 0
         for one in answer["rows"]:
             if one.get("part", ROW_PART) != ROW_PART:
                 continue
             key = one["key"]
+            newest = max(newest, one["rowVersion"])
             if one.get("deleted"):
                 changed.pop(key, None)
                 removed.add(key)
             else:
                 removed.discard(key)
                 changed[key] = _make_row(one)
-        return Changes(changed, frozenset(removed), answer["rowVersion"])
+        return Changes(changed, frozenset(removed), answer["rowVersion"], newest)
 
     async def commit(self, table, expected, puts, removes=()):
         """Change rows together; see `ports.MetadataStore.commit`."""
--- a/cardamomdrift/ports.py
+++ b/cardamomdrift/ports.py
@@ -159,11 +159,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """Rows changed since a version; a removed row has no value."""
+    """Rows changed since a version; a removed row has no value.
+
+    Attributes
+    ----------
+    changed : dict of str to Row
+    removed : frozenset of str
+    version : int
+        Version of the store that they lead to.
+    newest : int
+        Version of the last of these changes.
+    """
 
     changed: dict
     removed: frozenset
     version: int
+    newest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_permission.py
+++ b/tests/test_permission.py
@@ -16,6 +16,7 @@
 )
 from cardamomdrift.failover.replacer import ReplacementFailed, Replacer
 from cardamomdrift.membership.control import GONE_TIME
+from cardamomdrift.membership.instance_list import InstanceList
 from cardamomdrift.peers.announcer import Announcer
 from cardamomdrift.peers.heartbeat import Heartbeat, members_digest
 from cardamomdrift.peers.roster import Roster
@@ -39,6 +40,8 @@
         "listed": True,
         "store_reachable": True,
         "version": 1,
+        "list_changed": 0,
+        "list_age_ms": 0,
         "leaving": False,
         "agreed": 0,
         "groups": {},
@@ -199,7 +202,14 @@
         one = roster()
         control = SimpleNamespace(listed=set(NAMES), reachable=True)
         announcer = Announcer(
-            one, Permission(one), control, (), mock.Mock(version=1), None, None
+            one,
+            Permission(one),
+            control,
+            (),
+            mock.Mock(version=1),
+            InstanceList(lambda: 0.0),
+            None,
+            None,
         )
         announcer.use_port(
             SimpleNamespace(send=lambda address, beat: sent.update({address: beat}))
--- a/tests/test_permission_model.py
+++ b/tests/test_permission_model.py
@@ -26,6 +26,7 @@
 from cardamomdrift.failover.replacement import INTENT_TIME, Intent
 from cardamomdrift.failover.replacer import ReplacementFailed, Replacer
 from cardamomdrift.membership.control import GONE_TIME, ControlPlane
+from cardamomdrift.membership.instance_list import InstanceList
 from cardamomdrift.peers.announcer import Announcer
 from cardamomdrift.peers.roster import Roster
 from cardamomdrift.ports import Row, Snapshot
@@ -138,6 +139,7 @@
             self.control,
             clusters,
             configuration,
+            InstanceList(lambda: world.now),
             lambda: None,
             log,
         )
