A daemon that starts without the store asks the others for the list of instances

Change: peers answer with the list; a daemon that knows nobody takes in heartbeats by their source; replacement and contact split from what grew.

--- a/cardamomdrift/failover/permission.py
+++ b/cardamomdrift/failover/permission.py
@@ -73,6 +73,9 @@
         return now
     if peer.sent_after is None or roster.vm not in peer.members:
         return -math.inf
+    if peer.heartbeat.confirmed_age_ms is None:
+        # It has begun without the store and knows of no replacement at all.
+        return -math.inf
     return peer.sent_after
 
 
@@ -106,9 +109,10 @@
     def note_roster(self, now):
         """Take in that the roster has changed; alone, only the store counts.
 
+        So it does until a read of the store is known, one's own or another daemon's.
         What was promised holds whatever else has become known.
         """
-        if self._roster.peers:
+        if self._roster.peers and self._confirmed_at > -math.inf:
             until = promised_until(self._roster, now)
             self._promised_until = max(self._promised_until, until)
 
--- a/cardamomdrift/failover/replacer.py
+++ b/cardamomdrift/failover/replacer.py
@@ -2,66 +2,33 @@
 Replacer
 ========
 
-Replaces primaries: watches the evidence, writes the intent to the platform's store,
-waits until no daemon uses the old primary any more, and tells the platform who is to
-lead.  The decisions are `failover.replacement`.
+Watches the evidence of all groups, and has a primary replaced when it is this daemon's
+turn.  The decisions are `failover.replacement`.
 """
 
 import asyncio
-import secrets
 from dataclasses import dataclass
 
 from cardamomdrift.clock import boot_clock
-from cardamomdrift.errors import (
-    CardamomdriftError,
-    PlatformUnavailable,
-    UpstreamError,
-)
-from cardamomdrift.failover.permission import relied_on_until
 from cardamomdrift.failover.records import (
     DUTY_KEY,
-    LEAD_PREFIX,
-    TABLE,
     DutyRecord,
-    LeadRecord,
     decode_record,
-    encode_record,
-    lead_key,
-    member_key,
 )
 from cardamomdrift.failover.replacement import (
-    CATCH_UP_TIME,
-    INTENT_TIME,
     RANK_DELAY,
-    Candidate,
-    Intent,
     PrimaryEvidence,
     Reason,
-    answers_needed,
-    choose_candidate,
-    has_quorum,
-    is_released,
-    may_call,
     reason_to_replace,
     takeover_at,
 )
 from cardamomdrift.loops import repeat
 from cardamomdrift.membership.control import LIVE_TIME
 from cardamomdrift.membership.rendezvous import rank
-from cardamomdrift.peers.heartbeat import leaders_digest
-from cardamomdrift.ports import Committed
 from cardamomdrift.util import cancel_all, seconds
 
 TICK = 0.05  # seconds
-CALL_TIME = 0.6  # seconds for one call of the platform; it takes 20 ms
-POLL_INTERVAL = 0.02  # seconds
-LEAD_TIME = 2.0  # seconds from the platform's answer to the new primary's first write
 RETRY_DELAY = 0.5  # seconds after a failed replacement
-CALL_PAUSE = 0.05  # seconds between two calls of the platform
-
-
-class ReplacementFailed(CardamomdriftError):
-    """A replacement ended without a new primary."""
 
 
 @dataclass(slots=True)
@@ -71,7 +38,6 @@
     reason: Reason | None = None
     since: float = 0.0
     not_before: float = 0.0
-    begun: int = 0
     task: asyncio.Task | None = None
 
 
@@ -80,27 +46,20 @@
 
     Parameters
     ----------
-    store : MetadataStore
-    promotions : PromotionService
+    executor : ReplacementExecutor
     control : ControlPlane
     roster : Roster
     clusters : Clusters
     instances : InstanceList
-    announce : callable
-        Sends heartbeats at once.
     log : structlog logger
     """
 
-    def __init__(
-        self, store, promotions, control, roster, clusters, instances, announce, log
-    ):
-        self._store = store
-        self._promotions = promotions
+    def __init__(self, executor, control, roster, clusters, instances, log):
+        self._executor = executor
         self._control = control
         self._roster = roster
         self._clusters = clusters
         self._instances = instances
-        self._announce = announce
         self._log = log
         self._watches = {}
         self._task = None
@@ -163,7 +122,7 @@
     def _find_reason(self, cluster, now):
         lead = cluster.leadership
         if not lead.settled:
-            own = lead.generation == self._watches[cluster.group.name].begun
+            own = self._executor.has_begun(lead.group, lead.generation)
             overdue = own or now >= takeover_at(lead.changed_at)
             return Reason.UNREACHABLE if overdue else None
         return reason_to_replace(self._evidence(cluster, now))
@@ -241,13 +200,11 @@
             return None
         return decode_record(row, DutyRecord).holder
 
-    # How
-
     async def _replace(self, cluster, reason, watch):
         group = cluster.group.name
         started = boot_clock()
         try:
-            primary = await self._run_replacement(cluster, reason)
+            primary = await self._executor.run(cluster, reason)
         except Exception as error:
             self.counts["failed"] += 1
             self._log.warning(
@@ -269,322 +226,3 @@
         finally:
             watch.reason = None
             watch.not_before = boot_clock() + RETRY_DELAY
-
-    async def _run_replacement(self, cluster, reason):
-        intent = await self._write_intent(cluster, reason)
-        # Whoever held the duty before may have begun another one until then.
-        await self._control.refresh()
-        self._check_others(intent.token)
-        candidate, term = await self._find_candidate(cluster, intent)
-        await self._wait_released(cluster, intent)
-        if reason is Reason.LEAVING:
-            await self._wait_caught_up(cluster, candidate)
-        await self._call(cluster, candidate, intent)
-        term = await self._wait_leading(cluster, candidate, term)
-        old = cluster.instances.get(cluster.leadership.primary)
-        await self._settle(cluster, candidate, term, intent)
-        await self._demote(old, term)
-        return candidate
-
-    async def _write_intent(self, cluster, reason):
-        """Write to the store that the primary is being replaced, and stop using it."""
-        await self._control.refresh()
-        lead = cluster.leadership
-        self._check_known()
-        rows = self._control.rows
-        key = lead_key(cluster.group.name)
-        own = member_key(self._roster.vm)
-        if own not in rows:
-            raise ReplacementFailed("this daemon is not registered")
-        duty, duty_puts = self._claim_duty(rows)
-        self._check_others(duty.token)
-        record = LeadRecord(
-            lead.generation + 1,
-            False,
-            lead.term,
-            lead.primary,
-            duty.token,
-            secrets.token_hex(8),
-        )
-        expected = {
-            name: rows[name].version if name in rows else 0
-            for name in (key, own, DUTY_KEY)
-        }
-        puts = duty_puts | {key: encode_record(record)}
-        self._log.warning(
-            "replacement begun",
-            group=cluster.group.name,
-            generation=record.generation,
-            primary=lead.primary,
-            reason=reason.name.lower(),
-            token=duty.token,
-            list_age_s=round(self._instances.age(), 2),
-        )
-        begun_at = boot_clock()
-        await self._commit_intent(expected, puts, key, record)
-        committed_at = boot_clock()
-        cluster.adopt(record.generation, False, lead.term, lead.primary)
-        self._watches[cluster.group.name].begun = record.generation
-        self._announce()
-        return Intent(record.generation, duty.token, begun_at, committed_at)
-
-    def _check_known(self):
-        """Check that every registered daemon counts this one.
-
-        Whoever does not could go on using a primary that this daemon replaces.
-        """
-        for name in self._control.listed:
-            peer = self._roster.peers.get(name)
-            if name != self._roster.vm and (peer is None or not peer.knows_us):
-                raise ReplacementFailed(f"{name} does not count this daemon yet")
-
-    def _claim_duty(self, rows):
-        """Return the DutyRecord to hold and the rows to write for it."""
-        vm, incarnation = self._roster.vm, self._roster.incarnation
-        token = 0
-        if DUTY_KEY in rows:
-            held = decode_record(rows[DUTY_KEY], DutyRecord)
-            if (held.holder, held.incarnation) == (vm, incarnation):
-                return held, {}
-            token = held.token
-        duty = DutyRecord(vm, incarnation, token + 1)
-        return duty, {DUTY_KEY: encode_record(duty)}
-
-    async def _commit_intent(self, expected, puts, key, record):
-        """Commit the intent; a lost answer is settled by sending the same again."""
-        deadline_at = boot_clock() + CALL_TIME * 3
-        while True:
-            try:
-                result = await self._store.commit(TABLE, expected, puts)
-            except PlatformUnavailable:
-                if boot_clock() >= deadline_at:
-                    raise
-                await asyncio.sleep(CALL_PAUSE)
-                continue
-            if isinstance(result, Committed):
-                return
-            row = result.rows.get(key)
-            if row is not None:
-                held = decode_record(row, LeadRecord)
-                if held.attempt == record.attempt:
-                    return
-            raise ReplacementFailed("another daemon was first")
-
-    def _check_others(self, token):
-        """Check that no replacement under another token may still call the platform."""
-        now = boot_clock()
-        for key, row in self._control.rows.items():
-            if not key.startswith(LEAD_PREFIX):
-                continue
-            record = decode_record(row, LeadRecord)
-            cluster = self._clusters.get(key.removeprefix(LEAD_PREFIX))
-            if record.settled or record.token == token or cluster is None:
-                continue
-            if now < takeover_at(cluster.leadership.changed_at):
-                raise ReplacementFailed("another daemon's replacement is under way")
-
-    async def _find_candidate(self, cluster, intent):
-        """Return the instance that is to lead, and the newest term seen."""
-        lead = cluster.leadership
-        others = [
-            (name, one)
-            for name, one in cluster.instances.items()
-            if name != lead.primary
-        ]
-        if not others:
-            raise ReplacementFailed("no other instance")
-        needed = answers_needed(len(others), cluster.group.synchronous)
-        deadline_at = boot_clock() + CALL_TIME
-        while True:
-            found = await asyncio.gather(
-                *(self._ask_candidate(name, one) for name, one in others)
-            )
-            candidates = [one for one in found if one is not None]
-            chosen = choose_candidate(candidates, needed)
-            if chosen is not None:
-                self._log.info(
-                    "candidate chosen",
-                    group=cluster.group.name,
-                    generation=intent.generation,
-                    candidate=chosen,
-                    received=" ".join(
-                        f"{one.name}={one.received}" for one in candidates
-                    ),
-                )
-                return chosen, max(lead.term, *(one.term for one in candidates))
-            if boot_clock() >= deadline_at:
-                raise ReplacementFailed("too few replicas answer")
-            await asyncio.sleep(POLL_INTERVAL)
-
-    async def _ask_candidate(self, name, runtime):
-        try:
-            status = await runtime.prober.status()
-        except (UpstreamError, TimeoutError) as error:
-            self._log.info(
-                "candidate not reached",
-                instance=name,
-                error=f"{type(error).__name__} {error}",
-            )
-            return None
-        if status.primary:
-            # A primary that was replaced before and does not know it yet.
-            return None
-        draining = runtime.spec.draining
-        return Candidate(name, status.received, draining, status.term)
-
-    async def _wait_released(self, cluster, intent):
-        names = (self._control.listed | set(self._roster.peers)) - {self._roster.vm}
-        group = cluster.group.name
-        lead = cluster.leadership
-        quorum_at = None
-        while True:
-            now = boot_clock()
-            if now >= intent.begun_at + INTENT_TIME:
-                raise ReplacementFailed("too few daemons know of it")
-            released = self._released(group, names)
-            known = self._acknowledged(group, released, intent.generation)
-            if quorum_at is None and has_quorum(known, len(released)):
-                quorum_at = now
-            own = lead.released >= intent.generation
-            own = own and now > relied_on_until(self._roster)
-            if own and is_released(intent, released, quorum_at, now):
-                break
-            await asyncio.sleep(POLL_INTERVAL)
-        missing = [name for name, one in released.items() if one < intent.generation]
-        self._log.info(
-            "old primary released",
-            group=group,
-            generation=intent.generation,
-            waited_ms=round((now - intent.committed_at) * 1000),
-            missing=",".join(missing) or None,
-        )
-
-    def _acknowledged(self, group, released, generation):
-        """Return how many others know of a replacement and are counted by the rest."""
-        knowing = {
-            name
-            for name in released
-            if self._known_generation(name, group) >= generation
-        }
-        rest = released.keys() - knowing
-        return sum(
-            all(self._roster.is_counted_by(name, one) for one in rest)
-            for name in knowing
-        )
-
-    def _known_generation(self, name, group):
-        peer = self._roster.peers.get(name)
-        if peer is None:
-            return -1
-        if self._agrees(peer):
-            return self._clusters.get(group).leadership.generation
-        claim, _ = peer.claims.get(group, (None, 0.0))
-        return claim.generation if claim else -1
-
-    def _agrees(self, peer):
-        """Whether a daemon knows and has released just what this one has."""
-        own = leaders_digest(one.leadership for one in self._clusters)
-        return peer.heartbeat is not None and peer.heartbeat.agreed == own
-
-    def _released(self, group, names):
-        """Return the generation that each other daemon has released."""
-        released = {}
-        for name in names:
-            peer = self._roster.peers.get(name)
-            if peer is not None and peer.is_leaving:
-                continue
-            released[name] = self._released_by(peer, group)
-        return released
-
-    def _released_by(self, peer, group):
-        if peer is None:
-            return -1
-        if self._agrees(peer):
-            return self._clusters.get(group).leadership.released
-        claim, _ = peer.claims.get(group, (None, 0.0))
-        return claim.released if claim else -1
-
-    async def _wait_caught_up(self, cluster, candidate):
-        """Wait until the candidate has the old primary's last commits."""
-        old = cluster.instances.get(cluster.leadership.primary)
-        new = cluster.instances[candidate]
-        deadline_at = boot_clock() + CATCH_UP_TIME
-        try:
-            last = await old.prober.ping(read_only=True) if old else None
-            while last is not None and boot_clock() < deadline_at:
-                position = await new.prober.ping(read_only=True)
-                if position is not None and position >= last:
-                    return
-                await asyncio.sleep(POLL_INTERVAL)
-        except (UpstreamError, TimeoutError) as error:
-            last = f"unknown: {type(error).__name__} {error}"
-        self._log.warning(
-            "candidate not caught up", group=cluster.group.name, last=str(last)
-        )
-
-    async def _call(self, cluster, candidate, intent):
-        """Tell the platform who is to lead, as long as nobody else may."""
-        group = cluster.group.name
-        while may_call(intent, boot_clock(), CALL_TIME):
-            try:
-                taken = await self._promotions.promote(
-                    group, candidate, self._roster.vm, intent.token, CALL_TIME
-                )
-            except PlatformUnavailable as error:
-                self._log.warning(
-                    "promotion call failed", group=group, error=str(error)
-                )
-                await asyncio.sleep(CALL_PAUSE)
-                continue
-            self._log.warning(
-                "promotion called",
-                group=group,
-                candidate=candidate,
-                token=intent.token,
-                taken=taken,
-            )
-            if not taken:
-                raise ReplacementFailed(f"{candidate} is not running")
-            return
-        raise ReplacementFailed("no time left to call the platform")
-
-    async def _wait_leading(self, cluster, candidate, old_term):
-        """Wait until the candidate leads a term above the old one and return it."""
-        runtime = cluster.instances[candidate]
-        deadline_at = boot_clock() + LEAD_TIME
-        while boot_clock() < deadline_at:
-            try:
-                # A ping takes no slot, but a primary of an old term answers it too.
-                if await runtime.prober.ping(read_only=False) is not None:
-                    status = await runtime.prober.status()
-                    if status.primary and status.term > old_term:
-                        return status.term
-            except (UpstreamError, TimeoutError) as error:
-                self._log.info("new primary not reached", error=str(error))
-            await asyncio.sleep(POLL_INTERVAL)
-        raise ReplacementFailed(f"{candidate} does not lead a new term")
-
-    async def _demote(self, old, term):
-        """Tell the old primary, which may not know yet; nothing depends on it."""
-        if old is None:
-            return
-        try:
-            await old.prober.demote(term)
-        except (UpstreamError, TimeoutError) as error:
-            self._log.info(
-                "old primary not told",
-                instance=old.spec.name,
-                error=f"{type(error).__name__} {error}",
-            )
-
-    async def _settle(self, cluster, candidate, term, intent):
-        """Let everyone use the new primary, and write it to the store."""
-        lead = cluster.leadership
-        if lead.generation != intent.generation:
-            raise ReplacementFailed("another replacement came after this one")
-        cluster.adopt(intent.generation, True, term, candidate)
-        self._announce()
-        group = cluster.group.name
-        row = self._control.rows.get(lead_key(group))
-        if row is not None:
-            self._control.pending[group] = row.version
--- a/cardamomdrift/membership/feed.py
+++ b/cardamomdrift/membership/feed.py
@@ -137,6 +137,28 @@
         """Version of the last change of the table that is known; 0 before the first."""
         return 0 if self._state is None else self._state.changed
 
+    @property
+    def reachable(self):
+        """Whether the store answered the last time."""
+        return bool(self._reachable)
+
+    @property
+    def rows(self):
+        """Rows of the table as last known, by key."""
+        return {} if self._state is None else self._state.rows
+
+    async def take_from_peer(self, rows, changed):
+        """Take in the table as another daemon has it, until the store answers.
+
+        Parameters
+        ----------
+        rows : dict of str to Row
+        changed : int
+            Version of its last change.
+        """
+        if not self.reachable and changed > self.changed:
+            await self._take(TableState(rows, changed, changed))
+
     def hint(self, changed):
         """Take in the version of the last change that another daemon knows."""
         if self._state is not None and changed > self._state.changed:
--- a/cardamomdrift/membership/instance_list.py
+++ b/cardamomdrift/membership/instance_list.py
@@ -49,12 +49,22 @@
         self.changed = changed
         self._current_at = self._clock()
 
-    def hear(self, changed, age):
-        """Take in which list another daemon has, and how old that is in seconds."""
+    def hear(self, changed, age, address):
+        """Take in which list another daemon has.
+
+        Parameters
+        ----------
+        changed : int
+            Version of its last change.
+        age : float
+            How old it is, in seconds.
+        address : str
+            Where the daemon answers questions.
+        """
         if changed == self.changed:
             self._current_at = max(self._current_at, self._clock() - age)
-        elif self._on_hint is not None:
-            self._on_hint(changed)
+        elif changed > self.changed and self._on_hint is not None:
+            self._on_hint(changed, address)
 
     def age(self):
         """Return how old the list is, in seconds."""
--- a/cardamomdrift/peers/announcer.py
+++ b/cardamomdrift/peers/announcer.py
@@ -188,13 +188,20 @@
 
     # Receiving
 
-    def take(self, heartbeat):
-        """Take in another daemon's heartbeat."""
+    def take(self, heartbeat, source):
+        """Take in another daemon's heartbeat.
+
+        Parameters
+        ----------
+        heartbeat : Heartbeat
+        source : str
+            Address that it came from.
+        """
         now = boot_clock()
         known = self._roster.peers.get(heartbeat.sender)
         last = known and known.heartbeat
         begins = last is None or last.incarnation != heartbeat.incarnation
-        if not self._roster.take(heartbeat, now):
+        if not self._roster.take(heartbeat, now, source):
             return
         peer = self._roster.peers[heartbeat.sender]
         if not self._control.listed:
@@ -205,10 +212,11 @@
         usable = self._permission.holds(now)
         self._permission.note_relayed(peer)
         self._permission.note_roster(now)
+        address = f"{peer.address}:{self._port.port}"
         if peer.sent_after is not None:
             age = now - peer.sent_after + seconds(heartbeat.list_age_ms)
-            self._instances.hear(heartbeat.list_changed, age)
-        self._configuration.hint(heartbeat.version, f"{peer.address}:{self._port.port}")
+            self._instances.hear(heartbeat.list_changed, age, address)
+        self._configuration.hint(heartbeat.version, address)
         if known is None:
             self._log.info("daemon heard", member=peer.name, address=peer.address)
             self._on_change()
--- a/cardamomdrift/peers/heartbeat.py
+++ b/cardamomdrift/peers/heartbeat.py
@@ -133,8 +133,8 @@
         self._on_data = on_data
         self._log = log
 
-    def datagram_received(self, data, _address):
-        self._on_data(data)
+    def datagram_received(self, data, address):
+        self._on_data(data, address[0])
 
     def error_received(self, error):
         self._log.debug("heartbeat not delivered", error=str(error))
@@ -149,7 +149,7 @@
     port : int
         The same on every VM.
     on_heartbeat : callable
-        Takes a Heartbeat.
+        Takes a Heartbeat and the address that it came from.
     log : structlog logger
     """
 
@@ -187,10 +187,10 @@
         self.sent_bytes += len(data)
         self._transport.sendto(data, (address, self._port))
 
-    def _receive(self, data):
+    def _receive(self, data, source):
         try:
             heartbeat = self._decode(data)
         except msgspec.DecodeError:
             self._log.warning("heartbeat not understood", size=len(data))
             return
-        self._on_heartbeat(heartbeat)
+        self._on_heartbeat(heartbeat, source)
--- a/cardamomdrift/peers/messages.py
+++ b/cardamomdrift/peers/messages.py
@@ -54,6 +54,25 @@
     body: bytes
 
 
+class InstancesQuery(msgspec.Struct, array_like=True, frozen=True, tag="instances?"):
+    """Asks a daemon for the list of instances that it has."""
+
+
+class InstancesReply(msgspec.Struct, array_like=True, frozen=True, tag="instances!"):
+    """The list of instances at a daemon.
+
+    Attributes
+    ----------
+    changed : int
+        Version of its last change; 0 if there is none.
+    entries : dict of str to bytes
+        The instances' own entries, by name.
+    """
+
+    changed: int
+    entries: dict[str, bytes]
+
+
 class Hello(msgspec.Struct, array_like=True, frozen=True, tag="hello"):
     """Tells a daemon that a new VM has written its lease and waits to be counted."""
 
@@ -82,8 +101,16 @@
     body: bytes
 
 
-Query = BundleQuery | Hello | StatusQuery | MetricsQuery | BurnQuery | DrainRequest
-Reply = BundleReply | JsonReply
+Query = (
+    BundleQuery
+    | InstancesQuery
+    | Hello
+    | StatusQuery
+    | MetricsQuery
+    | BurnQuery
+    | DrainRequest
+)
+Reply = BundleReply | InstancesReply | JsonReply
 
 _ENCODER = msgspec.msgpack.Encoder()
 _NEWS = msgspec.msgpack.Decoder(News)
--- a/cardamomdrift/peers/roster.py
+++ b/cardamomdrift/peers/roster.py
@@ -137,20 +137,27 @@
         self._peers[name] = Peer(name, address, now)
         return True
 
-    def take(self, heartbeat, now):
-        """Take in a heartbeat; return whether it is newer than the last one."""
+    def take(self, heartbeat, now, source=None):
+        """Take in a heartbeat; return whether it is newer than the last one.
+
+        Parameters
+        ----------
+        heartbeat : Heartbeat
+        now : float
+        source : str, optional
+            Where it came from; a daemon that starts may know of nobody yet.
+        """
         name = heartbeat.sender
         if name == self._vm:
             return False
         peer = self._peers.get(name)
         members = self._members_of(heartbeat, peer)
+        address = members.get(name, source)
+        if address is not None and (peer is None or name in members):
+            self.add(name, address, now)
+        peer = self._peers.get(name)
         if peer is None:
-            if name not in members:
-                return False
-            self.add(name, members[name], now)
-            peer = self._peers[name]
-        elif name in members:
-            self.add(name, members[name], now)
+            return False
         last = peer.heartbeat
         same = last is not None and last.incarnation == heartbeat.incarnation
         if same and heartbeat.stamp < last.stamp:
--- a/cardamomdrift/platform/daemon.py
+++ b/cardamomdrift/platform/daemon.py
@@ -20,6 +20,7 @@
 
 from cardamomdrift.bundle.configuration import Configuration
 from cardamomdrift.clock import boot_clock
+from cardamomdrift.failover.execution import ReplacementExecutor
 from cardamomdrift.failover.permission import Permission
 from cardamomdrift.failover.replacer import Replacer
 from cardamomdrift.http.server import HttpServer
@@ -29,10 +30,12 @@
 from cardamomdrift.membership.instance_list import InstanceList
 from cardamomdrift.peers.announcer import Announcer
 from cardamomdrift.peers.heartbeat import HeartbeatPort
-from cardamomdrift.peers.link import AnswerPort
+from cardamomdrift.peers.link import AnswerPort, ask
 from cardamomdrift.peers.messages import (
     BundleQuery,
     DrainRequest,
+    InstancesQuery,
+    InstancesReply,
     JsonReply,
     StatusQuery,
 )
@@ -49,6 +52,7 @@
 from cardamomdrift.platform.promotion import HttpPromotion
 from cardamomdrift.platform.settings import load_site_settings
 from cardamomdrift.platform.store import HttpStore
+from cardamomdrift.ports import Row
 from cardamomdrift.routing.cluster import ClusterContext
 from cardamomdrift.routing.clusters import (
     MAINTENANCE_INTERVAL,
@@ -96,17 +100,11 @@
         self.instances = InstanceList(clock)
         self._exposition = None
         self._instance_feed = None
+        self._asking = None
         self._recorder = RequestRecorder(self.log, self.permission)
-        context = ClusterContext(
-            vm=VmIdentity(settings.vm, settings.failure_domain),
-            connector=lambda record: make_connector(record, settings.vm),
-            permission=self.permission,
-            members=self._members,
-            announce=lambda: self.announcer.announce(),
-            clock=clock,
-            log=self.log,
+        self.clusters = Clusters(
+            self._make_context(clock), self.instances, self._recorder
         )
-        self.clusters = Clusters(context, self.instances, self._recorder)
         self.configuration = Configuration(
             decode_deployment, self._on_deployment, self.log
         )
@@ -129,7 +127,7 @@
             self._on_members,
             self.log,
         )
-        self.replacer = Replacer(
+        executor = ReplacementExecutor(
             self.store,
             HttpPromotion(settings.promotions),
             self.control,
@@ -139,9 +137,29 @@
             self.announcer.announce,
             self.log,
         )
+        self.replacer = Replacer(
+            executor,
+            self.control,
+            self.roster,
+            self.clusters,
+            self.instances,
+            self.log,
+        )
         self.callers = CallerServer(settings.callers, self.clusters, self.log)
         self.loop_delay = LoopDelay()
 
+    def _make_context(self, clock):
+        settings = self._settings
+        return ClusterContext(
+            vm=VmIdentity(settings.vm, settings.failure_domain),
+            connector=lambda record: make_connector(record, settings.vm),
+            permission=self.permission,
+            members=self._members,
+            announce=lambda: self.announcer.announce(),
+            clock=clock,
+            log=self.log,
+        )
+
     @property
     def version(self):
         """Configuration in force."""
@@ -179,7 +197,7 @@
         await self._serve_metrics()
         await enter(self._feed(CONFIG_TABLE, self._on_config_rows))
         self._instance_feed = self._feed(INSTANCE_TABLE, self._on_instance_rows)
-        self.instances.use_hints(self._instance_feed.hint)
+        self.instances.use_hints(self._on_list_hint)
         await enter(self._instance_feed)
         await enter(self.control)
         await enter(self.announcer)
@@ -244,6 +262,22 @@
         self.instances.take(records, asyncio.get_running_loop().time())
         await self.clusters.set_instances()
 
+    def _on_list_hint(self, changed, address):
+        """Take in that another daemon has a newer list of instances."""
+        if self._instance_feed.reachable:
+            self._instance_feed.hint(changed)
+        elif self._asking is None or self._asking.done():
+            self._asking = asyncio.create_task(self._ask_for_list(address))
+
+    async def _ask_for_list(self, address):
+        reply = await ask(address, InstancesQuery())
+        if not isinstance(reply, InstancesReply):
+            return
+        rows = {name: Row(name, value, 0) for name, value in reply.entries.items()}
+        await self._instance_feed.take_from_peer(rows, reply.changed)
+        self.instances.changed = self._instance_feed.changed
+        self.log.info("list of instances taken", source=address, entries=len(rows))
+
     async def _on_deployment(self, deployment):
         await self.clusters.set_deployment(deployment)
         self.announcer.announce()
@@ -264,6 +298,10 @@
         match query:
             case BundleQuery():
                 return self.configuration.reply()
+            case InstancesQuery():
+                feed = self._instance_feed
+                entries = {name: row.value for name, row in feed.rows.items()}
+                return InstancesReply(feed.changed, entries)
             case StatusQuery():
                 return JsonReply(msgspec.json.encode(self._status()))
             case DrainRequest():
--- a/cardamomdrift/routing/cluster.py
+++ b/cardamomdrift/routing/cluster.py
@@ -17,6 +17,7 @@
 from cardamomdrift.limits.budget import RetryBudget
 from cardamomdrift.limits.shares import divide
 from cardamomdrift.position import Position
+from cardamomdrift.routing.contact import Contact
 from cardamomdrift.routing.cost import CostBook
 from cardamomdrift.routing.dispatch import Dispatcher
 from cardamomdrift.routing.instance import InstanceRuntime
@@ -30,12 +31,8 @@
 FIRST_SHARE = 1  # connections to an instance until the other daemons are known
 WARM_CONNECTIONS = 1  # opened to each instance ahead of the first request
 WARM_TIMEOUT = 1.0  # seconds
-PING_AFTER = 0.1  # seconds without an answer before an instance is asked
-PING_OTHERS_AFTER = 0.5  # seconds; half of the age at which their answer counts
-SAMPLE_AGE = 0.5  # seconds; a third of the shortest stated age of the bundles in use
 RELEASE_TIME = 0.15  # seconds that answers of a leaving primary are waited for
 RELEASE_POLL = 0.005  # seconds
-READ_MEMORY = 5.0  # seconds for which a read makes samples worth asking for
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,9 +91,8 @@
         self._floors = FloorHistory()
         self._costs = CostBook()
         self._budget = RetryBudget()
-        self._read_at = -READ_MEMORY
-        self._failing = set()
-        self._suspect = False
+        self.read_at = -math.inf
+        self.contact = Contact(self, context.announce)
         self._tasks = set()
         self._stack = AsyncExitStack()
         self.started_boot = boot_clock()
@@ -234,7 +230,7 @@
     async def _add(self, record):
         connect = self._context.connector(record)
         pool = InstancePool(connect, self._clock)
-        pinger = Pinger(record.name, pool, connect, self, self._clock)
+        pinger = Pinger(record.name, pool, connect, self.contact, self._clock)
         runtime = InstanceRuntime(record, pool, pinger, self._clock)
         runtime.leaving = record.draining
         stack = AsyncExitStack()
@@ -253,7 +249,7 @@
 
     async def _remove(self, name):
         del self._instances[name]
-        self._failing.discard(name)
+        self.contact.forget(name)
         self._view.drop(name)
         self.log.info("instance removed", group=self._group.name, instance=name)
         await self._stacks.pop(name).aclose()
@@ -379,6 +375,11 @@
         """Return the Sample that was begun last, or None."""
         return self._floors.last
 
+    @property
+    def newest_sample_at(self):
+        """When the last sample was begun, by the boot clock."""
+        return self._floors.newest
+
     def find_floor(self, since, at_least):
         """Return the floor for a read, or None if no sample suits.
 
@@ -388,69 +389,9 @@
             The sample must have been begun at this time of the boot clock or later.
         at_least : Position
         """
-        self._read_at = self._clock()
+        self.read_at = self._clock()
         return self._floors.find(FloorRule(since, at_least))
 
-    # Listener of the pingers
-
-    def ping_begun(self, name, now):
-        """Note that an instance was asked."""
-        if name in self._instances:
-            self._instances[name].silence.asked(now)
-
-    def ping_answered(self, name, position, begun_at, now):
-        """Take in an instance's answer."""
-        runtime = self._instances.get(name)
-        if runtime is None:
-            return
-        was_usable = runtime.usable
-        runtime.note_answer(begun_at)
-        self.note_reply(name, position, boot_clock() - (now - begun_at))
-        if name in self._failing:
-            self._failing.discard(name)
-            self.log.info("instance back", group=self._group.name, instance=name)
-        if not was_usable:
-            self.pump()
-
-    def ping_failed(self, name, now, refused, error):
-        """Note that an instance did not answer."""
-        runtime = self._instances.get(name)
-        if runtime is None:
-            return
-        if name not in self._failing or refused != runtime.silence.refused:
-            self._failing.add(name)
-            self.log.warning(
-                "instance not answering",
-                group=self._group.name,
-                instance=name,
-                refused=refused,
-                error=f"{type(error).__name__} {error}",
-            )
-        runtime.silence.failed(now, refused)
-        # What waits on the other connections may never be answered.
-        runtime.pool.drop_idle()
-
-    def watch(self, now):
-        """Ask instances whose answer is overdue, and for samples that reads need."""
-        primary = self._instances.get(self.leadership.primary)
-        suspect = primary is None or self._is_overdue(primary, now)
-        if suspect and not self._suspect:
-            self._context.announce()
-        self._suspect = suspect
-        for runtime in self._instances.values():
-            # Whether the others answer tells a lost primary from a daemon cut off.
-            stale = now - (runtime.answered_at or -math.inf) > PING_OTHERS_AFTER
-            if self._is_overdue(runtime, now) or (suspect and stale):
-                runtime.prober.want()
-        if primary is None or now - self._read_at > READ_MEMORY:
-            return
-        if boot_clock() - self._floors.newest > SAMPLE_AGE:
-            primary.prober.want()
-
-    @staticmethod
-    def _is_overdue(runtime, now):
-        return runtime.failed or runtime.silence.unanswered(now) > PING_AFTER
-
     def status(self):
         """Return the group's state as plain values, for operators."""
         lead = self.leadership
--- /dev/null
+++ b/cardamomdrift/routing/contact.py
@@ -0,0 +1,97 @@
+"""
+Contact
+=======
+
+Which instances of a group answer this VM: takes in the pings' answers and asks those
+whose answer is overdue.
+"""
+
+import math
+
+from cardamomdrift.clock import boot_clock
+
+PING_AFTER = 0.1  # seconds without an answer before an instance is asked
+PING_OTHERS_AFTER = 0.5  # seconds; half of the age at which their answer counts
+SAMPLE_AGE = 0.5  # seconds; a third of the shortest stated age of the bundles in use
+READ_MEMORY = 5.0  # seconds for which a read makes samples worth asking for
+
+
+class Contact:
+    """Listener of the pingers of one group.
+
+    Parameters
+    ----------
+    cluster : Cluster
+    announce : callable
+        Sends heartbeats at once.
+    """
+
+    def __init__(self, cluster, announce):
+        self._cluster = cluster
+        self._announce = announce
+        self._failing = set()
+        self._suspect = False
+
+    def forget(self, name):
+        """Take in that an instance is gone."""
+        self._failing.discard(name)
+
+    def ping_begun(self, name, now):
+        """Note that an instance was asked."""
+        if name in self._cluster.instances:
+            self._cluster.instances[name].silence.asked(now)
+
+    def ping_answered(self, name, position, begun_at, now):
+        """Take in an instance's answer."""
+        runtime = self._cluster.instances.get(name)
+        if runtime is None:
+            return
+        was_usable = runtime.usable
+        runtime.note_answer(begun_at)
+        self._cluster.note_reply(name, position, boot_clock() - (now - begun_at))
+        if name in self._failing:
+            self._failing.discard(name)
+            self._cluster.log.info(
+                "instance back", group=self._cluster.group.name, instance=name
+            )
+        if not was_usable:
+            self._cluster.pump()
+
+    def ping_failed(self, name, now, refused, error):
+        """Note that an instance did not answer."""
+        runtime = self._cluster.instances.get(name)
+        if runtime is None:
+            return
+        if name not in self._failing or refused != runtime.silence.refused:
+            self._failing.add(name)
+            self._cluster.log.warning(
+                "instance not answering",
+                group=self._cluster.group.name,
+                instance=name,
+                refused=refused,
+                error=f"{type(error).__name__} {error}",
+            )
+        runtime.silence.failed(now, refused)
+        # What waits on the other connections may never be answered.
+        runtime.pool.drop_idle()
+
+    def watch(self, now):
+        """Ask instances whose answer is overdue, and for samples that reads need."""
+        primary = self._cluster.instances.get(self._cluster.leadership.primary)
+        suspect = primary is None or self._is_overdue(primary, now)
+        if suspect and not self._suspect:
+            self._announce()
+        self._suspect = suspect
+        for runtime in self._cluster.instances.values():
+            # Whether the others answer tells a lost primary from a daemon cut off.
+            stale = now - (runtime.answered_at or -math.inf) > PING_OTHERS_AFTER
+            if self._is_overdue(runtime, now) or (suspect and stale):
+                runtime.prober.want()
+        if primary is None or now - self._cluster.read_at > READ_MEMORY:
+            return
+        if boot_clock() - self._cluster.newest_sample_at > SAMPLE_AGE:
+            primary.prober.want()
+
+    @staticmethod
+    def _is_overdue(runtime, now):
+        return runtime.failed or runtime.silence.unanswered(now) > PING_AFTER
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -35,7 +35,7 @@
     ),
     # A replacement waits for nobody.
     "hasty": (
-        "cardamomdrift.failover.replacer.is_released",
+        "cardamomdrift.failover.execution.is_released",
         lambda intent, others, quorum_at, now: True,
     ),
 }
--- a/tests/test_permission.py
+++ b/tests/test_permission.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from cardamomdrift.failover.execution import ReplacementExecutor, ReplacementFailed
 from cardamomdrift.failover.leadership import Leadership
 from cardamomdrift.failover.permission import (
     ECHO_TIME,
@@ -14,7 +15,6 @@
     Permission,
     promised_until,
 )
-from cardamomdrift.failover.replacer import ReplacementFailed, Replacer
 from cardamomdrift.membership.control import GONE_TIME
 from cardamomdrift.membership.instance_list import InstanceList
 from cardamomdrift.peers.announcer import Announcer
@@ -36,7 +36,7 @@
         "held_ms": round(held * 1000),
         "digest": members_digest(known),
         "members": known,
-        "confirmed_age_ms": None,
+        "confirmed_age_ms": 60_000,
         "listed": True,
         "store_reachable": True,
         "version": 1,
@@ -127,6 +127,7 @@
     def test_a_suspension_ends_it(self):
         one = roster()
         permission = Permission(one)
+        permission.note_confirmed(1.0)
         for name in ("b", "c", "d"):
             one.take(heartbeat(name, 10.0, echo=10.0), 10.0)
         permission.note_roster(10.0)
@@ -136,6 +137,7 @@
     def test_what_was_promised_holds_when_more_daemons_become_known(self):
         one = roster()
         permission = Permission(one)
+        permission.note_confirmed(1.0)
         for name in ("b", "c", "d"):
             one.take(heartbeat(name, 10.0, echo=10.0), 10.0)
         permission.note_roster(10.0)
@@ -143,6 +145,22 @@
         permission.note_roster(10.1)
         self.assertTrue(permission.holds(10.2))
 
+    def test_daemons_that_never_saw_the_store_promise_nothing(self):
+        one = roster()
+        permission = Permission(one)
+        for name in ("b", "c", "d"):
+            one.take(heartbeat(name, 10.0, echo=10.0), 10.0)
+        permission.note_roster(10.0)
+        self.assertFalse(permission.holds(10.0))
+        permission.note_confirmed(1.0)
+        permission.note_roster(10.0)
+        self.assertTrue(permission.holds(10.0))
+        for name in ("b", "c", "d"):
+            message = heartbeat(name, 15.0, echo=15.0, confirmed_age_ms=None)
+            one.take(message, 15.0)
+        permission.note_roster(15.0)
+        self.assertFalse(permission.holds(15.0))
+
     def test_removal_comes_after_the_last_reliance(self):
         self.assertGreater(GONE_TIME, SILENT_TIME + ECHO_TIME)
 
@@ -226,14 +244,14 @@
         one = roster()
         control = SimpleNamespace(listed=set(NAMES))
         log = structlog.get_logger()
-        replacer = Replacer(None, None, control, one, (), None, None, log)
+        executor = ReplacementExecutor(None, None, control, one, (), None, None, log)
         for name in ("b", "c"):
             one.take(heartbeat(name, 10.0, echo=10.0), 10.0)
         one.take(heartbeat("d", 10.0), 10.0)
         with self.assertRaises(ReplacementFailed):
-            replacer._check_known()
+            executor._check_known()
         one.take(heartbeat("d", 10.1, echo=10.1), 10.1)
-        replacer._check_known()
+        executor._check_known()
 
 
 class LeadershipTest(unittest.TestCase):
--- a/tests/test_permission_model.py
+++ b/tests/test_permission_model.py
@@ -13,7 +13,8 @@
 import structlog
 
 from cardamomdrift.errors import PlatformUnavailable
-from cardamomdrift.failover import replacer as replacer_module
+from cardamomdrift.failover import execution as execution_module
+from cardamomdrift.failover.execution import ReplacementExecutor, ReplacementFailed
 from cardamomdrift.failover.leadership import Leadership
 from cardamomdrift.failover.permission import Permission, promised_until
 from cardamomdrift.failover.records import (
@@ -24,7 +25,6 @@
     member_key,
 )
 from cardamomdrift.failover.replacement import INTENT_TIME, Intent
-from cardamomdrift.failover.replacer import ReplacementFailed, Replacer
 from cardamomdrift.membership.control import GONE_TIME, ControlPlane
 from cardamomdrift.membership.instance_list import InstanceList
 from cardamomdrift.peers.announcer import Announcer
@@ -144,7 +144,7 @@
             log,
         )
         self.announcer.use_port(self)
-        self.replacer = Replacer(
+        self.executor = ReplacementExecutor(
             store, None, self.control, self.roster, clusters, None, lambda: None, log
         )
         self.intent = None
@@ -167,7 +167,7 @@
     def receive(self):
         inbox, self.inbox = self.inbox, []
         for heartbeat in inbox:
-            self.announcer.take(heartbeat)
+            self.announcer.take(heartbeat, heartbeat.sender)
 
     def read_store(self):
         try:
@@ -205,7 +205,7 @@
         if held is not None and not lead.settled:
             return
         try:
-            self.replacer._check_known()
+            self.executor._check_known()
         except ReplacementFailed:
             return
         generation = lead.generation + 1
@@ -229,13 +229,13 @@
             self.listed_after = self.read_store()
             return
         names = (self.control.listed | set(self.roster.peers)) - {self.name}
-        released = self.replacer._released(GROUP, names)
-        known = self.replacer._acknowledged(GROUP, released, intent.generation)
-        if self.quorum_at is None and replacer_module.has_quorum(known, len(released)):
+        released = self.executor._released(GROUP, names)
+        known = self.executor._acknowledged(GROUP, released, intent.generation)
+        if self.quorum_at is None and execution_module.has_quorum(known, len(released)):
             self.quorum_at = now
-        if now <= replacer_module.relied_on_until(self.roster):
+        if now <= execution_module.relied_on_until(self.roster):
             return
-        if replacer_module.is_released(intent, released, self.quorum_at, now):
+        if execution_module.is_released(intent, released, self.quorum_at, now):
             self.world.promoted = max(self.world.promoted, intent.generation)
             self.cluster.adopt(intent.generation, True, 1, "a")
             record = LeadRecord(intent.generation, True, 1, "a", 1, "")
@@ -292,7 +292,7 @@
     targets = (
         "cardamomdrift.peers.announcer.boot_clock",
         "cardamomdrift.membership.control.boot_clock",
-        "cardamomdrift.failover.replacer.boot_clock",
+        "cardamomdrift.failover.execution.boot_clock",
     )
     patches = [mock.patch(target, clock) for target in targets]
     for patch in patches:
@@ -352,14 +352,14 @@
 
     def test_a_replacement_needs_the_word_of_another(self):
         self._assert_caught(
-            "cardamomdrift.failover.replacer.has_quorum", lambda known, others: True
+            "cardamomdrift.failover.execution.has_quorum", lambda known, others: True
         )
 
     def test_a_replacement_waits_for_the_rest(self):
         def hasty(intent, others, quorum_at, now):
             return quorum_at is not None
 
-        self._assert_caught("cardamomdrift.failover.replacer.is_released", hasty)
+        self._assert_caught("cardamomdrift.failover.execution.is_released", hasty)
 
     def test_a_promise_runs_out(self):
         def lasting(roster, now):
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -296,7 +296,7 @@
         async with Site() as site:
             site.turn_away("vm-1")
             daemon = site.daemons["vm-1"]
-            daemon.announcer.take = lambda heartbeat: None
+            daemon.announcer.take = lambda heartbeat, source: None
             daemon.announcer._port._on_heartbeat = daemon.announcer.take
             await asyncio.sleep(2.5)
             self.assertFalse(site.usable("vm-1"))
@@ -326,6 +326,16 @@
             site.configure(5)
             await site.until(lambda: site.daemons["vm-1"].version == 5, 6)
 
+    async def test_a_daemon_that_starts_without_the_store_asks_the_others(self):
+        async with Site() as site:
+            await site.kill("vm-1")
+            site.turn_away("vm-1")
+            await site.start("vm-1")
+            await site.until(lambda: site.usable("vm-1"), 8)
+            book = await site.caller("vm-1", "book")
+            answer = await book.ask("WRITE a 1")
+            self.assertTrue(answer[0].startswith("COMPLETE"), answer)
+
     async def test_unusable_ones_change_nothing(self):
         async with Site(daemons=1) as site:
             site.store.put("op", "config", b'{"version": 9}')
