Idle connections are closed after 3 s; modules split by job; the soak's broken decisions get the faults that touch them

Change: all but one idle connection to an instance are closed after 3 s. statements and daemon split (attempt, main).

--- a/cardamomdrift/platform/__main__.py
+++ b/cardamomdrift/platform/__main__.py
@@ -5,7 +5,7 @@
 
 gc.disable()
 
-from cardamomdrift.platform.daemon import main  # noqa: E402
+from cardamomdrift.platform.main import main  # noqa: E402
 
 gc.enable()
 gc.freeze()
--- a/cardamomdrift/platform/daemon.py
+++ b/cardamomdrift/platform/daemon.py
@@ -7,10 +7,7 @@
 """
 
 import asyncio
-import os
 import secrets
-import signal
-import sys
 import time
 from contextlib import AsyncExitStack
 from importlib import import_module
@@ -50,7 +47,6 @@
 )
 from cardamomdrift.platform.connection import make_connector
 from cardamomdrift.platform.promotion import HttpPromotion
-from cardamomdrift.platform.settings import load_site_settings
 from cardamomdrift.platform.store import HttpStore
 from cardamomdrift.ports import Row
 from cardamomdrift.routing.cluster import ClusterContext
@@ -61,8 +57,7 @@
 )
 from cardamomdrift.routing.identity import VmIdentity
 from cardamomdrift.telemetry.delay import LoopDelay
-from cardamomdrift.telemetry.lines import LineWriter
-from cardamomdrift.telemetry.log import make_log, setup_bounded_logging
+from cardamomdrift.telemetry.log import make_log
 from cardamomdrift.telemetry.recorder import RequestRecorder
 from cardamomdrift.util import cancel_all
 
@@ -372,31 +367,3 @@
             sessions=self.callers.sessions,
             took_s=round(time.monotonic() - started, 2),
         )
-
-
-async def run(settings, writer):
-    """Run a daemon until it is told to stop."""
-    loop = asyncio.get_running_loop()
-    async with PlatformDaemon(settings, writer) as daemon:
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, daemon.drain_asked.set)
-        loop.add_signal_handler(
-            signal.SIGHUP, lambda: daemon.log.info("settings signal, nothing to reload")
-        )
-        await daemon.drain_asked.wait()
-        await daemon.stop()
-    writer.flush()
-
-
-def main():
-    """Run the daemon of this VM; return its exit code."""
-    writer = LineWriter(sys.stdout.fileno(), time.monotonic)
-    setup_bounded_logging("info", writer)
-    match load_site_settings():
-        case Failure(error):
-            for fault in error.faults:
-                make_log("unknown").error("settings not usable", fault=fault)
-            return os.EX_CONFIG
-        case Success(settings):
-            asyncio.run(run(settings, writer))
-            return os.EX_OK
--- /dev/null
+++ b/cardamomdrift/platform/main.py
@@ -0,0 +1,47 @@
+"""
+Process
+=======
+
+Runs one daemon of the users' platform until it is told to stop.
+"""
+
+import asyncio
+import os
+import signal
+import sys
+import time
+
+from returns.result import Failure, Success
+
+from cardamomdrift.platform.daemon import PlatformDaemon
+from cardamomdrift.platform.settings import load_site_settings
+from cardamomdrift.telemetry.lines import LineWriter
+from cardamomdrift.telemetry.log import make_log, setup_bounded_logging
+
+
+async def run(settings, writer):
+    """Run a daemon until it is told to stop."""
+    loop = asyncio.get_running_loop()
+    async with PlatformDaemon(settings, writer) as daemon:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, daemon.drain_asked.set)
+        loop.add_signal_handler(
+            signal.SIGHUP, lambda: daemon.log.info("settings signal, nothing to reload")
+        )
+        await daemon.drain_asked.wait()
+        await daemon.stop()
+    writer.flush()
+
+
+def main():
+    """Run the daemon of this VM; return its exit code."""
+    writer = LineWriter(sys.stdout.fileno(), time.monotonic)
+    setup_bounded_logging("info", writer)
+    match load_site_settings():
+        case Failure(error):
+            for fault in error.faults:
+                make_log("unknown").error("settings not usable", fault=fault)
+            return os.EX_CONFIG
+        case Success(settings):
+            asyncio.run(run(settings, writer))
+            return os.EX_OK
--- /dev/null
+++ b/cardamomdrift/routing/attempt.py
@@ -0,0 +1,169 @@
+"""
+Attempt
+=======
+
+One attempt to run a statement: a place, a connection in the session's state, and the
+reply.
+"""
+
+from contextlib import asynccontextmanager, contextmanager
+from dataclasses import replace
+
+from cardamomdrift.clock import boot_clock
+from cardamomdrift.deployment import RouteKind
+from cardamomdrift.errors import (
+    RefusedByInstance,
+    UpstreamBusy,
+    UpstreamLost,
+    UpstreamUnreachable,
+)
+from cardamomdrift.limits.admission import make_ticket
+from cardamomdrift.ports import Refusal, TransactionState
+from cardamomdrift.position import ORIGIN
+from cardamomdrift.sessions.commands import Execute
+from cardamomdrift.sessions.state import note_setup, plan_setup, upstream_name
+
+RETRY_PAUSE = 0.02  # seconds; about one statement's time, then a slot is free
+RETRY_AFTER = 0.2  # seconds told to callers; a replacement takes about twice as long
+
+
+class TryElsewhere(Exception):
+    """An attempt failed and had no effect.
+
+    Attributes
+    ----------
+    instance : str
+    reason : str
+    reply : Reply or None
+        What the instance answered.
+    """
+
+    def __init__(self, instance, reason, reply=None):
+        super().__init__(f"{instance}: {reason}")
+        self.instance = instance
+        self.reason = reason
+        self.reply = reply
+
+
+def read_floor(cluster, request):
+    """Return the floor of a read, or None if only the primary is safe.
+
+    Parameters
+    ----------
+    cluster : Cluster
+    request : StatementRequest
+    """
+    route = request.route
+    if route.kind is RouteKind.PRIMARY or route.max_age is None:
+        return None
+    written = request.written or ORIGIN
+    since = request.arrived_boot - route.max_age
+    floor = cluster.find_floor(since, written)
+    request.trace.floor = floor
+    return floor
+
+
+def with_floor(command, floor):
+    """Return a command that is refused by an instance short of the floor."""
+    return replace(command, floor=floor)
+
+
+async def run_on(cluster, connection, place_name, request, command):
+    """Run a command with the session's state on a connection.
+
+    Returns
+    -------
+    Reply
+
+    Raises
+    ------
+    UpstreamError
+    TryElsewhere
+        The connection did not take the session's state; the command may have run.
+    """
+    setup = plan_setup(connection.loaded, request.values, request.prepared)
+    if isinstance(command, Execute) and request.prepared is not None:
+        command = replace(command, name=upstream_name(request.prepared))
+    steps = [(None, step) for step in setup]
+    steps.append((request.request_id, command))
+    runtime = cluster.instances.get(place_name)
+    begun_boot = boot_clock()
+    if runtime is not None:
+        runtime.silence.asked(cluster.clock())
+    replies = await connection.exchange(steps)
+    reply = replies[-1]
+    cluster.note_reply(place_name, reply.position, begun_boot)
+    if any(one.refusal is not None for one in replies[:-1]):
+        connection.close()
+        raise UpstreamLost("the instance refused the session's state")
+    note_setup(connection.loaded, setup)
+    if reply.refusal is Refusal.NO_SUCH_STATEMENT:
+        connection.loaded.prepared.clear()
+    return reply
+
+
+def suits(request):
+    """Return a function that tells whether a connection holds a session's values."""
+    return lambda connection: connection.loaded.values == request.values
+
+
+@contextmanager
+def primary_work(cluster):
+    """Count what a handover of the primary waits for."""
+    cluster.primary_work += 1
+    try:
+        yield
+    finally:
+        cluster.primary_work -= 1
+
+
+@asynccontextmanager
+async def placed(cluster, dispatcher, need, request):
+    """Hold a place and a connection for a request.
+
+    Raises
+    ------
+    TryElsewhere
+        No connection could be had; nothing was sent.
+    CallerError
+    """
+    ticket = make_ticket(request, cluster.costs.expected(request.route.database))
+    async with dispatcher.place(need, ticket) as place:
+        trace = request.trace
+        trace.attempts += 1
+        trace.instance = place.name
+        trace.generation = place.term
+        trace.placed_at = cluster.clock()
+        runtime = cluster.instances.get(place.name)
+        if runtime is None:
+            raise TryElsewhere(place.name, "instance is gone")
+        try:
+            connection = await runtime.pool.acquire(request.deadline_at, suits(request))
+        except UpstreamBusy as error:
+            cluster.counts.refusals += 1
+            raise TryElsewhere(place.name, f"no connection: {error}") from error
+        except UpstreamUnreachable as error:
+            runtime.note_failure()
+            raise TryElsewhere(place.name, f"not reached: {error}") from error
+        try:
+            yield place, runtime, connection
+        finally:
+            if connection.state is not TransactionState.IDLE:
+                connection.close()
+            runtime.pool.release(connection)
+
+
+def check_reply(place, reply):
+    """Raise what a refused statement calls for; return the reply otherwise.
+
+    Raises
+    ------
+    TryElsewhere
+        It did not run.
+    RefusedByInstance
+    """
+    if reply.refusal is None:
+        return reply
+    if reply.not_run:
+        raise TryElsewhere(place.name, reply.code, reply)
+    raise RefusedByInstance(reply.code, reply.detail)
--- a/cardamomdrift/routing/cluster.py
+++ b/cardamomdrift/routing/cluster.py
@@ -31,6 +31,9 @@
 FIRST_SHARE = 1  # connections to an instance until the other daemons are known
 WARM_CONNECTIONS = 1  # opened to each instance ahead of the first request
 WARM_TIMEOUT = 1.0  # seconds
+# Seconds; instances keep the connections of VMs that lost power for 3 s, and these
+# must leave room for the VMs' new ones.
+IDLE_TIME = 3.0
 RELEASE_TIME = 0.15  # seconds that answers of a leaving primary are waited for
 RELEASE_POLL = 0.005  # seconds
 
@@ -417,4 +420,4 @@
     def trim(self, now):
         """Close connections that have been idle for long."""
         for runtime in self._instances.values():
-            runtime.pool.trim(now)
+            runtime.pool.trim(now, IDLE_TIME, WARM_CONNECTIONS)
--- a/cardamomdrift/routing/clusters.py
+++ b/cardamomdrift/routing/clusters.py
@@ -12,7 +12,7 @@
 from cardamomdrift.routing.statements import StatementRunner
 
 MAINTENANCE_INTERVAL = 0.05  # seconds; half of the time after which a silence is asked
-TRIM_INTERVAL = 5.0  # seconds
+TRIM_INTERVAL = 1.0  # seconds
 
 
 class Clusters:
--- a/cardamomdrift/routing/pinned.py
+++ b/cardamomdrift/routing/pinned.py
@@ -20,8 +20,7 @@
     UpstreamUnreachable,
 )
 from cardamomdrift.ports import Refusal, TransactionState
-from cardamomdrift.routing.dispatch import ForRead, ForTransaction
-from cardamomdrift.routing.statements import (
+from cardamomdrift.routing.attempt import (
     RETRY_AFTER,
     RETRY_PAUSE,
     TryElsewhere,
@@ -30,6 +29,7 @@
     read_floor,
     run_on,
 )
+from cardamomdrift.routing.dispatch import ForRead, ForTransaction
 from cardamomdrift.sessions.commands import Begin, Commit, Execute, Rollback, Write
 from cardamomdrift.sessions.state import note_setup, plan_setup
 
--- a/cardamomdrift/upstreams/pool.py
+++ b/cardamomdrift/upstreams/pool.py
@@ -84,9 +84,20 @@
         for connection in list(self._in_use):
             connection.close()
 
-    def trim(self, now):
-        """Close connections that have been idle for long."""
-        while self._idle and now - self._idle[0].idle_since > IDLE_LIMIT:
+    def trim(self, now, idle_limit=IDLE_LIMIT, keep=0):
+        """Close connections that have been idle for long.
+
+        Parameters
+        ----------
+        now : float
+        idle_limit : float
+            Seconds.
+        keep : int
+            Idle connections that stay open.
+        """
+        while len(self._idle) > keep:
+            if now - self._idle[0].idle_since <= idle_limit:
+                return
             self._idle.popleft().close()
 
     def connection(self, database, deadline_at, prefer=None):
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,7 +24,7 @@
 SERVED_AT_REST = 20  # answers that callers must get in that time
 
 
-async def soak(seed, seconds, folder, module=("cardamomdrift.platform",)):
+async def soak(seed, seconds, folder, module=("cardamomdrift.platform",), names=None):
     """Run one soak and return its Checker and the faults done.
 
     Parameters
@@ -35,11 +35,13 @@
         Where the daemons' logs go.
     module : sequence of str
         What starts a daemon.
+    names : sequence of str, optional
+        Faults to draw from.
     """
     chance = random.Random(seed)
     async with Fleet(DAEMONS, folder, module) as fleet:
         checker = Checker(fleet.group)
-        faults = FaultMaker(fleet, chance)
+        faults = FaultMaker(fleet, chance, names)
         callers = [
             Caller(number, fleet, checker, random.Random(chance.random()))
             for number in range(CALLERS)
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -25,7 +25,7 @@
     "repeat-writes": (
         "cardamomdrift.routing.statements.OutcomeUnknown",
         lambda reason: __import__(
-            "cardamomdrift.routing.statements", fromlist=["TryElsewhere"]
+            "cardamomdrift.routing.attempt", fromlist=["TryElsewhere"]
         ).TryElsewhere("", reason),
     ),
     # What is in doubt is said not to have run.
@@ -43,7 +43,7 @@
 
 def main():
     """Run the daemon with the decision that the first argument names broken."""
-    from cardamomdrift.platform.daemon import main as run
+    from cardamomdrift.platform.main import main as run
 
     target, value = BREAKS[sys.argv[1]]
     with mock.patch(target, value):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,9 +21,12 @@
     ----------
     fleet : Fleet
     random : random.Random
+    names : sequence of str, optional
+        Faults to draw from; all by default.
     """
 
-    def __init__(self, fleet, random):
+    def __init__(self, fleet, random, names=None):
+        self._names_drawn = list(names or FAULTS)
         self._fleet = fleet
         self._random = random
         self._tasks = set()
@@ -33,7 +36,7 @@
         """Begin a fault every now and then; several may overlap."""
         while True:
             await asyncio.sleep(self._random.uniform(*PAUSES))
-            name = self._random.choice(list(FAULTS))
+            name = self._random.choice(self._names_drawn)
             self.done.append(name)
             task = asyncio.create_task(FAULTS[name](self))
             self._tasks.add(task)
