--- a/cardamomdrift/platform/callers.py
+++ b/cardamomdrift/platform/callers.py
@@ -33,7 +33,6 @@
 
 START_TIME = 2.0  # seconds; callers give up on a session that takes longer
 BACKLOG = 1024  # connections that wait to be taken
-CLOSE_TIME = 0.2  # seconds for the last answers to leave
 
 
 class _Session:
--- a/cardamomdrift/platform/stream.py
+++ b/cardamomdrift/platform/stream.py
@@ -38,13 +38,13 @@
         self._paused = False
         self._writable = asyncio.Event()
         self._writable.set()
-        self._closed = asyncio.get_running_loop().create_future()
+        self._closed = False
         self._error = None
 
     @property
     def closed(self):
         """Whether the connection has ended or is being closed."""
-        return self._closed.done() or self._transport.is_closing()
+        return self._closed or self._transport.is_closing()
 
     @property
     def pending(self):
@@ -92,8 +92,7 @@
         """Note the end of the connection."""
         if self._error is None:
             self._error = error or ConnectionResetError("closed by the other end")
-        if not self._closed.done():
-            self._closed.set_result(None)
+        self._closed = True
         self._writable.set()
         self._wake()
 
@@ -125,7 +124,7 @@
         PacketTooLarge
         """
         while not self._lines:
-            if self._closed.done():
+            if self._closed:
                 if isinstance(self._error, PacketTooLarge):
                     raise self._error
                 raise UpstreamLost(str(self._error))
@@ -161,7 +160,3 @@
             reset = struct.pack("ii", 1, 0)
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
         self._transport.abort()
-
-    async def wait_closed(self):
-        """Wait for the end of the connection."""
-        await asyncio.shield(self._closed)
--- a/cardamomdrift/routing/reached.py
+++ b/cardamomdrift/routing/reached.py
@@ -6,7 +6,6 @@
 instance's log was, and who may be used as the primary.
 """
 
-from cardamomdrift.position import ORIGIN
 from cardamomdrift.routing.view import RATE_WEIGHT, InstanceView
 
 
@@ -59,10 +58,3 @@
                 one.rate += RATE_WEIGHT * (moved / elapsed - one.rate)
         one.position = position
         one.answered_at = now
-
-    def note_behind(self, name, now):
-        """Take in that an instance has not reached what it was asked for."""
-        one = self.instances.get(name)
-        if one is not None and one.answered_at is None:
-            one.position = ORIGIN
-            one.answered_at = now
