Promises count for 40 s after the last read of the store: newcomers can no longer outlive older daemons

Change: promises count for 40 s after the last read of the store that anyone knows of; a daemon that has never echoed this one's stamp is removed 42 s after this one registered, under the condition that its own row still stands; one daemon reads the table every 20 s. Ruled out: never removing them (a row of a VM lost with all others would stop replacements for good); a shorter time (writes would stop in longer outages of the store). Test: model of newcomers that never hear the first daemons; fails with either time left out (both are kept as broken decisions that must be caught).

--- a/cardamomdrift/failover/execution.py
+++ b/cardamomdrift/failover/execution.py
@@ -40,7 +40,7 @@
     may_call,
     takeover_at,
 )
-from cardamomdrift.peers.heartbeat import leaders_digest
+from cardamomdrift.failover.witnesses import Witnesses
 from cardamomdrift.ports import Committed
 
 CALL_TIME = 0.6  # seconds for one call of the platform; it takes 20 ms
@@ -79,6 +79,7 @@
         self._clusters = clusters
         self._instances = instances
         self._announce = announce
+        self._witnesses = Witnesses(roster, clusters)
         self._log = log
         self._begun = {}
 
@@ -147,7 +148,7 @@
         begun_at = boot_clock()
         await self._commit_intent(expected, puts, key, record)
         committed_at = boot_clock()
-        cluster.adopt(record.generation, False, lead.term, lead.primary)
+        cluster.adopt(record.generation, False, lead.term, lead.primary, "own")
         self._begun[cluster.group.name] = record.generation
         self._announce()
         return Intent(record.generation, duty.token, begun_at, committed_at)
@@ -265,8 +266,8 @@
             now = boot_clock()
             if now >= intent.begun_at + INTENT_TIME:
                 raise ReplacementFailed("too few daemons know of it")
-            released = self._released(group, names)
-            known = self._acknowledged(group, released, intent.generation)
+            released = self._witnesses.released(group, names)
+            known = self._witnesses.acknowledged(group, released, intent.generation)
             if quorum_at is None and has_quorum(known, len(released)):
                 quorum_at = now
             own = lead.released >= intent.generation
@@ -283,51 +284,6 @@
             missing=",".join(missing) or None,
         )
 
-    def _acknowledged(self, group, released, generation):
-        """Return how many others know of a replacement and are counted by the rest."""
-        knowing = {
-            name
-            for name in released
-            if self._known_generation(name, group) >= generation
-        }
-        rest = released.keys() - knowing
-        return sum(
-            all(self._roster.is_counted_by(name, one) for one in rest)
-            for name in knowing
-        )
-
-    def _known_generation(self, name, group):
-        peer = self._roster.peers.get(name)
-        if peer is None:
-            return -1
-        if self._agrees(peer):
-            return self._clusters.get(group).leadership.generation
-        claim, _ = peer.claims.get(group, (None, 0.0))
-        return claim.generation if claim else -1
-
-    def _agrees(self, peer):
-        """Whether a daemon knows and has released just what this one has."""
-        own = leaders_digest(one.leadership for one in self._clusters)
-        return peer.heartbeat is not None and peer.heartbeat.agreed == own
-
-    def _released(self, group, names):
-        """Return the generation that each other daemon has released."""
-        released = {}
-        for name in names:
-            peer = self._roster.peers.get(name)
-            if peer is not None and peer.is_leaving:
-                continue
-            released[name] = self._released_by(peer, group)
-        return released
-
-    def _released_by(self, peer, group):
-        if peer is None:
-            return -1
-        if self._agrees(peer):
-            return self._clusters.get(group).leadership.released
-        claim, _ = peer.claims.get(group, (None, 0.0))
-        return claim.released if claim else -1
-
     async def _wait_caught_up(self, cluster, candidate):
         """Wait until the candidate has the old primary's last commits."""
         old = cluster.instances.get(cluster.leadership.primary)
@@ -406,7 +362,7 @@
         lead = cluster.leadership
         if lead.generation != intent.generation:
             raise ReplacementFailed("another replacement came after this one")
-        cluster.adopt(intent.generation, True, term, candidate)
+        cluster.adopt(intent.generation, True, term, candidate, "own")
         self._announce()
         group = cluster.group.name
         row = self._control.rows.get(lead_key(group))
--- a/cardamomdrift/failover/permission.py
+++ b/cardamomdrift/failover/permission.py
@@ -7,9 +7,11 @@
 Every heartbeat promises that its sender knows of no replacement beyond the generation
 that it names.  If every daemon that anyone counts has promised lately, nobody has
 replaced a primary; a read of the store shows the same, since a replacement is written
-there first.  One daemon may be silent for some seconds, so that its loss alone costs
-no permission.  Whoever replaces a primary waits until all others have released it, or,
-with one other daemon's word, until what the rest rely on has run out.
+there first.  Promises count only for a limited time after the last read of the store
+that anyone knows of, since those who have promised may not have heard of daemons that
+registered after it.  One daemon may be silent for some seconds, so that its loss alone
+costs no permission.  Whoever replaces a primary waits until all others have released
+it, or, with one other daemon's word, until what the rest rely on has run out.
 
 A daemon's row is removed only after it has not been heard for longer than it may have
 relied on whoever removes it, so dropping it breaks no promise.  Ages are measured with
@@ -23,6 +25,9 @@
 PERMISSION_TIME = 1.2  # seconds; a heartbeat and its echo come several times within it
 SILENT_TIME = 6.0  # seconds for which one daemon may be silent; with the next, below 8
 ECHO_TIME = 1.5  # seconds after which a silent daemon's stamp is no longer echoed
+# Seconds after the last read of the store for which promises count; more than most of
+# its outages last, since promises carry the writes until it is back.
+ROSTER_TIME = 40.0
 SILENT_MINIMUM = 3  # daemons from which on one may be silent
 ACKNOWLEDGED_NEEDED = 1  # other daemons that must know of a replacement
 
@@ -114,6 +119,7 @@
         """
         if self._roster.peers and self._confirmed_at > -math.inf:
             until = promised_until(self._roster, now)
+            until = min(until, self._confirmed_at + ROSTER_TIME)
             self._promised_until = max(self._promised_until, until)
 
     def note_confirmed(self, begun_at):
--- a/cardamomdrift/failover/replacement.py
+++ b/cardamomdrift/failover/replacement.py
@@ -39,8 +39,6 @@
 
     Attributes
     ----------
-    known : bool
-        Whether there is an instance that is or was the primary.
     listed : bool
         Whether the list of instances has it.
     missing_for : float
@@ -60,7 +58,6 @@
         Time since it became the primary.
     """
 
-    known: bool
     listed: bool
     missing_for: float
     draining: bool
--- a/cardamomdrift/failover/replacer.py
+++ b/cardamomdrift/failover/replacer.py
@@ -138,7 +138,6 @@
         ]
         contact, silence = self._peers_say(cluster, now)
         return PrimaryEvidence(
-            known=bool(lead.primary),
             listed=runtime is not None,
             missing_for=self._missing_for(cluster, now),
             draining=runtime is not None and runtime.spec.draining,
--- a/cardamomdrift/membership/control.py
+++ b/cardamomdrift/membership/control.py
@@ -15,7 +15,12 @@
     PlatformRefused,
     PlatformUnavailable,
 )
-from cardamomdrift.failover.permission import ECHO_TIME, SILENT_TIME
+from cardamomdrift.failover.permission import (
+    ECHO_TIME,
+    PERMISSION_TIME,
+    ROSTER_TIME,
+    SILENT_TIME,
+)
 from cardamomdrift.failover.records import (
     LEAD_PREFIX,
     MEMBER_PREFIX,
@@ -40,6 +45,11 @@
 # takes, and than it may rely on whoever removes it.
 GONE_TIME = SILENT_TIME + ECHO_TIME + 0.5
 ALONE_TIME = 24.0  # seconds, for a daemon that hears nobody else
+# Seconds before a daemon removes one that has never echoed it: more than that one may
+# go without a read of the store that would show the newcomer.
+NEWCOMER_TIME = ROSTER_TIME + PERMISSION_TIME + 1.0
+ROSTER_READ_TIME = ROSTER_TIME / 2  # seconds; half is left for outages of the store
+ROSTER_READ_DELAY = 0.5  # seconds for each live daemon that comes first; a heartbeat
 SILENT_READ_INTERVAL = 2.0  # seconds between reads while a daemon is silent
 PAUSE_LIMIT = 1.0  # seconds between two steps after which the VM was suspended
 RETRY_INTERVAL = 0.3  # seconds after a failed call
@@ -73,6 +83,7 @@
         self._wanted_since = None
         self._not_before = 0.0
         self._read_at = 0.0
+        self._registered_at = 0.0
         self._awake_since = boot_clock()
         self._stepped_at = self._awake_since
         self._listed = frozenset()
@@ -123,6 +134,9 @@
             await self.refresh()
         elif self._is_confirmation_due(now):
             await self.refresh()
+        elif self._is_roster_due(now):
+            self._read_at = now
+            await self.refresh()
         elif self.pending:
             await self._write_pending()
         elif self._is_reading_due(now):
@@ -136,10 +150,15 @@
         record = MemberRecord(self._address, self._roster.incarnation)
         key = member_key(self._roster.vm)
         await self._store.commit(TABLE, {}, {key: encode_record(record)})
-        self._registered = True
+        self.note_registered(boot_clock())
         self._note_reachable(True)
         self._log.info("daemon registered", incarnation=self._roster.incarnation)
 
+    def note_registered(self, now):
+        """Take in that the store has this daemon's row."""
+        self._registered = True
+        self._registered_at = now
+
     async def leave(self):
         """Remove this daemon's row, as its last act."""
         await cancel_all([self._task])
@@ -162,6 +181,14 @@
         delay = rank("confirm", live).index(self._roster.vm) * RANK_DELAY
         return now >= self._wanted_since + delay
 
+    def _is_roster_due(self, now):
+        """Whether to read the table so that all may go on relying on promises."""
+        if now < self._read_at + SILENT_READ_INTERVAL:
+            return False
+        live = self._roster.live(now, LIVE_TIME)
+        delay = rank("roster", live).index(self._roster.vm) * ROSTER_READ_DELAY
+        return now >= self._permission.confirmed_at + ROSTER_READ_TIME + delay
+
     async def refresh(self):
         """Read the daemons' table and take in what it says.
 
@@ -208,16 +235,8 @@
             return False
         lead = cluster.leadership
         if cluster.adopt(
-            record.generation, record.settled, record.term, record.primary
+            record.generation, record.settled, record.term, record.primary, "store"
         ):
-            self._log.warning(
-                "primary changed" if record.settled else "replacement seen",
-                group=group,
-                generation=record.generation,
-                primary=record.primary,
-                term=record.term,
-                source="store",
-            )
             return True
         if lead.settled and lead.generation == record.generation and not record.settled:
             # Whoever settled it ended before the store took it.
@@ -277,33 +296,52 @@
             taken=isinstance(result, Committed),
         )
 
-    def _silent(self, now, limit):
-        """Return the daemons that have been silent for some seconds."""
+    def _silent(self, now, least=0.0):
+        """Return the daemons that have been silent for so long that they are gone.
+
+        Parameters
+        ----------
+        now : float
+        least : float
+            Seconds of silence that count in any case.
+        """
         return [
             name
             for name, peer in self._roster.peers.items()
-            if now - max(peer.heard_at or peer.added_at, self._awake_since) >= limit
+            if self._is_gone(peer, now, least)
         ]
 
+    def _is_gone(self, peer, now, least):
+        heard_at = peer.heard_at or peer.added_at
+        since = max(heard_at, self._awake_since)
+        limit = GONE_TIME
+        if not peer.knows_us:
+            # It may never have heard of this daemon's registration.
+            since = max(since, self._registered_at)
+            limit = NEWCOMER_TIME
+        return now - since >= max(limit, least)
+
     def _is_reading_due(self, now):
         """Whether to look which of the silent daemons are still registered."""
         if now < self._read_at + SILENT_READ_INTERVAL:
             return False
-        return bool(self._silent(now, GONE_TIME))
+        return bool(self._silent(now))
 
     def _find_gone(self, now):
         """Return the daemons whose rows this one is to remove."""
         live = self._roster.live(now, LIVE_TIME)
-        if rank("remove", live)[0] != self._roster.vm:
-            return []
+        delay = rank("remove", live).index(self._roster.vm) * RANK_DELAY
         # Whoever hears nobody is more likely cut off than the only one left.
-        return self._silent(now, GONE_TIME if len(live) > 1 else ALONE_TIME)
+        least = GONE_TIME if len(live) > 1 else ALONE_TIME
+        return self._silent(now, least + delay)
 
     async def _remove_gone(self, now):
         for name in self._find_gone(now):
             row = self._rows.get(member_key(name))
-            if row is None:
+            own = self._rows.get(member_key(self._roster.vm))
+            if row is None or own is None:
                 continue
-            await self._store.commit(TABLE, {row.key: row.version}, {}, [row.key])
+            expected = {row.key: row.version, own.key: own.version}
+            await self._store.commit(TABLE, expected, {}, [row.key])
             self._log.warning("daemon removed", member=name)
             await self.refresh()
--- a/cardamomdrift/peers/announcer.py
+++ b/cardamomdrift/peers/announcer.py
@@ -101,9 +101,13 @@
 
     def send_all(self):
         """Send a heartbeat to every daemon that this one counts."""
-        self._send_to(list(self._roster.peers.values()))
+        claims = self._send_to(list(self._roster.peers.values()))
+        for name, claim in claims.items():
+            if self._is_sample_due(name, claim):
+                self._sampled[name] = self._begun(claim)
 
     def _send_to(self, peers):
+        """Send heartbeats; return the GroupClaim of each group."""
         now = boot_clock()
         members = self._roster.addresses()
         agreed = leaders_digest(one.leadership for one in self._clusters)
@@ -117,6 +121,7 @@
             same = peer.heartbeat is not None and peer.heartbeat.agreed == agreed
             groups = news if same and peer.knows_us else claims
             self._send(peer, now, members, agreed, groups)
+        return claims
 
     def _is_watched(self, name, claim, now):
         """Whether anyone has lately found the group's primary silent."""
@@ -128,12 +133,13 @@
         """Whether the others lack a sample of the primary's log that is as new."""
         if claim.position is None:
             return False
-        begun = boot_clock() - seconds(claim.position_age_ms)
         heard = self._sampled.get(name, -math.inf)
-        if begun < heard + SAMPLE_SPACING:
-            return False
-        self._sampled[name] = begun
-        return True
+        return self._begun(claim) >= heard + SAMPLE_SPACING
+
+    @staticmethod
+    def _begun(claim):
+        """Return when a claim's sample was begun."""
+        return boot_clock() - seconds(claim.position_age_ms)
 
     def _send(self, peer, now, members, agreed, groups):
         last = peer.heartbeat
@@ -235,17 +241,9 @@
             if cluster is None:
                 continue
             if cluster.adopt(
-                claim.generation, claim.settled, claim.term, claim.primary
+                claim.generation, claim.settled, claim.term, claim.primary, peer.name
             ):
                 news = True
-                self._log.warning(
-                    "primary changed" if claim.settled else "replacement seen",
-                    group=group,
-                    generation=claim.generation,
-                    primary=claim.primary,
-                    term=claim.term,
-                    source=peer.name,
-                )
             if claim.silence_ms > SILENCE_SHOWN:
                 # Whoever reaches the primary must say so soon.
                 news = news or now - self._watched.get(group, -math.inf) > WATCH_TIME
--- a/cardamomdrift/routing/attempt.py
+++ b/cardamomdrift/routing/attempt.py
@@ -78,14 +78,27 @@
     Raises
     ------
     UpstreamError
-    TryElsewhere
-        The connection did not take the session's state; the command may have run.
     """
-    setup = plan_setup(connection.loaded, request.values, request.prepared)
-    if isinstance(command, Execute) and request.prepared is not None:
-        command = replace(command, name=upstream_name(request.prepared))
-    steps = [(None, step) for step in setup]
-    steps.append((request.request_id, command))
+    prepared = request.prepared
+    if isinstance(command, Execute) and prepared is not None:
+        command = replace(command, name=upstream_name(prepared))
+    setup = plan_setup(connection.loaded, request.values, prepared)
+    step = (request.request_id, command)
+    reply = await send_after(cluster, connection, place_name, setup, step)
+    if reply.refusal is Refusal.NO_SUCH_STATEMENT:
+        connection.loaded.prepared.clear()
+    return reply
+
+
+async def send_after(cluster, connection, place_name, setup, step):
+    """Send what sets a connection up and a last command; return that one's Reply.
+
+    Raises
+    ------
+    UpstreamError
+    """
+    steps = [(None, command) for command in setup]
+    steps.append(step)
     runtime = cluster.instances.get(place_name)
     begun_boot = boot_clock()
     if runtime is not None:
@@ -97,8 +110,6 @@
         connection.close()
         raise UpstreamLost("the instance refused the session's state")
     note_setup(connection.loaded, setup)
-    if reply.refusal is Refusal.NO_SUCH_STATEMENT:
-        connection.loaded.prepared.clear()
     return reply
 
 
--- a/cardamomdrift/routing/cluster.py
+++ b/cardamomdrift/routing/cluster.py
@@ -309,13 +309,31 @@
             return False
         return not lead.settled or self.permission.holds(now)
 
-    def adopt(self, generation, settled, term, primary):
-        """Take in a replacement of the primary; return whether it is news."""
+    def adopt(self, generation, settled, term, primary, source):
+        """Take in a replacement of the primary; return whether it is news.
+
+        Parameters
+        ----------
+        generation : int
+        settled : bool
+        term : int
+        primary : str
+        source : str
+            Who says so, for the log.
+        """
         now = boot_clock()
         lead = self.leadership
         usable_until = self.permission.until if lead.settled else now
         if not lead.adopt(generation, settled, term, primary, now):
             return False
+        self.log.warning(
+            "primary changed" if settled else "replacement seen",
+            group=self._group.name,
+            generation=generation,
+            primary=primary,
+            term=term,
+            source=source,
+        )
         lead.drain_until = min(usable_until, now + RELEASE_TIME)
         if settled:
             lead.released = generation
--- a/cardamomdrift/routing/pinned.py
+++ b/cardamomdrift/routing/pinned.py
@@ -9,7 +9,6 @@
 import asyncio
 from contextlib import AsyncExitStack
 
-from cardamomdrift.clock import boot_clock
 from cardamomdrift.errors import (
     DeadlinePassed,
     OutcomeUnknown,
@@ -28,10 +27,11 @@
     primary_work,
     read_floor,
     run_on,
+    send_after,
 )
 from cardamomdrift.routing.dispatch import ForRead, ForTransaction
 from cardamomdrift.sessions.commands import Begin, Commit, Execute, Rollback, Write
-from cardamomdrift.sessions.state import note_setup, plan_setup
+from cardamomdrift.sessions.state import plan_setup
 
 ROLLBACK_TIME = 0.5  # seconds; a rollback takes no slot
 
@@ -141,24 +141,16 @@
 
     async def _begin(self, request, place, runtime, connection, floor):
         """Bring the connection to the session's values and open the transaction."""
-        cluster = self._cluster
         setup = plan_setup(connection.loaded, request.values, None)
-        steps = [(None, step) for step in setup]
-        steps.append((None, Begin(self._read_only, floor)))
-        begun_boot = boot_clock()
-        runtime.silence.asked(cluster.clock())
+        step = (None, Begin(self._read_only, floor))
         try:
             async with asyncio.timeout_at(request.deadline_at):
-                replies = await connection.exchange(steps)
+                return await send_after(
+                    self._cluster, connection, place.name, setup, step
+                )
         except (UpstreamError, TimeoutError) as error:
             runtime.note_failure()
             raise TryElsewhere(place.name, f"no answer to BEGIN: {error}") from error
-        if any(one.refusal is not None for one in replies[:-1]):
-            connection.close()
-            raise TryElsewhere(place.name, "the session's state was refused")
-        note_setup(connection.loaded, setup)
-        cluster.note_reply(place.name, replies[-1].position, begun_boot)
-        return replies[-1]
 
     # Statements
 
--- a/tests/test_permission.py
+++ b/tests/test_permission.py
@@ -36,7 +36,7 @@
         "held_ms": round(held * 1000),
         "digest": members_digest(known),
         "members": known,
-        "confirmed_age_ms": 60_000,
+        "confirmed_age_ms": 20_000,
         "listed": True,
         "store_reachable": True,
         "version": 1,
--- a/tests/test_permission_model.py
+++ b/tests/test_permission_model.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 import unittest
+from contextlib import ExitStack, contextmanager
 from unittest import mock
 
 import structlog
@@ -25,7 +26,8 @@
     member_key,
 )
 from cardamomdrift.failover.replacement import INTENT_TIME, Intent
-from cardamomdrift.membership.control import GONE_TIME, ControlPlane
+from cardamomdrift.failover.witnesses import Witnesses
+from cardamomdrift.membership.control import NEWCOMER_TIME, ControlPlane
 from cardamomdrift.membership.instance_list import InstanceList
 from cardamomdrift.peers.announcer import Announcer
 from cardamomdrift.peers.roster import Roster
@@ -82,7 +84,7 @@
         self.leadership = Leadership(GROUP, primary="a")
         self.instances = {}
 
-    def adopt(self, generation, settled, term, primary):
+    def adopt(self, generation, settled, term, primary, _source):
         lead = self.leadership
         if not lead.adopt(generation, settled, term, primary, self._world.now):
             return False
@@ -147,6 +149,7 @@
         self.executor = ReplacementExecutor(
             store, None, self.control, self.roster, clusters, None, lambda: None, log
         )
+        self.witnesses = Witnesses(self.roster, clusters)
         self.intent = None
         self.quorum_at = None
         self.awake_since = world.now
@@ -181,7 +184,7 @@
             return
         record = MemberRecord(self.name, self.roster.incarnation)
         self.world.put(member_key(self.name), encode_record(record))
-        self.control._registered = True
+        self.control.note_registered(self.world.now)
         self.read_store()
 
     def remove_gone(self):
@@ -189,7 +192,8 @@
         if self.name in self.world.store_cut:
             return
         self.control._awake_since = self.awake_since
-        for name in self.control._silent(self.world.now, GONE_TIME):
+        self.read_store()
+        for name in self.control._silent(self.world.now):
             if self.world.rows.pop(member_key(name), None):
                 self.world.version += 1
 
@@ -211,7 +215,7 @@
         generation = lead.generation + 1
         record = LeadRecord(generation, False, 1, "a", 1, self.incarnation)
         self.world.put(lead_key(GROUP), encode_record(record))
-        self.cluster.adopt(generation, False, 1, "a")
+        self.cluster.adopt(generation, False, 1, "a", "own")
         now = self.world.now
         self.intent = Intent(generation, 1, now, now)
         self.quorum_at = None
@@ -229,15 +233,15 @@
             self.listed_after = self.read_store()
             return
         names = (self.control.listed | set(self.roster.peers)) - {self.name}
-        released = self.executor._released(GROUP, names)
-        known = self.executor._acknowledged(GROUP, released, intent.generation)
+        released = self.witnesses.released(GROUP, names)
+        known = self.witnesses.acknowledged(GROUP, released, intent.generation)
         if self.quorum_at is None and execution_module.has_quorum(known, len(released)):
             self.quorum_at = now
         if now <= execution_module.relied_on_until(self.roster):
             return
         if execution_module.is_released(intent, released, self.quorum_at, now):
             self.world.promoted = max(self.world.promoted, intent.generation)
-            self.cluster.adopt(intent.generation, True, 1, "a")
+            self.cluster.adopt(intent.generation, True, 1, "a", "own")
             record = LeadRecord(intent.generation, True, 1, "a", 1, "")
             self.world.put(lead_key(GROUP), encode_record(record))
             self.intent = None
@@ -285,40 +289,96 @@
         daemon.announcer.send_all()
 
 
-def play(seed):
-    """Return whether a daemon used a replaced primary, and how many were replaced."""
-    world = World(seed)
+@contextmanager
+def clock_of(world):
+    """Let all parts take the time from a world."""
     clock = lambda: world.now  # noqa: E731
     targets = (
         "cardamomdrift.peers.announcer.boot_clock",
         "cardamomdrift.membership.control.boot_clock",
         "cardamomdrift.failover.execution.boot_clock",
     )
-    patches = [mock.patch(target, clock) for target in targets]
-    for patch in patches:
-        patch.start()
-    try:
+    with ExitStack() as stack:
+        for target in targets:
+            stack.enter_context(mock.patch(target, clock))
+        yield
+
+
+def add_daemons(world, names):
+    for name in names:
+        world.daemons[name] = ModelDaemon(world, name)
+    for name in names:
+        world.daemons[name].register()
+
+
+def advance(world, pause):
+    """Let time pass; return whether a daemon uses a replaced primary now."""
+    world.now += pause
+    deliver(world)
+    for daemon in world.daemons.values():
+        if daemon.awake:
+            daemon.receive()
+            daemon.continue_replacement()
+    return any(one.awake and one.uses_replaced() for one in world.daemons.values())
+
+
+def play(seed):
+    """Return whether a daemon used a replaced primary, and how many were replaced."""
+    world = World(seed)
+    with clock_of(world):
         names = [f"vm-{index}" for index in range(world.random.randint(2, 5))]
-        for name in names:
-            world.daemons[name] = ModelDaemon(world, name)
-        for daemon in world.daemons.values():
-            daemon.register()
+        add_daemons(world, names)
+        broken = False
         for _ in range(STEPS):
-            world.now += world.random.choice(world.pauses)
-            deliver(world)
-            for daemon in world.daemons.values():
-                if daemon.awake:
-                    daemon.receive()
-                    daemon.continue_replacement()
+            broken = advance(world, world.random.choice(world.pauses)) or broken
             daemon = world.daemons[world.random.choice(names)]
             if daemon.awake:
                 act(world, daemon)
-            if any(one.awake and one.uses_replaced() for one in world.daemons.values()):
+            if broken or any(
+                one.awake and one.uses_replaced() for one in world.daemons.values()
+            ):
                 return True, world.promoted
         return False, world.promoted
-    finally:
-        for patch in patches:
-            patch.stop()
+
+
+def play_newcomers(seed, old, new):
+    """Add daemons while the first ones reach neither them nor the store.
+
+    Returns
+    -------
+    broken : bool
+        Whether a daemon used a replaced primary.
+    promoted : int
+        How many were replaced.
+    """
+    world = World(seed)
+    broken = False
+    with clock_of(world):
+        add_daemons(world, old)
+        broken = pass_time(world, 5.0)
+        world.store_cut |= set(old)
+        world.cut |= {pair for a in old for b in new for pair in ((a, b), (b, a))}
+        broken = pass_time(world, world.random.uniform(0.0, 2.0)) or broken
+        add_daemons(world, new)
+        until = world.now + NEWCOMER_TIME + 10.0
+        while world.now < until:
+            for name in new:
+                world.daemons[name].remove_gone()
+                world.daemons[name].begin()
+            broken = pass_time(world, 1.0) or broken
+    return broken, world.promoted
+
+
+def pass_time(world, length):
+    """Let all daemons tell each other what they know for some seconds."""
+    until = world.now + length
+    broken = False
+    while world.now < until:
+        for daemon in world.daemons.values():
+            daemon.announcer.send_all()
+            daemon.permission.note_roster(world.now)
+        broken = advance(world, 0.25) or broken
+    return broken
 
 
 def deliver(world):
@@ -345,6 +405,26 @@
                 replaced += promoted
         self.assertGreater(replaced, SEEDS // 2, "too few replacements to prove much")
 
+    def test_newcomers_that_never_heard_the_first_daemons(self):
+        old = ("vm-0", "vm-1", "vm-2")
+        for new in (("vm-3",), ("vm-3", "vm-4")):
+            for seed in range(10):
+                with self.subTest(new=new, seed=seed):
+                    broken, promoted = play_newcomers(seed, old, new)
+                    self.assertFalse(broken)
+                    self.assertGreater(promoted, 0, "the store's side must go on")
+
+    def test_newcomers_must_wait_for_the_first_daemons(self):
+        with mock.patch("cardamomdrift.membership.control.NEWCOMER_TIME", 8.0):
+            played = [play_newcomers(seed, ("a", "b"), ("c", "d")) for seed in range(5)]
+        self.assertTrue(any(broken for broken, _ in played))
+
+    def test_promises_end_without_a_read_of_the_store(self):
+        lasting = "cardamomdrift.failover.permission.ROSTER_TIME"
+        with mock.patch(lasting, 1000.0):
+            played = [play_newcomers(seed, ("a", "b"), ("c", "d")) for seed in range(5)]
+        self.assertTrue(any(broken for broken, _ in played))
+
     def _assert_caught(self, target, value):
         with mock.patch(target, value):
             caught = any(play(seed)[0] for seed in range(MUTANT_SEEDS))
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -27,7 +27,6 @@
 from cardamomdrift.position import Position
 
 WELL = PrimaryEvidence(
-    known=True,
     listed=True,
     missing_for=0.0,
     draining=False,
