Daemons lend each other connections to instances

With one connection each, a resting transaction also stopped everything else of its daemon at that instance. Ruled out by the log: start of the daemons (0.2 s), configuration, permission (held from the first heartbeat on), the store. Change: equal shares, the rest stays free; a daemon that is refused or whose connections are all held borrows one from another daemon, statement by statement or for a transaction; the last spare connection is never lent to a transaction. Tests: tests/test_lending.py (a daemon without connections could not serve before).

--- a/cardamomdrift/limits/shares.py
+++ b/cardamomdrift/limits/shares.py
@@ -10,7 +10,7 @@
 
 from dataclasses import dataclass
 
-from cardamomdrift.membership.rendezvous import rank
+from cardamomdrift.membership.rendezvous import home_set
 
 OPERATOR_RESERVE = 1  # connections left to operators' own tools
 
@@ -68,10 +68,12 @@
     return max((limit - OPERATOR_RESERVE) // max(members, 1), 0)
 
 
-def divide(limit, members, vm, instance):
-    """Return the connections to an instance that a VM may open, all of them used.
+def share_with_loans(limit, members, vm, instance):
+    """Return the connections to an instance that a VM may open.
 
-    What is left after equal shares goes to the VMs that rank first for the instance.
+    What is left after equal shares stays free for VMs that start again while the
+    instance still holds the connections they had.  With more VMs than connections,
+    those that rank first for the instance have one each, and the others borrow.
 
     Parameters
     ----------
@@ -82,5 +84,21 @@
     vm : str
     instance : str
     """
-    share, rest = divmod(limit - OPERATOR_RESERVE, len(members))
-    return share + (rank(instance, members).index(vm) < rest)
+    share = share_of(limit, len(members))
+    return share or int(vm in lending_homes(limit, members, instance))
+
+
+def lending_homes(limit, members, instance):
+    """Return the VMs that have connections to an instance of their own.
+
+    Parameters
+    ----------
+    limit : int
+        Connections that the instance takes.
+    members : sequence of str
+    instance : str
+    """
+    usable = max(limit - OPERATOR_RESERVE, 1)
+    if usable >= len(members):
+        return tuple(members)
+    return home_set(instance, members, usable)
--- a/cardamomdrift/platform/connection.py
+++ b/cardamomdrift/platform/connection.py
@@ -32,6 +32,8 @@
 class LineConnection:
     """One open connection to an instance; see `ports.InstanceConnection`."""
 
+    lender = ""
+
     def __init__(self, stream, position):
         self._stream = stream
         self._outstanding = False
--- a/cardamomdrift/platform/daemon.py
+++ b/cardamomdrift/platform/daemon.py
@@ -22,12 +22,13 @@
 from cardamomdrift.failover.replacer import Replacer
 from cardamomdrift.http.server import HttpServer
 from cardamomdrift.loops import repeat
-from cardamomdrift.membership.control import ControlPlane
+from cardamomdrift.membership.control import LIVE_TIME, ControlPlane
 from cardamomdrift.membership.feed import TableFeed
 from cardamomdrift.membership.instance_list import InstanceList
 from cardamomdrift.peers.announcer import Announcer
 from cardamomdrift.peers.heartbeat import HeartbeatPort
 from cardamomdrift.peers.link import AnswerPort, ask
+from cardamomdrift.peers.loans import PORT_OFFSET
 from cardamomdrift.peers.messages import (
     BundleQuery,
     DrainRequest,
@@ -59,6 +60,8 @@
 from cardamomdrift.telemetry.delay import LoopDelay
 from cardamomdrift.telemetry.log import make_log
 from cardamomdrift.telemetry.recorder import RequestRecorder
+from cardamomdrift.upstreams.borrower import Borrower
+from cardamomdrift.upstreams.lender import Lender
 from cardamomdrift.util import cancel_all
 
 READINESS_PATH = "/v1/readiness"
@@ -97,6 +100,9 @@
         self._instance_feed = None
         self._asking = None
         self._recorder = RequestRecorder(self.log, self.permission)
+        self.borrower = Borrower(
+            settings.vm, self._lenders, settings.peer_port, clock, self.log
+        )
         self.clusters = Clusters(
             self._make_context(clock), self.instances, self._recorder
         )
@@ -140,6 +146,13 @@
             self.instances,
             self.log,
         )
+        self.lender = Lender(
+            (settings.address, settings.peer_port + PORT_OFFSET),
+            self.clusters.find_instance,
+            lambda: self.clusters.transaction_idle,
+            clock,
+            self.log,
+        )
         self.callers = CallerServer(settings.callers, self.clusters, self.log)
         self.loop_delay = LoopDelay()
 
@@ -151,6 +164,7 @@
             permission=self.permission,
             members=self._members,
             announce=lambda: self.announcer.announce(),
+            borrow=self.borrower.borrow,
             clock=clock,
             log=self.log,
         )
@@ -170,6 +184,16 @@
         known = self.control.listed or self.roster.peers
         return self.roster.names if known else ()
 
+    def _lenders(self):
+        """Return the addresses of the daemons that may lend connections."""
+        peers = self.roster.peers
+        live = self.roster.live(boot_clock(), LIVE_TIME)
+        return {
+            name: peers[name].address
+            for name in live
+            if name in peers and not peers[name].is_leaving
+        }
+
     # Start
 
     async def __aenter__(self):
@@ -197,6 +221,7 @@
         await enter(self.control)
         await enter(self.announcer)
         await enter(self.replacer)
+        await enter(self.lender)
         await enter(self.callers)
         self._tasks = [
             asyncio.create_task(repeat("maintenance", self._maintain, self.log)),
@@ -348,6 +373,9 @@
 
     # Stop
 
+    def _is_at_work(self):
+        return self.callers.sessions or self.replacer.busy or self.lender.lent
+
     async def stop(self):
         """Let callers go, within the grace that the platform gives."""
         started = time.monotonic()
@@ -356,7 +384,8 @@
         self.replacer.stop()
         self.log.info("daemon stopping", sessions=self.callers.sessions)
         await asyncio.sleep(min(UNROUTED_TIME, end - time.monotonic()))
-        while time.monotonic() < end and (self.callers.sessions or self.replacer.busy):
+        self.lender.stop()
+        while time.monotonic() < end and self._is_at_work():
             self.callers.close_idle()
             await asyncio.sleep(CLOSE_INTERVAL)
         self.announcer.leaving = True
--- a/cardamomdrift/ports.py
+++ b/cardamomdrift/ports.py
@@ -97,8 +97,8 @@
     received: Position
 
 
-class InstanceConnection(Protocol):
-    """One open connection to an instance.
+class StatementConnection(Protocol):
+    """A connection to an instance, one's own or another VM's.
 
     Attributes
     ----------
@@ -110,12 +110,15 @@
         As the last answer said.
     position : Position or None
         What the instance's log had reached at the last answer.
+    lender : str
+        VM that lends it; empty for one's own.
     """
 
     reusable: bool
     loaded: object
     state: TransactionState
     position: Position | None
+    lender: str
 
     async def exchange(self, steps):
         """Send statements in one write and return their replies in order.
@@ -133,13 +136,17 @@
             The connection failed after bytes may have left.
         """
 
-    async def status(self):
-        """Return the InstanceStatus; it takes a slot."""
-
     def close(self):
         """Close the connection at once."""
 
 
+class InstanceConnection(StatementConnection, Protocol):
+    """One's own connection to an instance."""
+
+    async def status(self):
+        """Return the InstanceStatus; it takes a slot."""
+
+
 @dataclass(frozen=True, slots=True)
 class Row:
     """One row of the store."""
--- a/cardamomdrift/routing/attempt.py
+++ b/cardamomdrift/routing/attempt.py
@@ -129,8 +129,8 @@
 
 
 @asynccontextmanager
-async def placed(cluster, dispatcher, need, request):
-    """Hold a place and a connection for a request.
+async def placed(cluster, dispatcher, need, request, pinned=False):
+    """Hold a place and a connection for a request, or for a whole transaction.
 
     Raises
     ------
@@ -149,13 +149,17 @@
         if runtime is None:
             raise TryElsewhere(place.name, "instance is gone")
         try:
-            connection = await runtime.pool.acquire(request.deadline_at, suits(request))
+            connection = await runtime.pool.acquire(
+                request.deadline_at, suits(request), pinned
+            )
         except UpstreamBusy as error:
             cluster.counts.refusals += 1
             raise TryElsewhere(place.name, f"no connection: {error}") from error
         except UpstreamUnreachable as error:
             runtime.note_failure()
             raise TryElsewhere(place.name, f"not reached: {error}") from error
+        if connection.lender:
+            trace.lender = connection.lender
         try:
             yield place, runtime, connection
         finally:
--- a/cardamomdrift/routing/cluster.py
+++ b/cardamomdrift/routing/cluster.py
@@ -10,12 +10,13 @@
 import math
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
+from functools import partial
 
 from cardamomdrift.clock import boot_clock
 from cardamomdrift.failover.leadership import Leadership
 from cardamomdrift.limits.admission import AdmissionQueue, Fifo
 from cardamomdrift.limits.budget import RetryBudget
-from cardamomdrift.limits.shares import divide
+from cardamomdrift.limits.shares import lending_homes, share_with_loans
 from cardamomdrift.position import Position
 from cardamomdrift.routing.contact import Contact
 from cardamomdrift.routing.cost import CostBook
@@ -52,12 +53,15 @@
         Returns the names of all VMs, as a tuple; empty while they are not known.
     announce : callable
         Sends heartbeats at once.
+    borrow : coroutine function
+        Borrows a connection to an instance; see `Borrower.borrow`.
     clock : callable
     log : structlog logger
     """
 
     vm: object
     connector: object
+    borrow: object
     permission: object
     members: object
     announce: object
@@ -232,7 +236,7 @@
 
     async def _add(self, record):
         connect = self._context.connector(record)
-        pool = InstancePool(connect, self._clock)
+        pool = InstancePool(connect, self._clock, partial(self._borrow, record.name))
         pinger = Pinger(record.name, pool, connect, self.contact, self._clock)
         runtime = InstanceRuntime(record, pool, pinger, self._clock)
         runtime.leaving = record.draining
@@ -250,6 +254,11 @@
             primary=record.primary,
         )
 
+    async def _borrow(self, name, pinned, deadline_at):
+        """Return another VM's connection to an instance, or None."""
+        homes = lending_homes(self._group.connections, self._context.members(), name)
+        return await self._context.borrow(name, homes, pinned, deadline_at)
+
     async def _remove(self, name):
         del self._instances[name]
         self.contact.forget(name)
@@ -264,7 +273,7 @@
             share = FIRST_SHARE
             if members:
                 vm = self._context.vm.name
-                share = max(divide(self._group.connections, members, vm, name), 1)
+                share = share_with_loans(self._group.connections, members, vm, name)
             if runtime.pool.limit != share:
                 runtime.set_share(share)
                 self._warm(runtime)
@@ -430,6 +439,7 @@
                     "in_flight": runtime.in_flight,
                     "connections": runtime.pool.size,
                     "share": runtime.pool.limit,
+                    "borrowed": runtime.pool.borrowed,
                 }
                 for name, runtime in self._instances.items()
             },
--- a/cardamomdrift/routing/clusters.py
+++ b/cardamomdrift/routing/clusters.py
@@ -51,6 +51,18 @@
         """Return a group's Cluster, or None."""
         return self._clusters.get(group)
 
+    def find_instance(self, name):
+        """Return the InstanceRuntime of an instance, or None."""
+        for cluster in self._clusters.values():
+            if name in cluster.instances:
+                return cluster.instances[name]
+        return None
+
+    @property
+    def transaction_idle(self):
+        """Seconds for which a transaction may be idle."""
+        return self._deployment.transaction_idle if self._deployment else 0.0
+
     async def __aenter__(self):
         return self
 
@@ -104,7 +116,7 @@
             if handler.transaction is None:
                 self._handlers.discard(handler)
             else:
-                handler.expire(now, self._deployment.transaction_idle)
+                handler.expire(now, self.transaction_idle)
 
     def trim(self, now):
         """Close connections that have been idle for long."""
--- a/cardamomdrift/routing/instance.py
+++ b/cardamomdrift/routing/instance.py
@@ -11,6 +11,7 @@
 from cardamomdrift.failover.suspicion import SilenceClock
 
 SILENCE_LIMIT = 0.3  # seconds after which an instance gets no new requests
+LOAN_LIMIT = 4  # transactions on other VMs' connections; an instance's slots
 
 
 class InstanceRuntime:
@@ -80,6 +81,10 @@
     def limit(self):
         """Requests that may run there at once now."""
         data_connections = self._pool.limit - self._control_connections
+        if self._pool.borrows:
+            # Transactions that hold own connections leave single statements to loans.
+            held = min(self.transactions, LOAN_LIMIT)
+            data_connections = max(data_connections, 1) + held
         if self._concurrency is None:
             return data_connections
         return min(self._concurrency.current, data_connections)
@@ -87,7 +92,8 @@
     @property
     def transaction_limit(self):
         """Transactions of callers that may be open there at once."""
-        return max(1, self._pool.limit - self._control_connections - 1)
+        own = max(1, self._pool.limit - self._control_connections - 1)
+        return own + (LOAN_LIMIT if self._pool.borrows else 0)
 
     @property
     def usable(self):
--- a/cardamomdrift/routing/pinned.py
+++ b/cardamomdrift/routing/pinned.py
@@ -125,7 +125,7 @@
             dispatcher, need = cluster.for_primary, ForTransaction()
         else:
             dispatcher, need = cluster.for_any, ForRead(floor)
-        context = placed(cluster, dispatcher, need, request)
+        context = placed(cluster, dispatcher, need, request, pinned=True)
         place, runtime, connection = await self._stack.enter_async_context(context)
         reply = await self._begin(request, place, runtime, connection, floor)
         if reply.refusal is Refusal.BEHIND:
--- a/cardamomdrift/routing/request.py
+++ b/cardamomdrift/routing/request.py
@@ -67,6 +67,8 @@
         What that instance had to have reached.
     floor_age : float or None
         Age of the sample that gave the floor, in seconds.
+    lender : str
+        VM whose connection it used; empty for one's own.
     generation : int
         Replacement of the primary that was in force.
     attempts : int
@@ -79,6 +81,7 @@
     """
 
     instance: str = ""
+    lender: str = ""
     floor: Position | None = None
     floor_age: float | None = None
     generation: int = 0
--- a/cardamomdrift/telemetry/exposition.py
+++ b/cardamomdrift/telemetry/exposition.py
@@ -90,6 +90,19 @@
         yield runtime.pool.refusals, labels
 
 
+def _borrowed(parts):
+    for runtime, labels in _instances(parts):
+        yield runtime.pool.borrowed, labels
+
+
+def _loans(parts):
+    for outcome, count in (
+        *parts.lender.counts.items(),
+        *parts.borrower.counts.items(),
+    ):
+        yield count, {"outcome": outcome}
+
+
 def _unanswered(parts):
     for runtime, labels in _instances(parts):
         yield runtime.silence.unanswered(asyncio.get_running_loop().time()), labels
@@ -126,6 +139,7 @@
     ("retries", "{attempt}", "Attempts made again", _group_counter("retries")),
     ("behind", "{read}", "Reads refused by lagging replicas", _group_counter("behind")),
     ("connection.refusals", "{refusal}", "Connections refused as too many", _refusals),
+    ("loans", "{loan}", "Connections lent between daemons", _loans),
     ("store.calls", "{call}", "Calls of the platform's store", _store_calls),
     ("replacements", "{replacement}", "Replacements of primaries", _replacements),
     ("log.dropped", "{line}", "Log lines left out", lambda p: [(p.writer.dropped, {})]),
@@ -135,6 +149,7 @@
     ("generation", "1", "Replacements of the primary so far", _generations),
     ("in_flight", "{request}", "Requests at an instance", _in_flight),
     ("connections", "{connection}", "Open connections", _connections),
+    ("borrowed", "{connection}", "Connections of other daemons in use", _borrowed),
     ("unanswered", "s", "Time without an answer", _unanswered),
     ("position.behind", "{entry}", "Entries behind the primary", _behind),
     (
--- a/cardamomdrift/telemetry/recorder.py
+++ b/cardamomdrift/telemetry/recorder.py
@@ -93,6 +93,7 @@
             "kind": request.route.kind.name.lower(),
             "command": type(request.command).__name__.lower(),
             "instance": trace.instance or None,
+            "lender": trace.lender or None,
             "floor": str(trace.floor) if trace.floor else None,
             "generation": trace.generation,
             "permission_ms": _milliseconds(self._permission.until - boot_clock()),
--- /dev/null
+++ b/cardamomdrift/upstreams/borrower.py
@@ -0,0 +1,204 @@
+"""
+Borrower
+========
+
+Borrows connections from other daemons when an instance takes no more of this VM's, or
+all of them are held.
+"""
+
+import asyncio
+import math
+
+from cardamomdrift.errors import UpstreamLost, UpstreamUnreachable
+from cardamomdrift.membership.rendezvous import rank
+from cardamomdrift.peers.loans import (
+    PORT_OFFSET,
+    LoanGranted,
+    LoanLost,
+    LoanReplies,
+    LoanRequest,
+    LoanReturn,
+    LoanStream,
+    pack_steps,
+)
+from cardamomdrift.ports import TransactionState
+from cardamomdrift.sessions.state import LoadedState
+from cardamomdrift.upstreams.lender import STREAM_FAILURES
+
+ASKING_TIME = 0.15  # seconds for a daemon's word; it may open a connection first
+ASKED_AT_ONCE = 6  # daemons asked for one loan, one after the other
+REFUSED_MEMORY = 0.5  # seconds; twice a heartbeat, since shares change with them
+NOBODY_PAUSE = 0.05  # seconds without a question after nobody had a connection
+
+
+class BorrowedConnection:
+    """A connection of another daemon; see `ports.StatementConnection`.
+
+    Parameters
+    ----------
+    stream : LoanStream
+    lender : str
+    granted : LoanGranted
+    """
+
+    def __init__(self, stream, lender, granted):
+        self._stream = stream
+        self._outstanding = False
+        self._closed = False
+        self.lender = lender
+        self.loaded = LoadedState(granted.values, set(granted.prepared))
+        self.state = TransactionState.IDLE
+        self.position = granted.position
+
+    @property
+    def reusable(self):
+        """Whether the next statement may use the connection."""
+        return not (self._closed or self._outstanding or self._stream.ended)
+
+    def close(self):
+        """End the loan at once; the lender closes the connection."""
+        self._closed = True
+        self._stream.abort()
+
+    def give_back(self):
+        """Return the connection, if nothing is outstanding on it."""
+        if not self.reusable:
+            self.close()
+            return
+        self._closed = True
+        loaded = self.loaded
+        self._stream.write(LoanReturn(loaded.values, sorted(loaded.prepared)))
+        self._stream.close()
+
+    async def exchange(self, steps):
+        """Send statements in one write and return their replies in order."""
+        if not self.reusable:
+            raise UpstreamUnreachable(f"loan of {self.lender} has ended")
+        self._outstanding = True
+        try:
+            self._stream.write(pack_steps(steps))
+        except UnicodeEncodeError as error:
+            self.close()
+            raise UpstreamUnreachable(f"statement is no text: {error}") from error
+        try:
+            answer = await self._stream.receive()
+        except STREAM_FAILURES as error:
+            self.close()
+            raise UpstreamLost(f"{self.lender} lost: {error}") from error
+        except BaseException:
+            self.close()
+            raise
+        self._outstanding = False
+        match answer:
+            case LoanReplies(replies) if len(replies) == len(steps):
+                return self._take(replies)
+            case LoanLost(sent, reason):
+                self.close()
+                failure = UpstreamLost if sent else UpstreamUnreachable
+                raise failure(f"{self.lender}: {reason}")
+        self.close()
+        raise UpstreamLost(f"{self.lender} sent {type(answer).__name__}")
+
+    def _take(self, replies):
+        for reply in replies:
+            self.state = reply.state
+            self.position = reply.position or self.position
+        return replies
+
+
+class Borrower:
+    """Finds daemons that lend connections.
+
+    Parameters
+    ----------
+    vm : str
+    peers : callable
+        Returns the addresses of the live daemons, by name.
+    port : int
+        Port for heartbeats, the same on every VM.
+    clock : callable
+    log : structlog logger
+    """
+
+    def __init__(self, vm, peers, port, clock, log):
+        self._vm = vm
+        self._peers = peers
+        self._port = port + PORT_OFFSET
+        self._clock = clock
+        self._log = log
+        self._last = {}
+        self._refused = {}
+        self._not_before = {}
+        self.counts = {"borrowed": 0, "nobody": 0}
+
+    async def borrow(self, instance, homes, pinned, deadline_at):
+        """Return a BorrowedConnection to an instance, or None.
+
+        Parameters
+        ----------
+        instance : str
+        homes : sequence of str
+            VMs that may have connections of their own.
+        pinned : bool
+            Whether a transaction is to hold it.
+        deadline_at : float
+        """
+        key = (instance, pinned)
+        if self._clock() < self._not_before.get(key, -math.inf):
+            return None
+        live = self._peers()
+        peers = {name: live[name] for name in homes if name in live}
+        for lender in self._candidates(key, peers):
+            if self._clock() >= deadline_at:
+                return None
+            granted = await self._ask(lender, peers[lender], instance, pinned)
+            if granted is not None:
+                self._last[key] = lender
+                self.counts["borrowed"] += 1
+                return granted
+            self._refused[(*key, lender)] = self._clock()
+            self._last.pop(key, None)
+        self.counts["nobody"] += 1
+        self._not_before[key] = self._clock() + NOBODY_PAUSE
+        return None
+
+    def _candidates(self, key, peers):
+        """Return the daemons to ask, the one that lent last before the others."""
+        now = self._clock()
+        self._refused = {
+            one: at for one, at in self._refused.items() if now - at < REFUSED_MEMORY
+        }
+        # Each daemon has an order of its own, so that not all ask the same one.
+        order = rank(f"{key[0]}/{self._vm}", tuple(peers))
+        last = self._last.get(key)
+        if last in peers:
+            order = [last, *(one for one in order if one != last)]
+        willing = [one for one in order if (*key, one) not in self._refused]
+        return willing[:ASKED_AT_ONCE]
+
+    async def _ask(self, lender, address, instance, pinned):
+        """Return a BorrowedConnection of one daemon, or None."""
+        stream = None
+        try:
+            async with asyncio.timeout(ASKING_TIME):
+                streams = await asyncio.open_connection(address, self._port)
+                stream = LoanStream(*streams)
+                stream.write(LoanRequest(self._vm, instance, pinned))
+                answer = await stream.receive()
+        except STREAM_FAILURES as error:
+            self._log.info(
+                "loan not answered",
+                lender=lender,
+                instance=instance,
+                error=f"{type(error).__name__} {error}",
+            )
+            answer = None
+        except BaseException:
+            if stream is not None:
+                stream.abort()
+            raise
+        if isinstance(answer, LoanGranted):
+            return BorrowedConnection(stream, lender, answer)
+        if stream is not None:
+            stream.abort()
+        return None
--- /dev/null
+++ b/cardamomdrift/upstreams/lender.py
@@ -0,0 +1,160 @@
+"""
+Lender
+======
+
+Lends this VM's connections to daemons that have none left.  A connection goes back to
+its pool only if the borrower returns it outside a transaction; otherwise it is closed,
+which rolls back.
+"""
+
+import asyncio
+
+import msgspec
+
+from cardamomdrift.errors import PacketTooLarge, UpstreamError, UpstreamUnreachable
+from cardamomdrift.peers.loans import (
+    LoanGranted,
+    LoanLost,
+    LoanRefused,
+    LoanReplies,
+    LoanRequest,
+    LoanReturn,
+    LoanSteps,
+    LoanStream,
+    unpack_steps,
+)
+from cardamomdrift.ports import TransactionState
+from cardamomdrift.sessions.state import LoadedState
+
+REQUEST_TIME = 1.0  # seconds for the first message; it follows the connection at once
+EXCHANGE_TIME = 5.0  # seconds for an instance's answer; more than callers wait
+OPENING_TIME = 0.1  # seconds for a new connection; several handshakes
+STREAM_FAILURES = (
+    OSError,
+    TimeoutError,
+    asyncio.IncompleteReadError,
+    msgspec.DecodeError,
+    PacketTooLarge,
+)
+
+
+class Lender:
+    """Answers other daemons that ask for a connection; an async context manager.
+
+    Parameters
+    ----------
+    address : (str, int)
+    find_instance : callable
+        Takes a name and returns its InstanceRuntime, or None.
+    idle_limit : callable
+        Returns for how many seconds a transaction may be idle.
+    clock : callable
+    log : structlog logger
+    """
+
+    def __init__(self, address, find_instance, idle_limit, clock, log):
+        self._address = address
+        self._find_instance = find_instance
+        self._idle_limit = idle_limit
+        self._clock = clock
+        self._log = log
+        self._server = None
+        self._streams = set()
+        self._stopping = False
+        self.lent = 0
+        self.counts = {"granted": 0, "refused": 0, "lost": 0}
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, *self._address)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self._server.close()
+        for stream in list(self._streams):
+            stream.abort()
+        await asyncio.sleep(0)
+
+    def stop(self):
+        """Begin no more loans."""
+        self._stopping = True
+
+    async def _serve(self, reader, writer):
+        stream = LoanStream(reader, writer)
+        self._streams.add(stream)
+        try:
+            async with asyncio.timeout(REQUEST_TIME):
+                request = await stream.receive()
+            if isinstance(request, LoanRequest):
+                await self._answer(stream, request)
+            else:
+                self._log.warning("loan not asked for", got=type(request).__name__)
+        except STREAM_FAILURES as error:
+            self._log.info("loan ended", error=f"{type(error).__name__} {error}")
+        finally:
+            self._streams.discard(stream)
+            stream.close()
+
+    async def _answer(self, stream, request):
+        runtime = self._find_instance(request.instance)
+        if self._stopping or runtime is None or not runtime.usable:
+            self._refuse(stream, "instance not in use here")
+            return
+        deadline_at = self._clock() + OPENING_TIME
+        connection = await runtime.pool.lend(request.pinned, deadline_at)
+        if connection is None:
+            self._refuse(stream, "no connection to spare")
+            return
+        self.lent += 1
+        self.counts["granted"] += 1
+        returned = False
+        try:
+            returned = await self._lend(stream, runtime, connection)
+        finally:
+            self.lent -= 1
+            if not returned:
+                self.counts["lost"] += 1
+                connection.close()
+            runtime.pool.release(connection)
+
+    def _refuse(self, stream, reason):
+        self.counts["refused"] += 1
+        stream.write(LoanRefused(reason))
+
+    async def _lend(self, stream, runtime, connection):
+        """Send for the borrower; return whether it has returned the connection."""
+        loaded = connection.loaded
+        granted = LoanGranted(
+            loaded.values, sorted(loaded.prepared), connection.position
+        )
+        stream.write(granted)
+        while True:
+            async with asyncio.timeout(EXCHANGE_TIME + self._idle_limit()):
+                message = await stream.receive()
+            match message:
+                case LoanSteps():
+                    if not await self._send(stream, runtime, connection, message):
+                        return False
+                case LoanReturn(values, prepared):
+                    connection.loaded = LoadedState(values, set(prepared))
+                    return connection.state is TransactionState.IDLE
+                case _:
+                    return False
+
+    async def _send(self, stream, runtime, connection, message):
+        """Send statements and pass the replies on; return whether they came."""
+        steps = unpack_steps(message)
+        runtime.silence.asked(self._clock())
+        try:
+            async with asyncio.timeout(EXCHANGE_TIME):
+                replies = await connection.exchange(steps)
+        except (UpstreamError, TimeoutError) as error:
+            sent = not isinstance(error, UpstreamUnreachable)
+            stream.write(LoanLost(sent, f"{type(error).__name__} {error}"))
+            return False
+        runtime.silence.answered()
+        try:
+            stream.write(LoanReplies(replies))
+        except UnicodeEncodeError as error:
+            stream.write(LoanLost(True, f"answer is no text: {error}"))
+            return False
+        return True
--- a/cardamomdrift/upstreams/pool.py
+++ b/cardamomdrift/upstreams/pool.py
@@ -19,6 +19,7 @@
 CONNECT_TIMEOUT = 1.0  # seconds
 IDLE_LIMIT = 60.0  # seconds
 BUSY_PAUSE = 0.2  # seconds
+LOAN_PATIENCE = 0.03  # seconds for an own connection; about two statements' time
 
 
 class InstancePool:
@@ -30,11 +31,16 @@
         Opens a connection within a number of seconds.
     clock : callable
         Returns seconds of the loop's clock.
+    borrow : coroutine function, optional
+        Takes whether a transaction is to hold the connection, and a deadline; returns
+        a connection of another VM, or None.
     """
 
-    def __init__(self, connect, clock):
+    def __init__(self, connect, clock, borrow=None):
         self._connect = connect
         self._clock = clock
+        self._borrow = borrow
+        self._borrowed = set()
         self._limit = 0
         self._idle = deque()
         self._in_use = set()
@@ -59,6 +65,16 @@
         """Number of connections that the instance refused as too many."""
         return self._refusals
 
+    @property
+    def borrows(self):
+        """Whether it may use connections of other VMs."""
+        return self._borrow is not None
+
+    @property
+    def borrowed(self):
+        """Number of connections of other VMs in use."""
+        return len(self._borrowed)
+
     def set_limit(self, limit):
         """Change the bound; idle connections above it are closed at once."""
         self._limit = limit
@@ -81,7 +97,7 @@
     def condemn(self):
         """Close all connections, also those in use: the instance was replaced."""
         self.drop_idle()
-        for connection in list(self._in_use):
+        for connection in [*self._in_use, *self._borrowed]:
             connection.close()
 
     def trim(self, now, idle_limit=IDLE_LIMIT, keep=0):
@@ -118,17 +134,77 @@
         """
         return _HeldConnection(self, database, deadline_at, prefer)
 
-    async def acquire(self, deadline_at, prefer=None):
-        """Return a connection that must be released; see `connection`."""
+    async def acquire(self, deadline_at, prefer=None, pinned=False):
+        """Return a connection that must be released; see `connection`.
+
+        Parameters
+        ----------
+        deadline_at : float
+        prefer : callable, optional
+        pinned : bool
+            Whether a transaction is to hold it, with the caller's pauses.
+        """
         while True:
             if self._closed:
                 raise UpstreamUnreachable("pool is closed")
             connection = self.take_idle(prefer)
             if connection is not None:
                 return connection
-            if self.size < self._limit and self._clock() >= self._busy_until:
-                return await self._open(deadline_at)
-            await self._wait(deadline_at)
+            if self._may_open():
+                return await self._open_or_borrow(deadline_at, pinned)
+            patience = LOAN_PATIENCE if self.size else 0.0
+            if self._borrow is None:
+                await self._wait(deadline_at, BUSY_PAUSE)
+            elif not await self._wait(deadline_at, patience):
+                connection = await self._try_borrow(pinned, deadline_at)
+                if connection is not None:
+                    return connection
+                await self._wait(deadline_at, LOAN_PATIENCE)
+
+    def _may_open(self):
+        return self.size < self._limit and self._clock() >= self._busy_until
+
+    async def _open_or_borrow(self, deadline_at, pinned):
+        try:
+            return await self._open(deadline_at)
+        except UpstreamBusy:
+            connection = await self._try_borrow(pinned, deadline_at)
+            if connection is None:
+                raise
+            return connection
+
+    async def _try_borrow(self, pinned, deadline_at):
+        """Return a connection of another VM, or None."""
+        if self._borrow is None:
+            return None
+        connection = await self._borrow(pinned, deadline_at)
+        if connection is not None:
+            connection.opened_at = self._clock()
+            self._borrowed.add(connection)
+        return connection
+
+    async def lend(self, pinned, deadline_at):
+        """Return a connection for another VM that must be released, or None.
+
+        A transaction gets one only if that leaves another for single statements.
+
+        Parameters
+        ----------
+        pinned : bool
+        deadline_at : float
+        """
+        room = self._limit - self.size if self._clock() >= self._busy_until else 0
+        spare = len(self._idle) + room
+        if self._waiters or spare < (2 if pinned else 1):
+            return None
+        connection = self.take_idle()
+        if connection is not None or not self._may_open():
+            return connection
+        try:
+            return await self._open(deadline_at)
+        except (UpstreamError, DeadlinePassed):
+            # The borrower asks elsewhere; `refusals` counts it.
+            return None
 
     def take_idle(self, prefer=None):
         """Return an idle connection that must be released, or None."""
@@ -168,22 +244,35 @@
         self._in_use.add(connection)
         return connection
 
-    async def _wait(self, deadline_at):
+    async def _wait(self, deadline_at, pause):
+        """Wait for a connection to be released; return whether one was.
+
+        Parameters
+        ----------
+        deadline_at : float
+        pause : float
+            Seconds to wait at most.
+        """
         waiter = asyncio.get_running_loop().create_future()
         self._waiters.append(waiter)
-        pause = min(deadline_at, max(self._busy_until, self._clock() + BUSY_PAUSE))
         try:
-            async with asyncio.timeout_at(pause):
+            async with asyncio.timeout_at(min(deadline_at, self._clock() + pause)):
                 await waiter
+            return True
         except TimeoutError:
             if self._clock() >= deadline_at:
                 raise DeadlinePassed("no connection became free") from None
+            return False
         finally:
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
 
     def release(self, connection):
         """Give a connection back."""
+        if connection in self._borrowed:
+            self._borrowed.discard(connection)
+            connection.give_back()
+            return
         self._in_use.discard(connection)
         fits = self.size < self._limit and not self._closed
         if connection.reusable and fits:
--- /dev/null
+++ b/tests/test_lending.py
@@ -0,0 +1,303 @@
+"""Connections lent between daemons: who gets one, what it holds, how a loan ends."""
+
+import asyncio
+import unittest
+
+from cardamomdrift.errors import UpstreamLost, UpstreamUnreachable
+from cardamomdrift.limits.shares import lending_homes, share_with_loans
+from cardamomdrift.peers.loans import (
+    LoanGranted,
+    LoanLost,
+    LoanRefused,
+    LoanRequest,
+    LoanStream,
+    pack_steps,
+    unpack_steps,
+)
+from cardamomdrift.ports import Reply, TransactionState
+from cardamomdrift.position import Position
+from cardamomdrift.sessions.commands import Begin, Read, SetValue, StepDown, Write
+from cardamomdrift.sessions.state import LoadedState
+from cardamomdrift.upstreams.borrower import BorrowedConnection, Borrower
+from cardamomdrift.upstreams.pool import InstancePool
+from tests.site import LineClient, Site, free_port
+
+
+class FakeLog:
+    def __getattr__(self, _name):
+        return lambda *_args, **_fields: None
+
+
+class FakeConnection:
+    """An instance connection that answers every statement."""
+
+    lender = ""
+
+    def __init__(self):
+        self.loaded = LoadedState()
+        self.state = TransactionState.IDLE
+        self.position = Position(1, 1)
+        self.reusable = True
+        self.steps = []
+
+    async def exchange(self, steps):
+        self.steps.extend(steps)
+        return [Reply([], "sig", position=Position(1, 2)) for _ in steps]
+
+    def close(self):
+        self.reusable = False
+
+
+class SharesTest(unittest.TestCase):
+    def test_what_is_left_after_equal_shares_stays_free(self):
+        members = tuple(f"vm-{index}" for index in range(34))
+        shares = [share_with_loans(46, members, vm, "i") for vm in members]
+        self.assertEqual(set(shares), {1})
+
+    def test_more_vms_than_connections(self):
+        members = tuple(f"vm-{index}" for index in range(680))
+        shares = [share_with_loans(46, members, vm, "i") for vm in members]
+        self.assertEqual(sum(shares), 45)
+        self.assertEqual(set(shares), {0, 1})
+        homes = lending_homes(46, members, "i")
+        self.assertEqual(
+            set(homes), {vm for vm, share in zip(members, shares, strict=True) if share}
+        )
+
+
+class StepsTest(unittest.TestCase):
+    def test_statements_come_out_as_they_went_in(self):
+        steps = [
+            (None, SetValue("zone", "a b")),
+            (None, Begin(True, Position(3, 7))),
+            ("id1", Read("READ x", Position(3, 7))),
+        ]
+        self.assertEqual(unpack_steps(pack_steps(steps)), steps)
+
+    def test_only_statements_of_sessions_are_taken(self):
+        with self.assertRaises(ValueError):
+            unpack_steps(pack_steps([(None, StepDown(9))]))
+
+
+class PoolTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.opened = []
+        self.asked = []
+        self.lendable = []
+
+    async def connect(self, _timeout):
+        self.opened.append(FakeConnection())
+        return self.opened[-1]
+
+    async def borrow(self, pinned, _deadline_at):
+        self.asked.append(pinned)
+        return self.lendable.pop() if self.lendable else None
+
+    def make_pool(self, limit):
+        clock = asyncio.get_running_loop().time
+        pool = InstancePool(self.connect, clock, self.borrow)
+        pool.set_limit(limit)
+        return pool, clock() + 1.0
+
+    async def test_own_connections_come_first(self):
+        pool, end = self.make_pool(1)
+        await pool.acquire(end)
+        self.assertEqual(self.asked, [])
+
+    async def test_a_held_connection_is_waited_for_a_moment(self):
+        pool, end = self.make_pool(1)
+        first = await pool.acquire(end)
+        waiting = asyncio.create_task(pool.acquire(end))
+        await asyncio.sleep(0.005)
+        pool.release(first)
+        self.assertIs(await waiting, first)
+        self.assertEqual(self.asked, [])
+
+    async def test_then_one_is_borrowed_and_given_back(self):
+        pool, end = self.make_pool(1)
+        await pool.acquire(end)
+        given = []
+        lent = FakeConnection()
+        lent.give_back = lambda: given.append(lent)
+        self.lendable.append(lent)
+        self.assertIs(await pool.acquire(end, pinned=True), lent)
+        self.assertEqual(self.asked, [True])
+        self.assertEqual((pool.size, pool.borrowed), (1, 1))
+        pool.release(lent)
+        self.assertEqual(given, [lent])
+        self.assertEqual(pool.borrowed, 0)
+
+    async def test_without_a_share_everything_is_borrowed(self):
+        pool, end = self.make_pool(0)
+        self.lendable.append(FakeConnection())
+        await pool.acquire(end)
+        self.assertEqual(self.opened, [])
+
+    async def test_the_last_connection_is_not_lent_to_a_transaction(self):
+        pool, end = self.make_pool(1)
+        self.assertIsNone(await pool.lend(True, end))
+        self.assertIsNotNone(await pool.lend(False, end))
+        self.assertIsNone(await pool.lend(False, end))
+
+
+class BorrowedConnectionTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.script = []
+        self.port = free_port("127.0.0.1")
+        server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.addCleanup(server.close)
+
+    async def serve(self, reader, writer):
+        stream = LoanStream(reader, writer)
+        for answer in self.script:
+            await stream.receive()
+            if answer is None:
+                writer.transport.abort()
+                return
+            stream.write(answer)
+
+    async def borrow(self, pinned=False):
+        clock = asyncio.get_running_loop().time
+        peers = lambda: {"vm-2": "127.0.0.1"}  # noqa: E731
+        borrower = Borrower("vm-1", peers, self.port - 2, clock, FakeLog())
+        return borrower, await borrower.borrow("i", ["vm-2"], pinned, clock() + 1)
+
+    async def test_refused(self):
+        self.script = [LoanRefused("none")]
+        borrower, connection = await self.borrow()
+        self.assertIsNone(connection)
+        self.assertEqual(borrower.counts, {"borrowed": 0, "nobody": 1})
+
+    async def test_a_lender_lost_in_a_statement_leaves_it_in_doubt(self):
+        self.script = [LoanGranted({}, [], None), None]
+        _, connection = await self.borrow()
+        with self.assertRaises(UpstreamLost):
+            await connection.exchange([("id", Write("WRITE x 1"))])
+        self.assertFalse(connection.reusable)
+
+    async def test_not_sent_is_passed_on_as_not_sent(self):
+        self.script = [LoanGranted({}, [], None), LoanLost(False, "closed")]
+        _, connection = await self.borrow()
+        with self.assertRaises(UpstreamUnreachable):
+            await connection.exchange([("id", Write("WRITE x 1"))])
+
+    async def test_fewer_replies_than_statements(self):
+        self.script = [LoanGranted({}, [], None), LoanGranted({}, [], None)]
+        _, connection = await self.borrow()
+        with self.assertRaises(UpstreamLost):
+            await connection.exchange([("id", Write("WRITE x 1"))])
+
+    async def test_bytes_that_are_no_text_are_not_sent(self):
+        self.script = [LoanGranted({}, [], None)]
+        _, connection = await self.borrow()
+        with self.assertRaises(UpstreamUnreachable):
+            await connection.exchange([("id", Write("WRITE x \udcff"))])
+
+    async def test_an_answer_outstanding_ends_the_loan(self):
+        self.script = [LoanGranted({}, [], None)]
+        _, connection = await self.borrow()
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.05):
+                await connection.exchange([("id", Write("WRITE x 1"))])
+        self.assertIsInstance(connection, BorrowedConnection)
+        self.assertFalse(connection.reusable)
+
+
+class SiteLendingTest(unittest.IsolatedAsyncioTestCase):
+    """Two daemons and instances that take one connection, which the first has."""
+
+    async def start(self, connections=1):
+        site = Site(daemons=1, connections=connections)
+        await site.__aenter__()
+        self.addAsyncCleanup(site.__aexit__, None, None, None)
+        await site.until(lambda: self.holding(site, "vm-1") == 3)
+        await site.start("vm-2")
+        await site.until(lambda: site.usable("vm-2"))
+        return site
+
+    @staticmethod
+    def holding(site, name):
+        cluster = site.daemons[name].clusters.get("g")
+        return sum(one.pool.size for one in cluster.instances.values())
+
+    async def test_writes_and_reads_of_a_daemon_without_connections(self):
+        site = await self.start()
+        client, _ = await LineClient.open(site.front("vm-2"), "book")
+        await client.ask("SET zone a")
+        for index in range(5):
+            lines = await client.ask(f"WRITE x {index}")
+            self.assertTrue(lines[-1].startswith("COMPLETE sig"), lines)
+            lines = await client.ask("READ x")
+            self.assertEqual(lines[0], f"ROW x={index}")
+        self.assertEqual(self.holding(site, "vm-2"), 0)
+        self.assertGreater(site.daemons["vm-2"].borrower.counts["borrowed"], 0)
+        values = [run[2] for run in site.group.primary.runs]
+        self.assertEqual(values, [{"zone": "a"}] * len(values))
+
+    async def test_values_do_not_pass_to_the_lenders_callers(self):
+        site = await self.start()
+        one, _ = await LineClient.open(site.front("vm-2"), "book")
+        await one.ask("SET zone a")
+        await one.ask("WRITE x 1", "of-one")
+        two, _ = await LineClient.open(site.front("vm-1"), "book")
+        await two.ask("WRITE x 2", "of-two")
+        values = {run[0]: run[2] for run in site.group.primary.runs}
+        self.assertEqual(values["of-one"], {"zone": "a"})
+        self.assertEqual(values["of-two"], {})
+
+    async def test_a_transaction_over_a_loan(self):
+        site = await self.start()
+        client, _ = await LineClient.open(site.front("vm-2"), "book")
+        await client.ask("BEGIN")
+        await client.ask("WRITE x 1")
+        await client.ask("WRITE y 2")
+        self.assertEqual(client.state, "T")
+        lines = await client.ask("COMMIT")
+        self.assertTrue(lines[-1].startswith("COMPLETE sig"), lines)
+        self.assertEqual(
+            [one[1:] for one in site.group.primary.log[-2:]], [("x", "1"), ("y", "2")]
+        )
+
+    async def test_a_lender_that_ends_leaves_nothing_of_a_transaction(self):
+        site = await self.start()
+        client, _ = await LineClient.open(site.front("vm-2"), "book")
+        await client.ask("BEGIN")
+        await client.ask("WRITE x 1")
+        await site.kill("vm-1")
+        lines = await client.ask("COMMIT")
+        self.assertTrue(lines[-1].startswith("ERROR"), lines)
+        self.assertEqual(site.group.primary.log, [])
+
+    async def test_a_held_connection_leaves_room_for_single_statements(self):
+        """With one connection each, a resting transaction must not stop the others."""
+        site = await self.start(connections=2)
+        resting, _ = await LineClient.open(site.front("vm-1"), "book")
+        await resting.ask("BEGIN")
+        await resting.ask("WRITE x 1")
+        other, _ = await LineClient.open(site.front("vm-1"), "book")
+        lines = await other.ask("WRITE y 2")
+        self.assertTrue(lines[-1].startswith("COMPLETE sig"), lines)
+
+    async def test_what_is_no_loan_message_is_turned_away(self):
+        site = await self.start()
+        port = site.ports[2] + 2
+        for data in (b"GET / HTTP/1.1\r\n\r\n", b"\xff\xff\xff\xff", b"\0\0\0\1\xc1"):
+            reader, writer = await asyncio.open_connection(site.host("vm-1"), port)
+            writer.write(data)
+            self.assertEqual(await asyncio.wait_for(reader.read(), 3), b"")
+            writer.close()
+        client, _ = await LineClient.open(site.front("vm-1"), "book")
+        self.assertIn("COMPLETE", (await client.ask("READ x"))[-1])
+
+    async def test_an_instance_that_is_not_known(self):
+        site = await self.start()
+        port = site.ports[2] + 2
+        streams = await asyncio.open_connection(site.host("vm-1"), port)
+        stream = LoanStream(*streams)
+        stream.write(LoanRequest("vm-9", "nobody", False))
+        self.assertIsInstance(await stream.receive(), LoanRefused)
+        stream.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
