A primary that others reach is used through them; an old list is read anew for a replacement

Change: a detour over daemons that the primary has answered within 0.4 s, checked by an empty transaction every 0.2 s while the own path fails; whoever is to replace a primary and has an old list reads it. Tests: DetourTest, and a lost primary while all lists are old; both fail without the change.

--- a/cardamomdrift/failover/replacement.py
+++ b/cardamomdrift/failover/replacement.py
@@ -10,11 +10,11 @@
 from enum import Enum, auto
 
 from cardamomdrift.failover.permission import ACKNOWLEDGED_NEEDED, PERMISSION_TIME
+from cardamomdrift.peers.contacts import CONTACT_AGE
 
 REFUSED_TIME = 0.15  # seconds; a connection that was reset is opened anew in 30 ms
 SILENT_TIME = 0.5  # seconds; two pings that find no answer
 LONE_TIME = 1.0  # seconds, if other daemons reach the primary; callers wait 1.2 s
-PEER_AGE = 0.4  # seconds for which a peer's contact counts; more than its heartbeats
 MISSING_TIME = 2.5  # seconds; a lapsed entry is back 2 s after an outage of the store
 REPLICA_AGE = 1.0  # seconds within which a replica must have answered
 SETTLE_PAUSE = 2.0  # seconds before a new primary may be replaced in turn
@@ -86,7 +86,7 @@
 def is_unreachable(evidence):
     """Whether a primary has left callers unanswered for too long."""
     age = evidence.peer_contact_age
-    if age is not None and age <= PEER_AGE:
+    if age is not None and age <= CONTACT_AGE:
         return max(evidence.unanswered, evidence.peer_silence) >= LONE_TIME
     if evidence.refused:
         return evidence.unanswered >= REFUSED_TIME
--- a/cardamomdrift/failover/replacer.py
+++ b/cardamomdrift/failover/replacer.py
@@ -23,11 +23,12 @@
     takeover_at,
 )
 from cardamomdrift.loops import repeat
-from cardamomdrift.membership.control import LIVE_TIME
 from cardamomdrift.membership.rendezvous import rank
-from cardamomdrift.util import cancel_all, seconds
+from cardamomdrift.peers.contacts import LIVE_TIME, primary_contacts
+from cardamomdrift.util import cancel_all
 
 TICK = 0.05  # seconds
+LIST_TIME = 0.1  # seconds for the list of instances to come; a read takes some 10 ms
 RETRY_DELAY = 0.5  # seconds after a failed replacement
 
 
@@ -110,14 +111,15 @@
                     generation=cluster.leadership.generation,
                     evidence=str(self._evidence(cluster, now)),
                 )
-        if reason is None or now < watch.not_before or not self._is_able():
+        if reason is None or now < watch.not_before or not self._control.reachable:
             return
-        if now >= watch.since + self._delay(cluster, now):
+        if now < watch.since + self._delay(cluster, now):
+            return
+        if self._instances.is_current:
             watch.task = asyncio.create_task(self._replace(cluster, reason, watch))
-
-    def _is_able(self):
-        """Whether this daemon knows enough to replace a primary."""
-        return self._instances.is_current and self._control.reachable
+        else:
+            self._instances.want()
+            watch.not_before = now + LIST_TIME
 
     def _find_reason(self, cluster, now):
         lead = cluster.leadership
@@ -136,7 +138,9 @@
             for name, one in cluster.instances.items()
             if name != lead.primary and one.answered_at is not None
         ]
-        contact, silence = self._peers_say(cluster, now)
+        contacts = primary_contacts(
+            self._roster, cluster.group.name, lead.generation, now
+        )
         return PrimaryEvidence(
             listed=runtime is not None,
             missing_for=self._missing_for(cluster, now),
@@ -144,8 +148,8 @@
             unanswered=runtime.silence.unanswered(loop_now) if runtime else 0.0,
             refused=runtime is not None and runtime.silence.refused,
             replica_age=min(ages, default=None),
-            peer_contact_age=contact,
-            peer_silence=silence,
+            peer_contact_age=contacts.newest,
+            peer_silence=contacts.silence,
             settled_for=now - lead.changed_at,
         )
 
@@ -160,23 +164,6 @@
             return min(missing, now - lead.changed_at)
         return now - cluster.started_boot if cluster.instances else 0.0
 
-    def _peers_say(self, cluster, now):
-        """Return the peers' last contact with the primary and its longest silence."""
-        contacts, silences = [], [0.0]
-        generation = cluster.leadership.generation
-        for peer in self._roster.peers.values():
-            if peer.heartbeat is None or now - peer.heard_at > LIVE_TIME:
-                continue
-            claim, at = peer.claims.get(cluster.group.name, (None, now))
-            if claim is None or claim.generation != generation:
-                continue
-            if now - at <= LIVE_TIME:
-                silences.append(seconds(claim.silence_ms))
-            if claim.contact_age_ms is not None:
-                age = seconds(claim.contact_age_ms)
-                contacts.append(age + now - at)
-        return min(contacts, default=None), max(silences)
-
     def _delay(self, cluster, now):
         """Return how long this daemon leaves the replacement to those before it."""
         live = self._roster.live(now, LIVE_TIME)
--- a/cardamomdrift/membership/control.py
+++ b/cardamomdrift/membership/control.py
@@ -34,13 +34,13 @@
 )
 from cardamomdrift.loops import repeat
 from cardamomdrift.membership.rendezvous import rank
+from cardamomdrift.peers.contacts import LIVE_TIME
 from cardamomdrift.ports import Committed
 from cardamomdrift.util import cancel_all
 
 TICK = 0.1  # seconds
 CONFIRM_MARGIN = 0.5  # seconds of permission left at which the store is read
 RANK_DELAY = 0.1  # seconds for each live daemon that comes first
-LIVE_TIME = 1.0  # seconds since the last heartbeat of a daemon that lives
 # Seconds without a heartbeat after which a daemon is removed: more than a restart
 # takes, and than it may rely on whoever removes it.
 GONE_TIME = SILENT_TIME + ECHO_TIME + 0.5
--- a/cardamomdrift/membership/feed.py
+++ b/cardamomdrift/membership/feed.py
@@ -61,6 +61,7 @@
         self._daemons = daemons
         self._hinted = 0
         self._hint = asyncio.Event()
+        self._wanted = False
         self._store = store
         self._table = table
         self._on_rows = on_rows
@@ -91,7 +92,6 @@
             return
         changes = await self._wait_for_changes()
         if changes is None:
-            self._log.info("others know of a change", table=self._table)
             await self._read()
             return
         if isinstance(changes, HistoryGone):
@@ -116,7 +116,7 @@
         self._note(True)
 
     async def _wait_for_changes(self):
-        """Return the next changes, or None if others know of one that has not come."""
+        """Return the next changes, or None if the table is to be read at once."""
         share = max(1.0, self._daemons() / WATCH_DAEMONS)
         wait = min(WATCH_TIME * share, WATCH_MAXIMUM)
         watching = asyncio.create_task(
@@ -125,13 +125,20 @@
         hinting = asyncio.create_task(self._hint.wait())
         try:
             await asyncio.wait((watching, hinting), return_when=asyncio.FIRST_COMPLETED)
-            if not watching.done():
+            if not watching.done() and not self._wanted:
+                self._log.info("others know of a change", table=self._table)
                 await asyncio.wait((watching,), timeout=HINT_TIME)
             return watching.result() if watching.done() else None
         finally:
+            self._wanted = False
             self._hint.clear()
             await cancel_all((watching, hinting))
 
+    def want(self):
+        """Read the table at once, since something depends on its present state."""
+        self._wanted = True
+        self._hint.set()
+
     @property
     def changed(self):
         """Version of the last change of the table that is known; 0 before the first."""
--- a/cardamomdrift/membership/instance_list.py
+++ b/cardamomdrift/membership/instance_list.py
@@ -32,11 +32,18 @@
         self._entries = {}
         self._current_at = -OLDEST
         self._on_hint = None
+        self._on_want = None
         self.changed = 0
 
-    def use_hints(self, on_hint):
-        """Set what takes the version of a change that another daemon knows."""
+    def use_feed(self, on_hint, on_want):
+        """Set what takes the versions that other daemons know, and what reads anew."""
         self._on_hint = on_hint
+        self._on_want = on_want
+
+    def want(self):
+        """Ask the store for the list at once."""
+        if self._on_want is not None:
+            self._on_want()
 
     def note_current(self, changed):
         """Take in that the store has told all changes until now.
--- /dev/null
+++ b/cardamomdrift/peers/contacts.py
@@ -0,0 +1,68 @@
+"""
+Contacts
+========
+
+What the other daemons say of a group's primary: when it last answered them, and for how
+long it has been silent.
+"""
+
+from dataclasses import dataclass, field
+
+from cardamomdrift.util import seconds
+
+LIVE_TIME = 1.0  # seconds since the last heartbeat of a daemon that lives
+CONTACT_AGE = 0.4  # seconds for which a contact counts; more than a heartbeat's spacing
+
+
+@dataclass(slots=True)
+class PrimaryContacts:
+    """What the live daemons say; times are in seconds.
+
+    Attributes
+    ----------
+    ages : dict of str to float
+        Time since the primary last answered, by daemon.
+    silence : float
+        Longest time for which it has answered a daemon nothing.
+    """
+
+    ages: dict = field(default_factory=dict)
+    silence: float = 0.0
+
+    @property
+    def newest(self):
+        """Time since it last answered any of them, or None."""
+        return min(self.ages.values(), default=None)
+
+    @property
+    def reaching(self):
+        """Names of the daemons that it has answered lately, the last one first."""
+        ages = self.ages
+        lately = [name for name, age in ages.items() if age <= CONTACT_AGE]
+        return sorted(lately, key=ages.get)
+
+
+def primary_contacts(roster, group, generation, now):
+    """Return the PrimaryContacts of a group.
+
+    Parameters
+    ----------
+    roster : Roster
+    group : str
+    generation : int
+        Replacement that the daemons must know for their word to count.
+    now : float
+        Boot clock.
+    """
+    found = PrimaryContacts()
+    for name, peer in roster.peers.items():
+        if peer.heartbeat is None or now - peer.heard_at > LIVE_TIME:
+            continue
+        claim, at = peer.claims.get(group, (None, now))
+        if claim is None or claim.generation != generation:
+            continue
+        if now - at <= LIVE_TIME:
+            found.silence = max(found.silence, seconds(claim.silence_ms))
+        if claim.contact_age_ms is not None:
+            found.ages[name] = seconds(claim.contact_age_ms) + now - at
+    return found
--- a/cardamomdrift/platform/daemon.py
+++ b/cardamomdrift/platform/daemon.py
@@ -22,10 +22,11 @@
 from cardamomdrift.failover.replacer import Replacer
 from cardamomdrift.http.server import HttpServer
 from cardamomdrift.loops import repeat
-from cardamomdrift.membership.control import LIVE_TIME, ControlPlane
+from cardamomdrift.membership.control import ControlPlane
 from cardamomdrift.membership.feed import TableFeed
 from cardamomdrift.membership.instance_list import InstanceList
 from cardamomdrift.peers.announcer import Announcer
+from cardamomdrift.peers.contacts import LIVE_TIME, primary_contacts
 from cardamomdrift.peers.heartbeat import HeartbeatPort
 from cardamomdrift.peers.link import AnswerPort, ask
 from cardamomdrift.peers.loans import PORT_OFFSET
@@ -165,6 +166,7 @@
             members=self._members,
             announce=lambda: self.announcer.announce(),
             borrow=self.borrower.borrow,
+            contacts=self._contacts,
             clock=clock,
             log=self.log,
         )
@@ -184,6 +186,9 @@
         known = self.control.listed or self.roster.peers
         return self.roster.names if known else ()
 
+    def _contacts(self, group, generation):
+        return primary_contacts(self.roster, group, generation, boot_clock())
+
     def _lenders(self):
         """Return the addresses of the daemons that may lend connections."""
         peers = self.roster.peers
@@ -216,7 +221,7 @@
         await self._serve_metrics()
         await enter(self._feed(CONFIG_TABLE, self._on_config_rows))
         self._instance_feed = self._feed(INSTANCE_TABLE, self._on_instance_rows)
-        self.instances.use_hints(self._on_list_hint)
+        self.instances.use_feed(self._on_list_hint, self._instance_feed.want)
         await enter(self._instance_feed)
         await enter(self.control)
         await enter(self.announcer)
--- a/cardamomdrift/routing/attempt.py
+++ b/cardamomdrift/routing/attempt.py
@@ -100,12 +100,13 @@
     steps = [(None, command) for command in setup]
     steps.append(step)
     runtime = cluster.instances.get(place_name)
+    direct = not connection.lender
     begun_boot = boot_clock()
-    if runtime is not None:
+    if runtime is not None and direct:
         runtime.silence.asked(cluster.clock())
     replies = await connection.exchange(steps)
     reply = replies[-1]
-    cluster.note_reply(place_name, reply.position, begun_boot)
+    cluster.note_reply(place_name, reply.position, begun_boot, direct)
     if any(one.refusal is not None for one in replies[:-1]):
         connection.close()
         raise UpstreamLost("the instance refused the session's state")
@@ -156,7 +157,8 @@
             cluster.counts.refusals += 1
             raise TryElsewhere(place.name, f"no connection: {error}") from error
         except UpstreamUnreachable as error:
-            runtime.note_failure()
+            if not runtime.detours:
+                runtime.note_failure()
             raise TryElsewhere(place.name, f"not reached: {error}") from error
         if connection.lender:
             trace.lender = connection.lender
@@ -168,6 +170,13 @@
             runtime.pool.release(connection)
 
 
+def note_failed(runtime, connection):
+    """Take in that an instance left a statement unanswered."""
+    if not connection.lender:
+        # Over a loan it may be the lender; a detour's own pings tell.
+        runtime.note_failure()
+
+
 def check_reply(place, reply):
     """Raise what a refused statement calls for; return the reply otherwise.
 
--- a/cardamomdrift/routing/cluster.py
+++ b/cardamomdrift/routing/cluster.py
@@ -20,6 +20,7 @@
 from cardamomdrift.position import Position
 from cardamomdrift.routing.contact import Contact
 from cardamomdrift.routing.cost import CostBook
+from cardamomdrift.routing.detour import Detour
 from cardamomdrift.routing.dispatch import Dispatcher
 from cardamomdrift.routing.instance import InstanceRuntime
 from cardamomdrift.routing.reached import ReachedView
@@ -55,6 +56,8 @@
         Sends heartbeats at once.
     borrow : coroutine function
         Borrows a connection to an instance; see `Borrower.borrow`.
+    contacts : callable
+        Takes a group and a generation and returns the daemons' PrimaryContacts.
     clock : callable
     log : structlog logger
     """
@@ -62,6 +65,7 @@
     vm: object
     connector: object
     borrow: object
+    contacts: object
     permission: object
     members: object
     announce: object
@@ -100,6 +104,7 @@
         self._budget = RetryBudget()
         self.read_at = -math.inf
         self.contact = Contact(self, context.announce)
+        self._detour = Detour(self)
         self._tasks = set()
         self._stack = AsyncExitStack()
         self.started_boot = boot_clock()
@@ -181,6 +186,7 @@
         return self
 
     async def __aexit__(self, *exc_info):
+        await self._detour.close()
         await cancel_all(list(self._tasks))
         for stack in list(self._stacks.values()):
             await stack.aclose()
@@ -256,7 +262,12 @@
 
     async def _borrow(self, name, pinned, deadline_at):
         """Return another VM's connection to an instance, or None."""
-        homes = lending_homes(self._group.connections, self._context.members(), name)
+        runtime = self._instances.get(name)
+        if runtime is not None and (runtime.detours or not runtime.usable):
+            homes = self.reaching()
+        else:
+            members = self._context.members()
+            homes = lending_homes(self._group.connections, members, name)
         return await self._context.borrow(name, homes, pinned, deadline_at)
 
     async def _remove(self, name):
@@ -373,7 +384,7 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def note_reply(self, name, position, begun_boot):
+    def note_reply(self, name, position, begun_boot, direct=True):
         """Take in an answer.
 
         Parameters
@@ -383,13 +394,16 @@
             What the instance's log had reached.
         begun_boot : float
             When the answer was asked for, by the boot clock.
+        direct : bool
+            Whether it came over an own connection.
         """
         now = self._clock()
         runtime = self._instances.get(name)
         if runtime is None:
             return
-        runtime.silence.answered()
-        runtime.answered_at = now
+        if direct:
+            runtime.silence.answered()
+            runtime.answered_at = now
         if position is None:
             return
         self._view.observe(name, position, now)
@@ -397,6 +411,17 @@
             self.leadership.note_term(name, position.term)
             self._floors.add(Sample(begun_boot, position))
 
+    def watch(self, now):
+        """Do what is due while instances do not answer."""
+        self.contact.watch(now)
+        self._detour.watch(now)
+
+    def reaching(self):
+        """Return the daemons that the primary has answered lately."""
+        lead = self.leadership
+        contacts = self._context.contacts(self._group.name, lead.generation)
+        return contacts.reaching
+
     def take_sample(self, begun_boot, position):
         """Take in what another daemon learned of the primary's log."""
         self._floors.add(Sample(begun_boot, Position(*position)))
--- a/cardamomdrift/routing/clusters.py
+++ b/cardamomdrift/routing/clusters.py
@@ -109,7 +109,7 @@
     def watch(self, now):
         """Do what is due in every group, and end idle transactions."""
         for cluster in self._clusters.values():
-            cluster.contact.watch(now)
+            cluster.watch(now)
         if self._deployment is None:
             return
         for handler in list(self._handlers):
--- /dev/null
+++ b/cardamomdrift/routing/detour.py
@@ -0,0 +1,83 @@
+"""
+Detour
+======
+
+While the primary does not answer this daemon but answers others, statements go to it
+over their connections.
+"""
+
+import asyncio
+
+from cardamomdrift.errors import UpstreamError
+from cardamomdrift.upstreams.pinger import ask_position
+from cardamomdrift.util import cancel_all
+
+DETOUR_AFTER = 0.15  # seconds without an answer; a direct ping begins after 0.1
+DETOUR_TIME = 0.6  # seconds for which a detour counts; three of its pings
+PING_INTERVAL = 0.2  # seconds between two pings over a detour
+PING_TIMEOUT = 0.25  # seconds, as for direct pings
+
+
+class Detour:
+    """The way to one group's primary over other daemons.
+
+    Parameters
+    ----------
+    cluster : Cluster
+    """
+
+    def __init__(self, cluster):
+        self._cluster = cluster
+        self._task = None
+        self._asked_at = None
+
+    async def close(self):
+        """End a ping under way."""
+        if self._task is not None:
+            await cancel_all([self._task])
+
+    def watch(self, now):
+        """Begin, keep up or end the detour."""
+        cluster = self._cluster
+        runtime = cluster.instances.get(cluster.leadership.primary)
+        if runtime is None or not cluster.leadership.settled:
+            return
+        direct = runtime.silence.unanswered(now) < DETOUR_AFTER and not runtime.failed
+        if direct:
+            self._end(runtime)
+        elif self._is_due(now) and cluster.reaching():
+            self._asked_at = now
+            self._task = asyncio.create_task(self._ping(runtime))
+
+    def _is_due(self, now):
+        if self._task is not None and not self._task.done():
+            return False
+        return self._asked_at is None or now >= self._asked_at + PING_INTERVAL
+
+    async def _ping(self, runtime):
+        cluster = self._cluster
+        deadline_at = cluster.clock() + PING_TIMEOUT
+        connection = await runtime.pool.borrow(False, deadline_at)
+        if connection is None:
+            return
+        try:
+            async with asyncio.timeout_at(deadline_at):
+                await ask_position(connection, read_only=True)
+        except (UpstreamError, TimeoutError) as error:
+            self._log("detour not usable", runtime, error=str(error))
+            return
+        finally:
+            runtime.pool.release(connection)
+        if not runtime.detours:
+            self._log("detour begun", runtime, lender=connection.lender)
+        runtime.note_detour(cluster.clock() + DETOUR_TIME)
+        cluster.pump()
+
+    def _end(self, runtime):
+        if runtime.detours:
+            runtime.end_detour()
+            self._log("detour ended", runtime)
+
+    def _log(self, event, runtime, **fields):
+        group = self._cluster.group.name
+        self._cluster.log.info(event, group=group, instance=runtime.spec.name, **fields)
--- a/cardamomdrift/routing/instance.py
+++ b/cardamomdrift/routing/instance.py
@@ -42,6 +42,7 @@
         self._concurrency = concurrency
         self._stack = AsyncExitStack()
         self._failed_at = None
+        self._detour_until = None
         self.answered_at = None
         self.in_flight = 0
         self.transactions = 0
@@ -98,9 +99,27 @@
     @property
     def usable(self):
         """Whether new requests may go there."""
-        silent = self._silence.unanswered(self._clock()) > SILENCE_LIMIT
+        now = self._clock()
+        if self._detour_until is not None and now < self._detour_until:
+            return not self.leaving
+        silent = self._silence.unanswered(now) > SILENCE_LIMIT
         return not self.leaving and not silent and self._failed_at is None
 
+    @property
+    def detours(self):
+        """Whether requests go there over connections of other VMs."""
+        return self._detour_until is not None
+
+    def note_detour(self, until):
+        """Send requests over other VMs' connections until some time of the loop."""
+        self._detour_until = until
+        self._pool.only_loans = True
+
+    def end_detour(self):
+        """Use own connections again."""
+        self._detour_until = None
+        self._pool.only_loans = False
+
     @property
     def failed(self):
         """Whether it failed a request and has not answered a probe since."""
--- a/cardamomdrift/routing/pinned.py
+++ b/cardamomdrift/routing/pinned.py
@@ -23,6 +23,7 @@
     RETRY_AFTER,
     RETRY_PAUSE,
     TryElsewhere,
+    note_failed,
     placed,
     primary_work,
     read_floor,
@@ -149,7 +150,7 @@
                     self._cluster, connection, place.name, setup, step
                 )
         except (UpstreamError, TimeoutError) as error:
-            runtime.note_failure()
+            note_failed(runtime, connection)
             raise TryElsewhere(place.name, f"no answer to BEGIN: {error}") from error
 
     # Statements
@@ -174,7 +175,7 @@
                     request.command,
                 )
         except (UpstreamError, TimeoutError) as error:
-            self._runtime.note_failure()
+            note_failed(self._runtime, self._connection)
             await self._lose(f"{self._place.name} did not answer: {error}", error)
         if reply.refusal is None:
             return reply
@@ -213,7 +214,7 @@
         except UpstreamUnreachable as error:
             await self._lose(f"{place.name} was not reached for the commit", error)
         except (UpstreamError, TimeoutError) as error:
-            self._runtime.note_failure()
+            note_failed(self._runtime, self._connection)
             await self._note_commit_lost(place, error)
         await self._stack.aclose()
         self._check_commit(place, reply)
--- a/cardamomdrift/routing/statements.py
+++ b/cardamomdrift/routing/statements.py
@@ -26,6 +26,7 @@
     RETRY_PAUSE,
     TryElsewhere,
     check_reply,
+    note_failed,
     placed,
     primary_work,
     read_floor,
@@ -86,10 +87,10 @@
                             cluster, connection, place.name, request, request.command
                         )
             except UpstreamUnreachable as error:
-                runtime.note_failure()
+                note_failed(runtime, connection)
                 raise TryElsewhere(place.name, str(error)) from error
             except (UpstreamLost, TimeoutError) as error:
-                runtime.note_failure()
+                note_failed(runtime, connection)
                 reason = f"{place.name} did not answer the write"
                 raise OutcomeUnknown(reason) from error
             check_reply(place, reply)
@@ -247,10 +248,10 @@
             async with asyncio.timeout_at(request.deadline_at):
                 reply = await run_on(cluster, connection, place.name, request, command)
         except UpstreamUnreachable as error:
-            runtime.note_failure()
+            note_failed(runtime, connection)
             raise TryElsewhere(place.name, str(error)) from error
         except (UpstreamLost, TimeoutError) as error:
-            runtime.note_failure()
+            note_failed(runtime, connection)
             raise TryElsewhere(place.name, f"no answer: {error}") from error
         self._learn(request, started)
         return reply
--- a/cardamomdrift/standins/lines.py
+++ b/cardamomdrift/standins/lines.py
@@ -28,18 +28,22 @@
         Statements that are refused as BUSY.
     deaf : bool
         It receives nothing from its primary.
+    silent_to : set of str
+        Daemons to which it is silent.
     """
 
     silent: bool = False
     lose_answers: int = 0
     busy: int = 0
     deaf: bool = False
+    silent_to: set = field(default_factory=set)
 
 
 @dataclass
 class LineSession:
     """One connection to an instance."""
 
+    caller: str = ""
     values: dict = field(default_factory=dict)
     prepared: dict = field(default_factory=dict)
     state: str = "I"
@@ -121,14 +125,14 @@
         session = LineSession()
         try:
             word, _, rest = (await self._read(reader)).partition(" ")
-            service, _who, wanted = [*rest.split(" "), ""][:3]
+            service, session.caller, wanted = [*rest.split(" "), ""][:3]
             if word != "START" or service != self._group.name or wanted != self.name:
                 writer.write(f"ERROR WRONGNODE {self.name}\r\n".encode())
                 return
             if len(self._writers) > self._group.connections:
                 writer.write(f"ERROR CONNLIMIT {self.name}\r\n".encode())
                 return
-            if self.faults.silent:
+            if self._is_silent(session):
                 await asyncio.sleep(3600)
             writer.write(f"READY I {self.position}\r\n".encode())
             while True:
@@ -145,9 +149,14 @@
     async def _read(reader):
         return (await reader.readuntil(b"\r\n")).decode()[:-2]
 
+    def _is_silent(self, session):
+        return self.faults.silent or session.caller in self.faults.silent_to
+
     async def _answer(self, writer, session, request_id, text):
+        if session.caller in self.faults.silent_to:
+            return
         lines = await self._run(session, request_id, text)
-        if self.faults.silent:
+        if self._is_silent(session):
             return
         ran = any(line.startswith("COMPLETE sig") for line in lines)
         if ran and self.faults.lose_answers > 0:
--- a/cardamomdrift/upstreams/lender.py
+++ b/cardamomdrift/upstreams/lender.py
@@ -148,10 +148,12 @@
             async with asyncio.timeout(EXCHANGE_TIME):
                 replies = await connection.exchange(steps)
         except (UpstreamError, TimeoutError) as error:
+            runtime.note_failure()
             sent = not isinstance(error, UpstreamUnreachable)
             stream.write(LoanLost(sent, f"{type(error).__name__} {error}"))
             return False
         runtime.silence.answered()
+        runtime.answered_at = self._clock()
         try:
             stream.write(LoanReplies(replies))
         except UnicodeEncodeError as error:
--- a/cardamomdrift/upstreams/pinger.py
+++ b/cardamomdrift/upstreams/pinger.py
@@ -97,12 +97,12 @@
             connection = self._pool.take_idle()
             if connection is not None:
                 try:
-                    return await _ask_position(connection, read_only)
+                    return await ask_position(connection, read_only)
                 finally:
                     self._pool.release(connection)
             connection = await self._connect(PING_TIMEOUT)
             try:
-                return await _ask_position(connection, read_only)
+                return await ask_position(connection, read_only)
             finally:
                 connection.close()
 
@@ -135,7 +135,19 @@
                 connection.close()
 
 
-async def _ask_position(connection, read_only):
+async def ask_position(connection, read_only):
+    """Return what an instance's log has reached, by an empty transaction.
+
+    Parameters
+    ----------
+    connection : StatementConnection
+    read_only : bool
+        False asks whether it takes writes; None is returned if it does not.
+
+    Raises
+    ------
+    UpstreamError
+    """
     begun, ended = await connection.exchange(
         [(None, Begin(read_only)), (None, Rollback())]
     )
--- a/cardamomdrift/upstreams/pool.py
+++ b/cardamomdrift/upstreams/pool.py
@@ -41,6 +41,7 @@
         self._clock = clock
         self._borrow = borrow
         self._borrowed = set()
+        self.only_loans = False
         self._limit = 0
         self._idle = deque()
         self._in_use = set()
@@ -147,6 +148,8 @@
         while True:
             if self._closed:
                 raise UpstreamUnreachable("pool is closed")
+            if self.only_loans:
+                return await self._borrow_only(deadline_at, pinned)
             connection = self.take_idle(prefer)
             if connection is not None:
                 return connection
@@ -156,7 +159,7 @@
             if self._borrow is None:
                 await self._wait(deadline_at, BUSY_PAUSE)
             elif not await self._wait(deadline_at, patience):
-                connection = await self._try_borrow(pinned, deadline_at)
+                connection = await self.borrow(pinned, deadline_at)
                 if connection is not None:
                     return connection
                 await self._wait(deadline_at, LOAN_PATIENCE)
@@ -168,13 +171,25 @@
         try:
             return await self._open(deadline_at)
         except UpstreamBusy:
-            connection = await self._try_borrow(pinned, deadline_at)
+            connection = await self.borrow(pinned, deadline_at)
             if connection is None:
                 raise
             return connection
 
-    async def _try_borrow(self, pinned, deadline_at):
-        """Return a connection of another VM, or None."""
+    async def _borrow_only(self, deadline_at, pinned):
+        connection = await self.borrow(pinned, deadline_at)
+        if connection is None:
+            raise UpstreamUnreachable("no daemon lends a connection")
+        return connection
+
+    async def borrow(self, pinned, deadline_at):
+        """Return a connection of another VM that must be released, or None.
+
+        Parameters
+        ----------
+        pinned : bool
+        deadline_at : float
+        """
         if self._borrow is None:
             return None
         connection = await self._borrow(pinned, deadline_at)
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -299,5 +299,52 @@
         stream.close()
 
 
+class DetourTest(unittest.IsolatedAsyncioTestCase):
+    """A primary that one daemon of three does not reach."""
+
+    async def asyncSetUp(self):
+        self.site = Site(daemons=3)
+        await self.site.__aenter__()
+        self.addAsyncCleanup(self.site.__aexit__, None, None, None)
+        self.primary = self.site.group.primary
+        self.client, _ = await LineClient.open(self.site.front("vm-3"), "book")
+        self.others = [
+            (await LineClient.open(self.site.front(name), "book"))[0]
+            for name in ("vm-1", "vm-2")
+        ]
+
+    async def keep_busy(self, stop):
+        while not stop.is_set():
+            for client in self.others:
+                await client.ask("READ x")
+            await asyncio.sleep(0.02)
+
+    async def test_it_is_reached_over_the_others(self):
+        stop = asyncio.Event()
+        busy = asyncio.create_task(self.keep_busy(stop))
+        await asyncio.sleep(0.1)
+        self.primary.faults.silent_to.add("vm-3")
+        runtime = self.site.daemons["vm-3"].clusters.find_instance(self.primary.name)
+        runtime.prober.want()
+        await self.site.until(lambda: runtime.detours, timeout=0.9)
+        lines = await self.client.ask("WRITE x 1")
+        self.assertTrue(lines[-1].startswith("COMPLETE sig"), lines)
+        self.assertTrue(lines[-1].startswith(f"COMPLETE sig-{self.primary.name}-"))
+        self.assertEqual(self.primary.log[-1][1:], ("x", "1"))
+        self.primary.faults.silent_to.clear()
+        await self.site.until(lambda: not runtime.detours, timeout=2.0)
+        stop.set()
+        await busy
+
+    async def test_a_dead_primary_is_replaced_as_before(self):
+        self.primary.faults.silent = True
+        async with asyncio.timeout(5.0):
+            lines = [""]
+            while not lines[-1].startswith("COMPLETE sig"):
+                lines = await self.client.ask("WRITE x 1")
+        self.assertIsNot(self.site.group.primary, self.primary)
+        self.assertEqual(self.site.logged("detour begun"), [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from cardamomdrift.membership import control
+from cardamomdrift.membership.instance_list import CURRENT_TIME
 from tests.site import LineClient, Site, lead_row
 
 
@@ -267,6 +269,23 @@
             await asyncio.sleep(1.0)
             self.assertIs(site.group.primary, new)
 
+    async def test_an_old_list_is_read_anew_when_a_primary_is_lost(self):
+        """In a large fleet the daemons wait long for changes of the list."""
+        waits = mock.patch("cardamomdrift.membership.feed.WATCH_TIME", 18.0)
+        with waits:
+            async with Site() as site:
+                await asyncio.sleep(CURRENT_TIME + 0.5)
+                lists = [one.instances for one in site.daemons.values()]
+                self.assertFalse(any(one.is_current for one in lists))
+                old = site.group.primary
+                await old.crash()
+                book = await site.caller("vm-1", "book")
+                async with asyncio.timeout(1.5):
+                    done = [""]
+                    while not done[0].startswith("COMPLETE sig"):
+                        done = await book.ask("WRITE a v")
+                self.assertIsNot(site.group.primary, old)
+
     async def test_no_replacement_while_only_a_route_is_slow(self):
         async with Site() as site:
             book = await site.caller("vm-1", "book")
