--- a/cardamomdrift/platform/daemon.py
+++ b/cardamomdrift/platform/daemon.py
@@ -51,12 +51,12 @@
 from cardamomdrift.platform.promotion import HttpPromotion
 from cardamomdrift.platform.store import HttpStore
 from cardamomdrift.ports import Row
-from cardamomdrift.routing.cluster import ClusterContext
 from cardamomdrift.routing.clusters import (
     MAINTENANCE_INTERVAL,
     TRIM_INTERVAL,
     Clusters,
 )
+from cardamomdrift.routing.context import ClusterContext
 from cardamomdrift.routing.identity import VmIdentity
 from cardamomdrift.telemetry.delay import LoopDelay
 from cardamomdrift.telemetry.log import make_log
@@ -129,9 +129,15 @@
             self._on_members,
             self.log,
         )
+        self.replacer = self._make_replacer()
+        self.lender = self._make_lender(clock)
+        self.callers = CallerServer(settings.callers, self.clusters, self.log)
+        self.loop_delay = LoopDelay()
+
+    def _make_replacer(self):
         executor = ReplacementExecutor(
             self.store,
-            HttpPromotion(settings.promotions),
+            HttpPromotion(self._settings.promotions),
             self.control,
             self.roster,
             self.clusters,
@@ -139,7 +145,7 @@
             self.announcer.announce,
             self.log,
         )
-        self.replacer = Replacer(
+        return Replacer(
             executor,
             self.control,
             self.roster,
@@ -147,15 +153,16 @@
             self.instances,
             self.log,
         )
-        self.lender = Lender(
+
+    def _make_lender(self, clock):
+        settings = self._settings
+        return Lender(
             (settings.address, settings.peer_port + PORT_OFFSET),
             self.clusters.find_instance,
             lambda: self.clusters.transaction_idle,
             clock,
             self.log,
         )
-        self.callers = CallerServer(settings.callers, self.clusters, self.log)
-        self.loop_delay = LoopDelay()
 
     def _make_context(self, clock):
         settings = self._settings
--- a/cardamomdrift/routing/cluster.py
+++ b/cardamomdrift/routing/cluster.py
@@ -16,8 +16,8 @@
 from cardamomdrift.failover.leadership import Leadership
 from cardamomdrift.limits.admission import AdmissionQueue, Fifo
 from cardamomdrift.limits.budget import RetryBudget
-from cardamomdrift.limits.shares import lending_homes, share_with_loans
 from cardamomdrift.position import Position
+from cardamomdrift.routing.connections import GroupConnections
 from cardamomdrift.routing.contact import Contact
 from cardamomdrift.routing.cost import CostBook
 from cardamomdrift.routing.detour import Detour
@@ -30,49 +30,10 @@
 from cardamomdrift.util import cancel_all
 
 QUEUE_LIMIT = 500  # requests; at 10 KB each this bounds a group's queue to 5 MB
-FIRST_SHARE = 1  # connections to an instance until the other daemons are known
-WARM_CONNECTIONS = 1  # opened to each instance ahead of the first request
-WARM_TIMEOUT = 1.0  # seconds
-# Seconds; instances keep the connections of VMs that lost power for 3 s, and these
-# must leave room for the VMs' new ones.
-IDLE_TIME = 3.0
 RELEASE_TIME = 0.15  # seconds that answers of a leaving primary are waited for
 RELEASE_POLL = 0.005  # seconds
 
 
-@dataclass(frozen=True, slots=True)
-class ClusterContext:
-    """What a cluster takes from its daemon.
-
-    Attributes
-    ----------
-    vm : VmIdentity
-    connector : callable
-        Takes an InstanceRecord and returns a coroutine function that connects.
-    permission : Permission
-    members : callable
-        Returns the names of all VMs, as a tuple; empty while they are not known.
-    announce : callable
-        Sends heartbeats at once.
-    borrow : coroutine function
-        Borrows a connection to an instance; see `Borrower.borrow`.
-    contacts : callable
-        Takes a group and a generation and returns the daemons' PrimaryContacts.
-    clock : callable
-    log : structlog logger
-    """
-
-    vm: object
-    connector: object
-    borrow: object
-    contacts: object
-    permission: object
-    members: object
-    announce: object
-    clock: object
-    log: object
-
-
 @dataclass(slots=True)
 class ClusterCounts:
     """How often things happened in one group."""
@@ -105,6 +66,7 @@
         self.read_at = -math.inf
         self.contact = Contact(self, context.announce)
         self._detour = Detour(self)
+        self._connections = GroupConnections(self, context)
         self._tasks = set()
         self._stack = AsyncExitStack()
         self.started_boot = boot_clock()
@@ -187,6 +149,7 @@
 
     async def __aexit__(self, *exc_info):
         await self._detour.close()
+        await self._connections.close()
         await cancel_all(list(self._tasks))
         for stack in list(self._stacks.values()):
             await stack.aclose()
@@ -242,7 +205,9 @@
 
     async def _add(self, record):
         connect = self._context.connector(record)
-        pool = InstancePool(connect, self._clock, partial(self._borrow, record.name))
+        pool = InstancePool(
+            connect, self._clock, partial(self._connections.borrow, record.name)
+        )
         pinger = Pinger(record.name, pool, connect, self.contact, self._clock)
         runtime = InstanceRuntime(record, pool, pinger, self._clock)
         runtime.leaving = record.draining
@@ -260,16 +225,6 @@
             primary=record.primary,
         )
 
-    async def _borrow(self, name, pinned, deadline_at):
-        """Return another VM's connection to an instance, or None."""
-        runtime = self._instances.get(name)
-        if runtime is not None and (runtime.detours or not runtime.usable):
-            homes = self.reaching()
-        else:
-            members = self._context.members()
-            homes = lending_homes(self._group.connections, members, name)
-        return await self._context.borrow(name, homes, pinned, deadline_at)
-
     async def _remove(self, name):
         del self._instances[name]
         self.contact.forget(name)
@@ -279,33 +234,7 @@
 
     def share_connections(self):
         """Take this VM's share of each instance's connections."""
-        members = self._context.members()
-        for name, runtime in self._instances.items():
-            share = FIRST_SHARE
-            if members:
-                vm = self._context.vm.name
-                share = share_with_loans(self._group.connections, members, vm, name)
-            if runtime.pool.limit != share:
-                runtime.set_share(share)
-                self._warm(runtime)
-
-    def _warm(self, runtime):
-        missing = min(WARM_CONNECTIONS, runtime.pool.limit) - runtime.pool.size
-        for _ in range(missing):
-            self._run(self._open_ahead(runtime))
-
-    async def _open_ahead(self, runtime):
-        try:
-            connection = await runtime.pool.acquire(self._clock() + WARM_TIMEOUT)
-        except Exception as error:  # noqa: BLE001
-            self.log.info(
-                "connection not opened ahead",
-                instance=runtime.spec.name,
-                error=f"{type(error).__name__} {error}",
-            )
-            return
-        self._view.observe(runtime.spec.name, connection.position, self._clock())
-        runtime.pool.release(connection)
+        self._connections.share()
 
     def pump(self):
         """Place waiting requests, after something has changed."""
@@ -472,5 +401,4 @@
 
     def trim(self, now):
         """Close connections that have been idle for long."""
-        for runtime in self._instances.values():
-            runtime.pool.trim(now, IDLE_TIME, WARM_CONNECTIONS)
+        self._connections.trim(now)
--- /dev/null
+++ b/cardamomdrift/routing/connections.py
@@ -0,0 +1,94 @@
+"""
+Connections of a group
+======================
+
+This VM's share of each instance's connections: how many it opens, which it opens ahead,
+and whom it asks for a loan.
+"""
+
+import asyncio
+
+from cardamomdrift.errors import CallerError, UpstreamError
+from cardamomdrift.limits.shares import lending_homes, share_with_loans
+from cardamomdrift.util import cancel_all
+
+FIRST_SHARE = 1  # connections to an instance until the other daemons are known
+WARM_CONNECTIONS = 1  # opened to each instance ahead of the first request
+WARM_TIMEOUT = 1.0  # seconds
+# Seconds; instances keep the connections of VMs that lost power for 3 s, and these
+# must leave room for the VMs' new ones.
+IDLE_TIME = 3.0
+
+
+class GroupConnections:
+    """Connections of one VM to the instances of a group.
+
+    Parameters
+    ----------
+    cluster : Cluster
+    context : ClusterContext
+    """
+
+    def __init__(self, cluster, context):
+        self._cluster = cluster
+        self._context = context
+        self._tasks = set()
+
+    async def close(self):
+        """End what is being opened."""
+        await cancel_all(list(self._tasks))
+
+    def share(self):
+        """Take this VM's share of each instance's connections."""
+        members = self._context.members()
+        limit = self._cluster.group.connections
+        for name, runtime in self._cluster.instances.items():
+            share = FIRST_SHARE
+            if members:
+                share = share_with_loans(limit, members, self._context.vm.name, name)
+            if runtime.pool.limit != share:
+                runtime.set_share(share)
+                self._warm(runtime)
+
+    def _warm(self, runtime):
+        missing = min(WARM_CONNECTIONS, runtime.pool.limit) - runtime.pool.size
+        for _ in range(missing):
+            task = asyncio.create_task(self._open_ahead(runtime))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _open_ahead(self, runtime):
+        now = self._context.clock()
+        try:
+            position = await runtime.pool.open_ahead(now + WARM_TIMEOUT)
+        except (UpstreamError, CallerError) as error:
+            self._context.log.info(
+                "connection not opened ahead",
+                instance=runtime.spec.name,
+                error=f"{type(error).__name__} {error}",
+            )
+            return
+        self._cluster.view.observe(runtime.spec.name, position, self._context.clock())
+
+    async def borrow(self, name, pinned, deadline_at):
+        """Return another VM's connection to an instance, or None.
+
+        Parameters
+        ----------
+        name : str
+        pinned : bool
+            Whether a transaction is to hold it.
+        deadline_at : float
+        """
+        runtime = self._cluster.instances.get(name)
+        if runtime is not None and (runtime.detours or not runtime.usable):
+            lenders = self._cluster.reaching()
+        else:
+            limit = self._cluster.group.connections
+            lenders = lending_homes(limit, self._context.members(), name)
+        return await self._context.borrow(name, lenders, pinned, deadline_at)
+
+    def trim(self, now):
+        """Close connections that have been idle for long."""
+        for runtime in self._cluster.instances.values():
+            runtime.pool.trim(now, IDLE_TIME, WARM_CONNECTIONS)
--- /dev/null
+++ b/cardamomdrift/routing/context.py
@@ -0,0 +1,41 @@
+"""
+Cluster context
+===============
+
+What a group's cluster takes from its daemon.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ClusterContext:
+    """What a cluster takes from its daemon.
+
+    Attributes
+    ----------
+    vm : VmIdentity
+    connector : callable
+        Takes an InstanceRecord and returns a coroutine function that connects.
+    permission : Permission
+    members : callable
+        Returns the names of all VMs, as a tuple; empty while they are not known.
+    announce : callable
+        Sends heartbeats at once.
+    borrow : coroutine function
+        Borrows a connection to an instance; see `Borrower.borrow`.
+    contacts : callable
+        Takes a group and a generation and returns the daemons' PrimaryContacts.
+    clock : callable
+    log : structlog logger
+    """
+
+    vm: object
+    connector: object
+    borrow: object
+    contacts: object
+    permission: object
+    members: object
+    announce: object
+    clock: object
+    log: object
--- a/cardamomdrift/standins/lines.py
+++ b/cardamomdrift/standins/lines.py
@@ -139,7 +139,8 @@
                 line = await self._read(reader)
                 _, request_id, text = line.split(" ", 2)
                 await self._answer(writer, session, request_id, text)
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            # Nobody awaits this task: what cancels it is the end of the loop.
             return
         finally:
             self._writers.discard(writer)
--- a/cardamomdrift/upstreams/pool.py
+++ b/cardamomdrift/upstreams/pool.py
@@ -241,6 +241,19 @@
                 self._idle.append(chosen)
                 return
 
+    async def open_ahead(self, deadline_at):
+        """Open an idle connection if there is room; return the instance's position.
+
+        Raises
+        ------
+        UpstreamError or DeadlinePassed
+        """
+        if not self._may_open():
+            return None
+        connection = await self._open(deadline_at)
+        self.release(connection)
+        return connection.position
+
     async def _open(self, deadline_at):
         timeout = min(CONNECT_TIMEOUT, deadline_at - self._clock())
         if timeout <= 0:
