--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,9 +15,11 @@
 from soak.callers import Caller
 from soak.checker import Checker
 from soak.faults import FaultMaker
-from soak.fleet import Fleet
+from soak.fleet import CONNECTIONS, Fleet
 
 DAEMONS = 4
+SCARCE = 4  # connections of an instance: one daemon has none of its own and borrows
+SCARCE_EVERY = 4  # seeds
 CALLERS = 12
 START_TIME = 2.0  # seconds for the daemons to know each other
 REST_TIME = 3.0  # seconds without faults at the end
@@ -39,7 +41,8 @@
         Faults to draw from.
     """
     chance = random.Random(seed)
-    async with Fleet(DAEMONS, folder, module) as fleet:
+    connections = SCARCE if seed % SCARCE_EVERY == SCARCE_EVERY - 1 else CONNECTIONS
+    async with Fleet(DAEMONS, folder, module, connections) as fleet:
         checker = Checker(fleet.group)
         faults = FaultMaker(fleet, chance, names)
         callers = [
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -25,7 +25,7 @@
 from soak.proxy import InstanceProxy
 
 GRACE = 6.0  # seconds from SIGTERM to SIGKILL, as in the settings
-CONNECTIONS = 16
+CONNECTIONS = 16  # that an instance takes, as on the users' sites
 
 
 def free_port(host):
@@ -107,14 +107,23 @@
         Where their logs go.
     module : sequence of str
         Module and arguments that start a daemon.
+    connections : int
+        Connections that an instance takes.
     """
 
-    def __init__(self, count, folder, module=("cardamomdrift.platform",)):
+    def __init__(
+        self,
+        count,
+        folder,
+        module=("cardamomdrift.platform",),
+        connections=CONNECTIONS,
+    ):
+        self._connections = connections
         self._count = count
         self._folder = Path(folder)
         self._module = module
         self._stack = AsyncExitStack()
-        self.group = LineGroup("g", connections=CONNECTIONS)
+        self.group = LineGroup("g", connections=connections)
         self.store = RowStore(promote=self.group.promote)
         self.doors = {}
         self.proxies = {}
@@ -163,7 +172,7 @@
             route("crew", "read_your_writes", "g", maxStalenessMs=2500),
         ]
         routes += [route(f"v{n}", "primary", "g") for n in range(1, self.version + 1)]
-        body = configuration(self.version, routes, {"g": CONNECTIONS})
+        body = configuration(self.version, routes, {"g": self._connections})
         self.store.put("op", "config", body)
 
     def list_instances(self):
