--- /dev/null
+++ b/bench/edge.py
@@ -0,0 +1,94 @@
+"""
+Costs on the platform's edge
+============================
+
+Processor time of one-row reads through daemons, in blocks by turns: with logs on and
+off, and over own and borrowed connections: ``python -m bench.edge``.  Stand-ins,
+daemons and the caller run in one process, so their part is the same in both columns.
+"""
+
+import asyncio
+import os
+import statistics
+import time
+
+import structlog
+
+from cardamomdrift.telemetry.lines import LineWriter
+from cardamomdrift.telemetry.log import LEVELS, make_log, setup_bounded_logging
+from tests.site import Site
+
+BLOCKS = 20  # of each kind, in turns, so that a change of load meets both
+STATEMENTS = 300  # in a block; below the budget of lines
+PAUSE = 1.0  # seconds between blocks, in which the budget of lines fills again
+
+
+def _silent_log():
+    """Return a logger that takes lines and drops them at its level."""
+    level = structlog.make_filtering_bound_logger(LEVELS["error"])
+    return structlog.wrap_logger(None, wrapper_class=level)
+
+
+async def _block(caller):
+    """Return the processor time of a statement, in microseconds."""
+    before = time.process_time()
+    for _ in range(STATEMENTS):
+        await caller.ask("READ a")
+    return (time.process_time() - before) / STATEMENTS * 1e6
+
+
+async def measure_logs():
+    """Return the times with and without log lines, and how many lines were left out."""
+    with open(os.devnull, "wb") as sink:
+        writer = LineWriter(sink.fileno(), time.monotonic)
+        async with Site(daemons=1) as site:
+            setup_bounded_logging("info", writer)
+            recorder = site.daemons["vm-1"]._recorder
+            on, off = make_log("vm-1"), _silent_log()
+            caller = await site.caller("vm-1", "look")
+            times = {"logs on": [], "logs off": []}
+            for _ in range(BLOCKS):
+                recorder._log = on
+                times["logs on"].append(await _block(caller))
+                recorder._log = off
+                times["logs off"].append(await _block(caller))
+                await asyncio.sleep(PAUSE)
+    print(f"lines left out: {writer.dropped}")
+    return times
+
+
+async def measure_loans():
+    """Return the times over own and over borrowed connections."""
+    async with Site(daemons=1, connections=1) as site:
+        cluster = site.daemons["vm-1"].clusters.get("g")
+        own = [one.pool for one in cluster.instances.values()]
+        await site.until(lambda: all(one.size for one in own))
+        await site.start("vm-2")
+        await site.until(lambda: site.usable("vm-2"))
+        callers = [await site.caller(name, "look") for name in ("vm-1", "vm-2")]
+        for caller in callers:
+            await _block(caller)
+        times = {"borrowed": [], "own": []}
+        for _ in range(BLOCKS):
+            times["own"].append(await _block(callers[0]))
+            times["borrowed"].append(await _block(callers[1]))
+    return times
+
+
+def report(times):
+    """Print the two kinds of blocks and their difference."""
+    first, second = times.values()
+    differences = [a - b for a, b in zip(first, second, strict=True)]
+    for name, values in (*times.items(), ("difference by block", differences)):
+        middle = statistics.median(values)
+        print(f"{name}: {middle:.0f} µs ({min(values):.0f} to {max(values):.0f})")
+
+
+def main():
+    """Measure and print both tables."""
+    report(asyncio.run(measure_logs()))
+    report(asyncio.run(measure_loans()))
+
+
+if __name__ == "__main__":
+    main()
--- a/cardamomdrift/platform/daemon.py
+++ b/cardamomdrift/platform/daemon.py
@@ -234,6 +234,7 @@
         await enter(self.announcer)
         await enter(self.replacer)
         await enter(self.lender)
+        self._stack.enter_context(self.borrower)
         await enter(self.callers)
         self._tasks = [
             asyncio.create_task(repeat("maintenance", self._maintain, self.log)),
--- a/cardamomdrift/telemetry/explain.py
+++ b/cardamomdrift/telemetry/explain.py
@@ -31,6 +31,9 @@
         "instance not answering",
         "instance back",
         "instance removed",
+        "detour begun",
+        "detour not usable",
+        "detour ended",
     )
 )
 DAEMON_EVENTS = frozenset(
@@ -39,6 +42,8 @@
         "daemon stopping",
         "daemon stopped",
         "daemon silent",
+        "loan not answered",
+        "loan ended",
         "store lost",
         "store answers",
         "configuration in force",
--- a/cardamomdrift/upstreams/borrower.py
+++ b/cardamomdrift/upstreams/borrower.py
@@ -28,6 +28,8 @@
 ASKING_TIME = 0.15  # seconds for a daemon's word; it may open a connection first
 ASKED_AT_ONCE = 6  # daemons asked for one loan, one after the other
 REFUSED_MEMORY = 0.5  # seconds; twice a heartbeat, since shares change with them
+STREAM_TIME = 2.0  # seconds for which an unused stream to a lender is kept
+STREAMS_KEPT = 2  # to each lender; more loans of one at once are rare
 NOBODY_PAUSE = 0.05  # seconds without a question after nobody had a connection
 
 
@@ -39,10 +41,13 @@
     stream : LoanStream
     lender : str
     granted : LoanGranted
+    keep : callable
+        Takes the lender and the stream after the connection has been returned.
     """
 
-    def __init__(self, stream, lender, granted):
+    def __init__(self, stream, lender, granted, keep):
         self._stream = stream
+        self._keep = keep
         self._outstanding = False
         self._closed = False
         self.lender = lender
@@ -68,7 +73,7 @@
         self._closed = True
         loaded = self.loaded
         self._stream.write(LoanReturn(loaded.values, sorted(loaded.prepared)))
-        self._stream.close()
+        self._keep(self.lender, self._stream)
 
     async def exchange(self, steps):
         """Send statements in one write and return their replies in order."""
@@ -107,7 +112,7 @@
 
 
 class Borrower:
-    """Finds daemons that lend connections.
+    """Finds daemons that lend connections; a context manager.
 
     Parameters
     ----------
@@ -126,11 +131,20 @@
         self._port = port + PORT_OFFSET
         self._clock = clock
         self._log = log
+        self._streams = {}
         self._last = {}
         self._refused = {}
         self._not_before = {}
         self.counts = {"borrowed": 0, "nobody": 0}
 
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        for kept in self._streams.values():
+            for stream, _ in kept:
+                stream.abort()
+
     async def borrow(self, instance, homes, pinned, deadline_at):
         """Return a BorrowedConnection to an instance, or None.
 
@@ -178,27 +192,45 @@
 
     async def _ask(self, lender, address, instance, pinned):
         """Return a BorrowedConnection of one daemon, or None."""
-        stream = None
+        request = LoanRequest(self._vm, instance, pinned)
+        stream = self._take_stream(lender)
         try:
             async with asyncio.timeout(ASKING_TIME):
-                streams = await asyncio.open_connection(address, self._port)
-                stream = LoanStream(*streams)
-                stream.write(LoanRequest(self._vm, instance, pinned))
+                if stream is None:
+                    streams = await asyncio.open_connection(address, self._port)
+                    stream = LoanStream(*streams)
+                stream.write(request)
                 answer = await stream.receive()
-        except STREAM_FAILURES as error:
+        except BaseException as error:
+            if stream is not None:
+                stream.abort()
+            if not isinstance(error, STREAM_FAILURES):
+                raise
             self._log.info(
                 "loan not answered",
                 lender=lender,
                 instance=instance,
                 error=f"{type(error).__name__} {error}",
             )
-            answer = None
-        except BaseException:
-            if stream is not None:
-                stream.abort()
-            raise
+            return None
         if isinstance(answer, LoanGranted):
-            return BorrowedConnection(stream, lender, answer)
-        if stream is not None:
+            return BorrowedConnection(stream, lender, answer, self._keep_stream)
+        self._keep_stream(lender, stream)
+        return None
+
+    def _take_stream(self, lender):
+        """Return a stream to a lender that was kept, or None."""
+        kept = self._streams.get(lender, [])
+        while kept:
+            stream, kept_at = kept.pop()
+            if not stream.ended and self._clock() < kept_at + STREAM_TIME:
+                return stream
             stream.abort()
         return None
+
+    def _keep_stream(self, lender, stream):
+        kept = self._streams.setdefault(lender, [])
+        if len(kept) < STREAMS_KEPT:
+            kept.append((stream, self._clock()))
+        else:
+            stream.close()
--- a/cardamomdrift/upstreams/lender.py
+++ b/cardamomdrift/upstreams/lender.py
@@ -26,7 +26,7 @@
 from cardamomdrift.ports import TransactionState
 from cardamomdrift.sessions.state import LoadedState
 
-REQUEST_TIME = 1.0  # seconds for the first message; it follows the connection at once
+REQUEST_TIME = 5.0  # seconds for the next request on a stream; borrowers keep it for 2
 EXCHANGE_TIME = 5.0  # seconds for an instance's answer; more than callers wait
 OPENING_TIME = 0.1  # seconds for a new connection; several handshakes
 STREAM_FAILURES = (
@@ -82,28 +82,38 @@
         stream = LoanStream(reader, writer)
         self._streams.add(stream)
         try:
-            async with asyncio.timeout(REQUEST_TIME):
-                request = await stream.receive()
-            if isinstance(request, LoanRequest):
-                await self._answer(stream, request)
-            else:
-                self._log.warning("loan not asked for", got=type(request).__name__)
+            while (request := await self._next_request(stream)) is not None:
+                if not await self._answer(stream, request):
+                    break
         except STREAM_FAILURES as error:
             self._log.info("loan ended", error=f"{type(error).__name__} {error}")
         finally:
             self._streams.discard(stream)
             stream.close()
 
+    async def _next_request(self, stream):
+        """Return the next LoanRequest, or None if the borrower has no more."""
+        try:
+            async with asyncio.timeout(REQUEST_TIME):
+                request = await stream.receive()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            return None
+        if isinstance(request, LoanRequest):
+            return request
+        self._log.warning("loan not asked for", got=type(request).__name__)
+        return None
+
     async def _answer(self, stream, request):
+        """Lend a connection or refuse; return whether the stream can be used again."""
         runtime = self._find_instance(request.instance)
         if self._stopping or runtime is None or not runtime.usable:
             self._refuse(stream, "instance not in use here")
-            return
+            return True
         deadline_at = self._clock() + OPENING_TIME
         connection = await runtime.pool.lend(request.pinned, deadline_at)
         if connection is None:
             self._refuse(stream, "no connection to spare")
-            return
+            return True
         self.lent += 1
         self.counts["granted"] += 1
         returned = False
@@ -115,6 +125,7 @@
                 self.counts["lost"] += 1
                 connection.close()
             runtime.pool.release(connection)
+        return returned
 
     def _refuse(self, stream, reason):
         self.counts["refused"] += 1
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -9,6 +9,7 @@
     LoanGranted,
     LoanLost,
     LoanRefused,
+    LoanReplies,
     LoanRequest,
     LoanStream,
     pack_steps,
@@ -143,12 +144,14 @@
 class BorrowedConnectionTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.script = []
+        self.streams = 0
         self.port = free_port("127.0.0.1")
         server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
         self.addCleanup(server.close)
 
     async def serve(self, reader, writer):
         stream = LoanStream(reader, writer)
+        self.streams += 1
         for answer in self.script:
             await stream.receive()
             if answer is None:
@@ -162,6 +165,31 @@
         borrower = Borrower("vm-1", peers, self.port - 2, clock, FakeLog())
         return borrower, await borrower.borrow("i", ["vm-2"], pinned, clock() + 1)
 
+    async def test_a_stream_serves_many_loans(self):
+        self.script = [
+            LoanGranted({}, [], None),
+            LoanReplies([Reply([], "sig")]),
+            LoanRefused("returned"),
+            LoanGranted({"a": "b"}, [], None),
+        ]
+        borrower, connection = await self.borrow()
+        await connection.exchange([("id", Write("WRITE x 1"))])
+        connection.give_back()
+        clock = asyncio.get_running_loop().time
+        again = await borrower.borrow("i", ["vm-2"], False, clock() + 1)
+        self.assertIsNone(again)  # the script answers the return like a request
+        self.assertEqual(self.streams, 1)
+
+    async def test_a_kept_stream_that_has_ended(self):
+        self.script = [LoanRefused("none"), None]
+        borrower, _ = await self.borrow()
+        clock = asyncio.get_running_loop().time
+        await asyncio.sleep(0.6)
+        self.assertIsNone(await borrower.borrow("i", ["vm-2"], False, clock() + 1))
+        await asyncio.sleep(0.6)
+        self.script = [LoanGranted({}, [], None)]
+        self.assertIsNotNone(await borrower.borrow("i", ["vm-2"], False, clock() + 1))
+
     async def test_refused(self):
         self.script = [LoanRefused("none")]
         borrower, connection = await self.borrow()
