--- a/cardamomdrift/failover/replacer.py
+++ b/cardamomdrift/failover/replacer.py
@@ -28,7 +28,7 @@
 from cardamomdrift.util import cancel_all
 
 TICK = 0.05  # seconds
-LIST_TIME = 0.1  # seconds for the list of instances to come; a read takes some 10 ms
+LIST_TIME = 0.25  # seconds between reads of the list; each takes some 10 ms
 RETRY_DELAY = 0.5  # seconds after a failed replacement
 
 
@@ -118,6 +118,11 @@
         if self._instances.is_current:
             watch.task = asyncio.create_task(self._replace(cluster, reason, watch))
         else:
+            self._log.info(
+                "replacement waits for the list",
+                group=cluster.group.name,
+                list_age_s=round(self._instances.age(), 2),
+            )
             self._instances.want()
             watch.not_before = now + LIST_TIME
 
--- a/cardamomdrift/telemetry/explain.py
+++ b/cardamomdrift/telemetry/explain.py
@@ -19,6 +19,7 @@
 GROUP_EVENTS = frozenset(
     (
         "primary suspected",
+        "replacement waits for the list",
         "replacement begun",
         "replacement seen",
         "candidate chosen",
