A detour ends with the primary that it led to

Cause (by reading): once a cut primary had been replaced nothing ended its detour, so its reads went over loans for good. Lenders that use a detour themselves lend nothing. Test: test_a_replaced_primary_has_no_detour.

--- a/cardamomdrift/routing/detour.py
+++ b/cardamomdrift/routing/detour.py
@@ -39,15 +39,21 @@
     def watch(self, now):
         """Begin, keep up or end the detour."""
         cluster = self._cluster
-        runtime = cluster.instances.get(cluster.leadership.primary)
-        if runtime is None or not cluster.leadership.settled:
+        lead = cluster.leadership
+        primary = cluster.instances.get(lead.primary) if lead.settled else None
+        for runtime in cluster.instances.values():
+            if runtime is not primary or self._is_direct(runtime, now):
+                self._end(runtime)
+        if primary is None or self._is_direct(primary, now):
             return
-        direct = runtime.silence.unanswered(now) < DETOUR_AFTER and not runtime.failed
-        if direct:
-            self._end(runtime)
-        elif self._is_due(now) and cluster.reaching():
+        if self._is_due(now) and cluster.reaching():
             self._asked_at = now
-            self._task = asyncio.create_task(self._ping(runtime))
+            self._task = asyncio.create_task(self._ping(primary))
+
+    @staticmethod
+    def _is_direct(runtime, now):
+        """Whether an instance answers this daemon itself."""
+        return runtime.silence.unanswered(now) < DETOUR_AFTER and not runtime.failed
 
     def _is_due(self, now):
         if self._task is not None and not self._task.done():
--- a/cardamomdrift/upstreams/lender.py
+++ b/cardamomdrift/upstreams/lender.py
@@ -106,7 +106,8 @@
     async def _answer(self, stream, request):
         """Lend a connection or refuse; return whether the stream can be used again."""
         runtime = self._find_instance(request.instance)
-        if self._stopping or runtime is None or not runtime.usable:
+        usable = runtime is not None and runtime.usable and not runtime.detours
+        if self._stopping or not usable:
             self._refuse(stream, "instance not in use here")
             return True
         deadline_at = self._clock() + OPENING_TIME
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -364,6 +364,22 @@
         stop.set()
         await busy
 
+    async def test_a_replaced_primary_has_no_detour(self):
+        stop = asyncio.Event()
+        busy = asyncio.create_task(self.keep_busy(stop))
+        await asyncio.sleep(0.1)
+        self.primary.faults.silent_to.add("vm-3")
+        clusters = self.site.daemons["vm-3"].clusters
+        runtime = clusters.find_instance(self.primary.name)
+        runtime.prober.want()
+        await self.site.until(lambda: runtime.detours, timeout=0.9)
+        lead = clusters.get("g").leadership
+        await self.site.until(lambda: lead.generation == 1 and lead.settled)
+        await self.site.until(lambda: not runtime.detours, timeout=0.5)
+        self.assertFalse(runtime.pool.only_loans)
+        stop.set()
+        await busy
+
     async def test_a_dead_primary_is_replaced_as_before(self):
         self.primary.faults.silent = True
         async with asyncio.timeout(5.0):
