A read's further attempt that was not sent ends with the first answer

Change: no further attempt where only the primary may answer; attempts not yet sent are cancelled with the answer; a request keeps the values of its moment. Ruled out: the state that goes along with loans (the statement went over own connections). Test: test_an_attempt_that_lost_before_it_was_sent_does_not_run, fails without it.

--- a/cardamomdrift/routing/statements.py
+++ b/cardamomdrift/routing/statements.py
@@ -134,20 +134,25 @@
             async with asyncio.timeout_at(request.deadline_at):
                 while True:
                     self._start_attempt(request, floor, tried, running)
-                    reply = await self._first_answer(request, tried, running)
+                    reply = await self._first_answer(request, floor, tried, running)
                     if reply is not None:
                         return reply
         except TimeoutError as error:
             if not request.trace.sent:
                 raise DeadlinePassed("no instance became free", RETRY_AFTER) from error
             raise ReadFailed("no answer in time") from error
+        finally:
+            for task, attempt in running.items():
+                if not attempt.sent:
+                    # The caller may go on, so it must not run any more.
+                    task.cancel()
 
     def _start_attempt(self, request, floor, tried, running):
         attempt = _Attempt()
         work = self._read_once(request, floor, frozenset(tried), attempt)
         task = asyncio.create_task(work)
         running[task] = attempt
-        # An attempt that loses goes on to its end, so that its connection is kept.
+        # One that loses after it was sent goes on, so that its connection is kept.
         self._tasks.add(task)
         task.add_done_callback(self._end_attempt)
 
@@ -157,14 +162,16 @@
             # Whoever still waits for the attempt logs it with the request.
             self._cluster.log.debug("attempt failed", error=str(task.exception()))
 
-    async def _first_answer(self, request, tried, running):
+    async def _first_answer(self, request, floor, tried, running):
         """Return the first Reply, or None if another attempt is to be made."""
         while True:
             patience = self._patience(request, running)
             done, _ = await asyncio.wait(
                 running, timeout=patience, return_when=asyncio.FIRST_COMPLETED
             )
-            if not done and self._may_hedge(request, tried, running):
+            # Without a floor only the primary may answer, so there is no other to ask.
+            hedges = not done and floor is not None
+            if hedges and self._may_hedge(request, tried, running):
                 return None
             for task in done:
                 attempt = running.pop(task)
@@ -227,6 +234,7 @@
         async with placed(cluster, dispatcher, need, request) as held:
             place, runtime, connection = held
             attempt.name = place.name
+            attempt.sent = True
             command = command or with_floor(request.command, floor)
             reply = await self._ask(request, held, command)
             if reply.refusal is Refusal.BEHIND:
@@ -262,9 +270,10 @@
 
 
 class _Attempt:
-    """One attempt of a read: where it runs, once it is placed."""
+    """One attempt of a read: where it runs, once placed, and whether it was sent."""
 
-    __slots__ = ("name",)
+    __slots__ = ("name", "sent")
 
     def __init__(self):
         self.name = None
+        self.sent = False
--- a/cardamomdrift/sessions/handler.py
+++ b/cardamomdrift/sessions/handler.py
@@ -196,7 +196,7 @@
             request_id=request_id,
             command=command,
             prepared=prepared,
-            values=self._session.values,
+            values=dict(self._session.values),
             route=route,
             caller=self._caller,
             arrived_at=clock,
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -157,6 +157,29 @@
             rows = await look.ask("READ a")
             self.assertEqual(rows[0], "ROW a=")
 
+    async def test_an_attempt_that_lost_before_it_was_sent_does_not_run(self):
+        """Its values could have changed meanwhile."""
+        async with Site(daemons=1) as site:
+            crew = await site.caller("vm-1", "crew")
+            await crew.ask("SET zone a")
+            await crew.ask("READ a")
+            cluster = site.daemons["vm-1"].clusters.get("g")
+            cluster.find_floor = lambda *_: None
+            for runtime in cluster.instances.values():
+                runtime.pool.set_limit(1)
+            site.group.primary.work = 0.3
+            rows = await crew.ask("READ a", "late-one")
+            self.assertEqual(rows[0], "ROW a=")
+            await crew.ask("SET zone b")
+            await asyncio.sleep(0.6)
+            runs = [
+                values
+                for one in site.group.instances.values()
+                for name, _, values in one.runs
+                if name == "late-one"
+            ]
+            self.assertEqual(runs, [{"zone": "a"}])
+
     async def test_a_write_whose_answer_is_lost_is_in_doubt_and_runs_once(self):
         async with Site(daemons=1) as site:
             book = await site.caller("vm-1", "book")
