--- a/cardamomdrift/failover/promoter.py
+++ b/cardamomdrift/failover/promoter.py
@@ -33,7 +33,7 @@
     follow_statement,
     promote_statement,
 )
-from cardamomdrift.util import cancel_all
+from cardamomdrift.util import cancel_all, keep_task
 
 
 class Promoter:
@@ -88,9 +88,7 @@
 
     def _start(self, actions):
         for action in actions:
-            task = asyncio.create_task(self._carry_out(action))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            keep_task(self._tasks, self._carry_out(action))
 
     async def _carry_out(self, action):
         promotion = self._promotion
--- a/cardamomdrift/failover/witnesses.py
+++ b/cardamomdrift/failover/witnesses.py
@@ -25,25 +25,28 @@
     def acknowledged(self, group, released, generation):
         """Return how many others know of a replacement and are counted by the rest."""
         agreeing = self._agreeing()
-        knowing = {
-            name
-            for name in released
-            if self._known_generation(name, group, name in agreeing) >= generation
-        }
+        knowing = set()
+        for name in released:
+            word = self._word(name, group, agreeing)
+            if word is not None and word.generation >= generation:
+                knowing.add(name)
         rest = released.keys() - knowing
         return sum(
             all(self._roster.is_counted_by(name, one) for one in rest)
             for name in knowing
         )
 
-    def _known_generation(self, name, group, agrees):
-        peer = self._roster.peers.get(name)
-        if peer is None:
-            return -1
-        if agrees:
-            return self._clusters.get(group).leadership.generation
-        claim, _ = peer.claims.get(group, (None, 0.0))
-        return claim.generation if claim else -1
+    def released(self, group, names):
+        """Return the generation that each other daemon has released; -1 if unknown."""
+        agreeing = self._agreeing()
+        released = {}
+        for name in names:
+            peer = self._roster.peers.get(name)
+            if peer is not None and peer.is_leaving:
+                continue
+            word = self._word(name, group, agreeing)
+            released[name] = -1 if word is None else word.released
+        return released
 
     def _agreeing(self):
         """Return the daemons that know and have released just what this one has."""
@@ -54,21 +57,10 @@
             if peer.heartbeat is not None and peer.heartbeat.agreed == own
         }
 
-    def released(self, group, names):
-        """Return the generation that each other daemon has released."""
-        agreeing = self._agreeing()
-        released = {}
-        for name in names:
-            peer = self._roster.peers.get(name)
-            if peer is not None and peer.is_leaving:
-                continue
-            released[name] = self._released_by(peer, group, name in agreeing)
-        return released
-
-    def _released_by(self, peer, group, agrees):
-        if peer is None:
-            return -1
-        if agrees:
-            return self._clusters.get(group).leadership.released
-        claim, _ = peer.claims.get(group, (None, 0.0))
-        return claim.released if claim else -1
+    def _word(self, name, group, agreeing):
+        """Return the claim or Leadership that tells what a daemon knows of a group."""
+        if name in agreeing:
+            return self._clusters.get(group).leadership
+        peer = self._roster.peers.get(name)
+        claim, _ = peer.claims.get(group, (None, 0.0)) if peer else (None, 0.0)
+        return claim
--- a/cardamomdrift/mysql/prober.py
+++ b/cardamomdrift/mysql/prober.py
@@ -15,14 +15,14 @@
     UpstreamError,
     UpstreamUnreachable,
 )
-from cardamomdrift.util import cancel_all
+from cardamomdrift.upstreams.question import RepeatedQuestion, is_refusal
 
 PROBE_TIMEOUT = 0.5  # seconds
 RETRY_INTERVAL = 0.1  # seconds after a failure
 CONTROL_CONNECTIONS = 1
 
 
-class InstanceProber:
+class InstanceProber(RepeatedQuestion):
     """Status questions to one instance; an async context manager.
 
     Parameters
@@ -36,13 +36,12 @@
     """
 
     def __init__(self, name, pool, listener, clock):
+        super().__init__(RETRY_INTERVAL)
         self._name = name
         self._pool = pool
         self._listener = listener
         self._clock = clock
-        self._wanted = asyncio.Event()
         self._connection = None
-        self._task = None
         self._asked = 0
 
     @property
@@ -50,16 +49,8 @@
         """Number of questions asked."""
         return self._asked
 
-    def want(self):
-        """Ask again as soon as the question under way is answered."""
-        self._wanted.set()
-
-    async def __aenter__(self):
-        self._task = asyncio.create_task(self._run())
-        return self
-
     async def __aexit__(self, *exc_info):
-        await cancel_all([self._task])
+        await super().__aexit__(*exc_info)
         self._drop()
 
     def _drop(self):
@@ -68,13 +59,6 @@
             self._pool.release(self._connection)
             self._connection = None
 
-    async def _run(self):
-        while True:
-            await self._wanted.wait()
-            self._wanted.clear()
-            if not await self._ask():
-                await asyncio.sleep(RETRY_INTERVAL)
-
     async def _ask(self):
         if self._pool.limit < CONTROL_CONNECTIONS:
             return False
@@ -87,7 +71,7 @@
             return False
         except (UpstreamError, TimeoutError) as error:
             self._drop()
-            refused = isinstance(error, UpstreamUnreachable) and _is_refusal(error)
+            refused = isinstance(error, UpstreamUnreachable) and is_refusal(error)
             self._listener.probe_failed(self._name, self._clock(), refused)
             return False
         self._listener.probe_answered(self._name, status, begun_at, self._clock())
@@ -101,12 +85,3 @@
         self._asked += 1
         async with asyncio.timeout_at(deadline_at):
             return await self._connection.status(), begun_at
-
-
-def _is_refusal(error):
-    cause = error.__cause__
-    while cause is not None:
-        if isinstance(cause, ConnectionRefusedError):
-            return True
-        cause = cause.__cause__
-    return False
--- a/cardamomdrift/peers/announcer.py
+++ b/cardamomdrift/peers/announcer.py
@@ -101,27 +101,29 @@
 
     def send_all(self):
         """Send a heartbeat to every daemon that this one counts."""
-        claims = self._send_to(list(self._roster.peers.values()))
-        for name, claim in claims.items():
-            if self._is_sample_due(name, claim):
-                self._sampled[name] = self._begun(claim)
+        self._sampled |= self._send_to(list(self._roster.peers.values()))
 
     def _send_to(self, peers):
-        """Send heartbeats; return the GroupClaim of each group."""
+        """Send heartbeats; return when each sample that went to all was begun."""
         now = boot_clock()
         members = self._roster.addresses()
         agreed = leaders_digest(one.leadership for one in self._clusters)
         claims = {one.group.name: self._claim(one, now) for one in self._clusters}
+        due = {
+            name: now - seconds(claim.position_age_ms)
+            for name, claim in claims.items()
+            if self._is_sample_due(name, claim, now)
+        }
         news = {
             name: claim
             for name, claim in claims.items()
-            if self._is_watched(name, claim, now) or self._is_sample_due(name, claim)
+            if self._is_watched(name, claim, now) or name in due
         }
         for peer in peers:
             same = peer.heartbeat is not None and peer.heartbeat.agreed == agreed
             groups = news if same and peer.knows_us else claims
             self._send(peer, now, members, agreed, groups)
-        return claims
+        return due
 
     def _is_watched(self, name, claim, now):
         """Whether anyone has lately found the group's primary silent."""
@@ -129,17 +131,12 @@
             self._watched[name] = now
         return now - self._watched.get(name, -math.inf) <= WATCH_TIME
 
-    def _is_sample_due(self, name, claim):
+    def _is_sample_due(self, name, claim, now):
         """Whether the others lack a sample of the primary's log that is as new."""
         if claim.position is None:
             return False
         heard = self._sampled.get(name, -math.inf)
-        return self._begun(claim) >= heard + SAMPLE_SPACING
-
-    @staticmethod
-    def _begun(claim):
-        """Return when a claim's sample was begun."""
-        return boot_clock() - seconds(claim.position_age_ms)
+        return now - seconds(claim.position_age_ms) >= heard + SAMPLE_SPACING
 
     def _send(self, peer, now, members, agreed, groups):
         last = peer.heartbeat
--- a/cardamomdrift/routing/cluster.py
+++ b/cardamomdrift/routing/cluster.py
@@ -27,7 +27,7 @@
 from cardamomdrift.routing.samples import FloorHistory, FloorRule, Sample
 from cardamomdrift.upstreams.pinger import Pinger
 from cardamomdrift.upstreams.pool import InstancePool
-from cardamomdrift.util import cancel_all
+from cardamomdrift.util import cancel_all, keep_task
 
 QUEUE_LIMIT = 500  # requests; at 10 KB each this bounds a group's queue to 5 MB
 RELEASE_TIME = 0.15  # seconds that answers of a leaving primary are waited for
@@ -299,7 +299,7 @@
         if not planned or not self.primary_work:
             lead.released = lead.generation
             return
-        self._run(self._release_later(lead.generation))
+        keep_task(self._tasks, self._release_later(lead.generation))
 
     async def _release_later(self, generation):
         lead = self.leadership
@@ -308,11 +308,6 @@
         lead.released = max(lead.released, generation)
         self._context.announce()
 
-    def _run(self, work):
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     def note_reply(self, name, position, begun_boot, direct=True):
         """Take in an answer.
 
@@ -331,8 +326,7 @@
         if runtime is None:
             return
         if direct:
-            runtime.silence.answered()
-            runtime.answered_at = now
+            runtime.note_reply()
         if position is None:
             return
         self._view.observe(name, position, now)
--- a/cardamomdrift/routing/clusters.py
+++ b/cardamomdrift/routing/clusters.py
@@ -10,6 +10,7 @@
 
 from cardamomdrift.routing.cluster import Cluster
 from cardamomdrift.routing.statements import StatementRunner
+from cardamomdrift.util import keep_task
 
 MAINTENANCE_INTERVAL = 0.05  # seconds; half of the time after which a silence is asked
 TRIM_INTERVAL = 1.0  # seconds
@@ -143,10 +144,7 @@
 
     def run_aside(self, work):
         """Run something to its end without making the caller wait; return its task."""
-        task = asyncio.create_task(work)
-        self._asides.add(task)
-        task.add_done_callback(self._asides.discard)
-        return task
+        return keep_task(self._asides, work)
 
     def note_transaction(self, handler):
         """Take in that a session has opened a transaction."""
--- a/cardamomdrift/routing/connections.py
+++ b/cardamomdrift/routing/connections.py
@@ -6,11 +6,9 @@
 and whom it asks for a loan.
 """
 
-import asyncio
-
 from cardamomdrift.errors import CallerError, UpstreamError
 from cardamomdrift.limits.shares import lending_homes, share_with_loans
-from cardamomdrift.util import cancel_all
+from cardamomdrift.util import cancel_all, keep_task
 
 FIRST_SHARE = 1  # connections to an instance until the other daemons are known
 WARM_CONNECTIONS = 1  # opened to each instance ahead of the first request
@@ -53,9 +51,7 @@
     def _warm(self, runtime):
         missing = min(WARM_CONNECTIONS, runtime.pool.limit) - runtime.pool.size
         for _ in range(missing):
-            task = asyncio.create_task(self._open_ahead(runtime))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            keep_task(self._tasks, self._open_ahead(runtime))
 
     async def _open_ahead(self, runtime):
         now = self._context.clock()
--- a/cardamomdrift/routing/detour.py
+++ b/cardamomdrift/routing/detour.py
@@ -9,13 +9,12 @@
 import asyncio
 
 from cardamomdrift.errors import UpstreamError
-from cardamomdrift.upstreams.pinger import ask_position
+from cardamomdrift.upstreams.pinger import PING_TIMEOUT, ask_position
 from cardamomdrift.util import cancel_all
 
 DETOUR_AFTER = 0.15  # seconds without an answer; a direct ping begins after 0.1
 DETOUR_TIME = 0.6  # seconds for which a detour counts; three of its pings
 PING_INTERVAL = 0.2  # seconds between two pings over a detour
-PING_TIMEOUT = 0.25  # seconds, as for direct pings
 
 
 class Detour:
--- a/cardamomdrift/routing/instance.py
+++ b/cardamomdrift/routing/instance.py
@@ -6,6 +6,7 @@
 been silent and how many requests run there.
 """
 
+import math
 from contextlib import AsyncExitStack
 
 from cardamomdrift.failover.suspicion import SilenceClock
@@ -42,7 +43,7 @@
         self._concurrency = concurrency
         self._stack = AsyncExitStack()
         self._failed_at = None
-        self._detour_until = None
+        self._detour_until = -math.inf
         self.answered_at = None
         self.in_flight = 0
         self.transactions = 0
@@ -100,7 +101,7 @@
     def usable(self):
         """Whether new requests may go there."""
         now = self._clock()
-        if self._detour_until is not None and now < self._detour_until:
+        if now < self._detour_until:
             return not self.leaving
         silent = self._silence.unanswered(now) > SILENCE_LIMIT
         return not self.leaving and not silent and self._failed_at is None
@@ -108,7 +109,7 @@
     @property
     def detours(self):
         """Whether requests go there over connections of other VMs."""
-        return self._detour_until is not None
+        return self._pool.only_loans
 
     def note_detour(self, until):
         """Send requests over other VMs' connections until some time of the loop."""
@@ -117,9 +118,14 @@
 
     def end_detour(self):
         """Use own connections again."""
-        self._detour_until = None
+        self._detour_until = -math.inf
         self._pool.only_loans = False
 
+    def note_reply(self):
+        """Take in that the instance answered a statement of this VM."""
+        self._silence.answered()
+        self.answered_at = self._clock()
+
     @property
     def failed(self):
         """Whether it failed a request and has not answered a probe since."""
--- a/cardamomdrift/service.py
+++ b/cardamomdrift/service.py
@@ -31,7 +31,7 @@
 from cardamomdrift.telemetry.burn import GOOD, BurnBook
 from cardamomdrift.telemetry.instruments import add_instruments
 from cardamomdrift.telemetry.metrics import Metrics
-from cardamomdrift.util import cancel_all
+from cardamomdrift.util import cancel_all, keep_task
 
 TIDY_INTERVAL = 1.0  # seconds
 DRAIN_POLL = 0.02  # seconds
@@ -139,9 +139,7 @@
         return group
 
     def _retire(self, group):
-        task = asyncio.create_task(self._end_group(group))
-        self._retired.add(task)
-        task.add_done_callback(self._retired.discard)
+        keep_task(self._retired, self._end_group(group))
 
     async def _end_group(self, group):
         """Close a group's connections once its requests have ended."""
--- a/cardamomdrift/standins/lines.py
+++ b/cardamomdrift/standins/lines.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from cardamomdrift.standins.entries import instance_entry
+from cardamomdrift.util import keep_task
 
 PROMOTION_TIME = 0.05  # seconds until a promoted instance takes writes
 
@@ -325,7 +326,7 @@
         primary.log.append(record)
         for one in self.instances.values():
             if one is not primary and not one.faults.deaf and one.term <= primary.term:
-                self._run(self._replicate(primary, one, len(primary.log)))
+                keep_task(self._tasks, self._replicate(primary, one, len(primary.log)))
 
     async def _replicate(self, primary, replica, length):
         await asyncio.sleep(replica.lag)
@@ -343,7 +344,7 @@
         if instance is None or not instance.running:
             return False
         if instance is not self.primary:
-            self._run(self._lead(instance))
+            keep_task(self._tasks, self._lead(instance))
         return True
 
     async def _lead(self, instance):
@@ -351,11 +352,6 @@
         instance.term = self.primary.term + 1
         instance.primary = True
 
-    def _run(self, work):
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     def entries(self):
         """Return the instances' entries in the platform's list, by name."""
         return {
--- a/cardamomdrift/telemetry/exposition.py
+++ b/cardamomdrift/telemetry/exposition.py
@@ -164,10 +164,6 @@
 )
 
 
-def _bind(read, parts):
-    return lambda: read(parts)
-
-
 class Exposition:
     """Metrics of a daemon.
 
@@ -181,16 +177,7 @@
     def __init__(self, vm, parts):
         self._metrics = Metrics(vm, PrometheusMetricReader(disable_target_info=True))
         self.requests = RequestMetrics(self._metrics)
-        for name, unit, description, read in COUNTERS:
-            self._add(
-                self._metrics.observe_counter, name, unit, description, read, parts
-            )
-        for name, unit, description, read in GAUGES:
-            self._add(self._metrics.observe_gauge, name, unit, description, read, parts)
-
-    @staticmethod
-    def _add(observe, name, unit, description, read, parts):
-        observe(f"cardamomdrift.{name}", unit, description, lambda: read(parts))
+        self._metrics.observe_tables(COUNTERS, GAUGES, parts)
 
     def render(self):
         """Return status, content type and text of all metrics."""
--- a/cardamomdrift/telemetry/instruments.py
+++ b/cardamomdrift/telemetry/instruments.py
@@ -64,33 +64,26 @@
 
 
 COUNTERS = (
-    ("cardamomdrift.requests", "{request}", "Requests by outcome", _requests),
-    ("cardamomdrift.reads", "{read}", "Reads by serving role", _reads),
-    ("cardamomdrift.promotions", "{promotion}", "Promotions by outcome", _promotions),
-    ("cardamomdrift.suspicions", "{suspicion}", "Primaries suspected", _suspicions),
-    ("cardamomdrift.probes", "{probe}", "Status questions asked", _probes),
+    ("requests", "{request}", "Requests by outcome", _requests),
+    ("reads", "{read}", "Reads by serving role", _reads),
+    ("promotions", "{promotion}", "Promotions by outcome", _promotions),
+    ("suspicions", "{suspicion}", "Primaries suspected", _suspicions),
+    ("probes", "{probe}", "Status questions asked", _probes),
     (
-        "cardamomdrift.connection.refusals",
+        "connection.refusals",
         "{refusal}",
         "Connections refused as too many",
         _refusals,
     ),
 )
 GAUGES = (
-    ("cardamomdrift.waiting", "{request}", "Requests that wait", _waiting),
-    ("cardamomdrift.connections", "{connection}", "Open connections", _connections),
-    ("cardamomdrift.term", "1", "Highest term seen", _terms),
-    ("cardamomdrift.active", "{request}", "Requests not finished", _active),
+    ("waiting", "{request}", "Requests that wait", _waiting),
+    ("connections", "{connection}", "Open connections", _connections),
+    ("term", "1", "Highest term seen", _terms),
+    ("active", "{request}", "Requests not finished", _active),
 )
 
 
 def add_instruments(metrics, service):
     """Add every instrument of the tables."""
-    for name, unit, description, read in COUNTERS:
-        metrics.observe_counter(name, unit, description, _bind(read, service))
-    for name, unit, description, read in GAUGES:
-        metrics.observe_gauge(name, unit, description, _bind(read, service))
-
-
-def _bind(read, service):
-    return lambda: read(service)
+    metrics.observe_tables(COUNTERS, GAUGES, service)
--- a/cardamomdrift/telemetry/metrics.py
+++ b/cardamomdrift/telemetry/metrics.py
@@ -7,6 +7,7 @@
 """
 
 import json
+from functools import partial
 
 from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
@@ -14,6 +15,7 @@
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from opentelemetry.sdk.resources import Resource
 
+PREFIX = "cardamomdrift."
 BOUNDS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
 
 
@@ -76,6 +78,25 @@
             name, callbacks=[_make_callback(read)], unit=unit, description=description
         )
 
+    def observe_tables(self, counters, gauges, source):
+        """Add the instruments of two tables.
+
+        Parameters
+        ----------
+        counters, gauges : iterable of (name, unit, description, read)
+            ``read`` takes the source and returns pairs of a value and its attributes.
+        source : object
+            The daemon, or the part of it that is observed.
+        """
+        for name, unit, description, read in counters:
+            self.observe_counter(
+                f"{PREFIX}{name}", unit, description, partial(read, source)
+            )
+        for name, unit, description, read in gauges:
+            self.observe_gauge(
+                f"{PREFIX}{name}", unit, description, partial(read, source)
+            )
+
     def collect(self):
         """Return all metrics as JSON in OpenTelemetry's form."""
         data = self._reader.get_metrics_data()
--- a/cardamomdrift/upstreams/borrower.py
+++ b/cardamomdrift/upstreams/borrower.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import math
+from itertools import islice
 
 from cardamomdrift.errors import UpstreamLost, UpstreamUnreachable
 from cardamomdrift.membership.rendezvous import rank
@@ -142,7 +143,7 @@
 
     def __exit__(self, *exc_info):
         for kept in self._streams.values():
-            for stream, _ in kept:
+            for stream in kept:
                 stream.abort()
 
     async def borrow(self, instance, homes, pinned, deadline_at):
@@ -162,7 +163,7 @@
             return None
         live = self._peers()
         peers = {name: live[name] for name in homes if name in live}
-        for lender in self._candidates(key, peers):
+        for lender in islice(self._candidates(key, peers), ASKED_AT_ONCE):
             if self._clock() >= deadline_at:
                 return None
             granted = await self._ask(lender, peers[lender], instance, pinned)
@@ -177,18 +178,18 @@
         return None
 
     def _candidates(self, key, peers):
-        """Return the daemons to ask, the one that lent last before the others."""
+        """Yield the daemons to ask, the one that lent last before the others."""
         now = self._clock()
         self._refused = {
             one: at for one, at in self._refused.items() if now - at < REFUSED_MEMORY
         }
-        # Each daemon has an order of its own, so that not all ask the same one.
-        order = rank(f"{key[0]}/{self._vm}", tuple(peers))
         last = self._last.get(key)
-        if last in peers:
-            order = [last, *(one for one in order if one != last)]
-        willing = [one for one in order if (*key, one) not in self._refused]
-        return willing[:ASKED_AT_ONCE]
+        if last in peers and (*key, last) not in self._refused:
+            yield last
+        # Each daemon has an order of its own, so that not all ask the same one.
+        for one in rank(f"{key[0]}/{self._vm}", tuple(peers)):
+            if one != last and (*key, one) not in self._refused:
+                yield one
 
     async def _ask(self, lender, address, instance, pinned):
         """Return a BorrowedConnection of one daemon, or None."""
@@ -222,15 +223,26 @@
         """Return a stream to a lender that was kept, or None."""
         kept = self._streams.get(lender, [])
         while kept:
-            stream, kept_at = kept.pop()
-            if not stream.ended and self._clock() < kept_at + STREAM_TIME:
+            stream = kept.pop()
+            if not stream.ended:
                 return stream
             stream.abort()
         return None
 
     def _keep_stream(self, lender, stream):
         kept = self._streams.setdefault(lender, [])
-        if len(kept) < STREAMS_KEPT:
-            kept.append((stream, self._clock()))
-        else:
+        if len(kept) >= STREAMS_KEPT:
+            stream.close()
+            return
+        kept.append(stream)
+        loop = asyncio.get_running_loop()
+        loop.call_later(STREAM_TIME, self._drop_stream, lender, stream)
+
+    def _drop_stream(self, lender, stream):
+        """Close a stream that has been kept for long, unless it is in use."""
+        kept = self._streams.get(lender, [])
+        if stream in kept:
+            kept.remove(stream)
             stream.close()
+        if not kept:
+            self._streams.pop(lender, None)
--- a/cardamomdrift/upstreams/lender.py
+++ b/cardamomdrift/upstreams/lender.py
@@ -164,8 +164,7 @@
             sent = not isinstance(error, UpstreamUnreachable)
             stream.write(LoanLost(sent, f"{type(error).__name__} {error}"))
             return False
-        runtime.silence.answered()
-        runtime.answered_at = self._clock()
+        runtime.note_reply()
         try:
             stream.write(LoanReplies(replies))
         except UnicodeEncodeError as error:
--- a/cardamomdrift/upstreams/pinger.py
+++ b/cardamomdrift/upstreams/pinger.py
@@ -16,13 +16,13 @@
 )
 from cardamomdrift.ports import Refusal
 from cardamomdrift.sessions.commands import Begin, Rollback, StepDown
-from cardamomdrift.util import cancel_all
+from cardamomdrift.upstreams.question import RepeatedQuestion, is_refusal
 
 PING_TIMEOUT = 0.25  # seconds; a handshake takes 12 ms and two crossings of a domain
 RETRY_INTERVAL = 0.05  # seconds after a failure
 
 
-class Pinger:
+class Pinger(RepeatedQuestion):
     """Pings of one instance; an async context manager.
 
     Parameters
@@ -37,33 +37,14 @@
     """
 
     def __init__(self, name, pool, connect, listener, clock):
+        super().__init__(RETRY_INTERVAL)
         self._name = name
         self._pool = pool
         self._connect = connect
         self._listener = listener
         self._clock = clock
-        self._wanted = asyncio.Event()
-        self._task = None
         self.asked = 0
 
-    def want(self):
-        """Ask again as soon as the question under way is answered."""
-        self._wanted.set()
-
-    async def __aenter__(self):
-        self._task = asyncio.create_task(self._run())
-        return self
-
-    async def __aexit__(self, *exc_info):
-        await cancel_all([self._task])
-
-    async def _run(self):
-        while True:
-            await self._wanted.wait()
-            self._wanted.clear()
-            if not await self._ask():
-                await asyncio.sleep(RETRY_INTERVAL)
-
     async def _ask(self):
         self.asked += 1
         begun_at = self._clock()
@@ -156,12 +137,3 @@
     if begun.refusal is not None:
         raise UpstreamBusy(f"{begun.code} {begun.detail}")
     return ended.position or begun.position
-
-
-def is_refusal(error):
-    """Whether a connection failed because nothing listens at the address."""
-    while error is not None:
-        if isinstance(error, ConnectionRefusedError):
-            return True
-        error = error.__cause__
-    return False
--- /dev/null
+++ b/cardamomdrift/upstreams/question.py
@@ -0,0 +1,57 @@
+"""
+Repeated question
+=================
+
+Base of what asks one instance again whenever somebody wants an answer begun after now,
+one question at a time.
+"""
+
+import asyncio
+
+from cardamomdrift.util import cancel_all
+
+
+class RepeatedQuestion:
+    """Asks an instance while it is wanted; an async context manager.
+
+    Parameters
+    ----------
+    retry_interval : float
+        Seconds to wait after a failure.
+    """
+
+    def __init__(self, retry_interval):
+        self._retry_interval = retry_interval
+        self._wanted = asyncio.Event()
+        self._task = None
+
+    def want(self):
+        """Ask again as soon as the question under way is answered."""
+        self._wanted.set()
+
+    async def __aenter__(self):
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await cancel_all([self._task])
+
+    async def _run(self):
+        while True:
+            await self._wanted.wait()
+            self._wanted.clear()
+            if not await self._ask():
+                await asyncio.sleep(self._retry_interval)
+
+    async def _ask(self):
+        """Ask once and pass the answer on; return whether there was one."""
+        raise NotImplementedError
+
+
+def is_refusal(error):
+    """Whether a connection failed because nothing listens at the address."""
+    while error is not None:
+        if isinstance(error, ConnectionRefusedError):
+            return True
+        error = error.__cause__
+    return False
--- a/cardamomdrift/util.py
+++ b/cardamomdrift/util.py
@@ -37,6 +37,14 @@
     return lines
 
 
+def keep_task(tasks, work):
+    """Start a coroutine as a task that stays in a set until it ends; return it."""
+    task = asyncio.create_task(work)
+    tasks.add(task)
+    task.add_done_callback(tasks.discard)
+    return task
+
+
 async def cancel_all(tasks):
     """Cancel tasks and wait until they have ended.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,6 +9,8 @@
 import asyncio
 import signal
 
+from cardamomdrift.util import keep_task
+
 LONGEST = 4.0  # seconds of one fault
 LINK_KINDS = ("silenced", "cut_up", "cut_down", "refused", "delay")
 PAUSES = (0.2, 2.5)  # seconds between two faults
@@ -38,9 +40,7 @@
             await asyncio.sleep(self._random.uniform(*PAUSES))
             name = self._random.choice(self._names_drawn)
             self.done.append(name)
-            task = asyncio.create_task(FAULTS[name](self))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            keep_task(self._tasks, FAULTS[name](self))
 
     async def heal(self):
         """End all faults and wait until the fleet is whole."""
