A connection whose state is no text ends its loan with a log line; tests that break the lending

Fault (by reading): session values may hold bytes that are no text; the lender's answer then failed outside of what ends a stream, as an unhandled error of the task. It now counts as a failure of the stream, as at the borrower. Test fails without it.

--- a/cardamomdrift/peers/loans.py
+++ b/cardamomdrift/peers/loans.py
@@ -6,6 +6,8 @@
 stream of their own, since its end must end the loan.  Each message follows its length.
 """
 
+import asyncio
+
 import msgspec
 
 from cardamomdrift.errors import PacketTooLarge
@@ -28,6 +30,16 @@
 SIZE_LIMIT = 8 * 1024 * 1024  # bytes; a few of the largest statements
 PORT_OFFSET = 2  # from the port for heartbeats; questions use the one between
 
+# What ends a stream; a message may hold bytes of callers or instances that are no text.
+STREAM_FAILURES = (
+    OSError,
+    TimeoutError,
+    asyncio.IncompleteReadError,
+    msgspec.DecodeError,
+    PacketTooLarge,
+    UnicodeEncodeError,
+)
+
 COMMANDS = {
     one.__name__: one
     for one in (
--- a/cardamomdrift/upstreams/borrower.py
+++ b/cardamomdrift/upstreams/borrower.py
@@ -14,6 +14,7 @@
 from cardamomdrift.membership.rendezvous import rank
 from cardamomdrift.peers.loans import (
     PORT_OFFSET,
+    STREAM_FAILURES,
     LoanGranted,
     LoanLost,
     LoanReplies,
@@ -24,7 +25,6 @@
 )
 from cardamomdrift.ports import TransactionState
 from cardamomdrift.sessions.state import LoadedState
-from cardamomdrift.upstreams.lender import STREAM_FAILURES
 
 ASKING_TIME = 0.15  # seconds for a daemon's word; it may open a connection first
 ASKED_AT_ONCE = 6  # daemons asked for one loan, one after the other
--- a/cardamomdrift/upstreams/lender.py
+++ b/cardamomdrift/upstreams/lender.py
@@ -9,10 +9,9 @@
 
 import asyncio
 
-import msgspec
-
-from cardamomdrift.errors import PacketTooLarge, UpstreamError, UpstreamUnreachable
+from cardamomdrift.errors import UpstreamError, UpstreamUnreachable
 from cardamomdrift.peers.loans import (
+    STREAM_FAILURES,
     LoanGranted,
     LoanLost,
     LoanRefused,
@@ -29,13 +28,6 @@
 REQUEST_TIME = 5.0  # seconds for the next request on a stream; borrowers keep it for 2
 EXCHANGE_TIME = 5.0  # seconds for an instance's answer; more than callers wait
 OPENING_TIME = 0.1  # seconds for a new connection; several handshakes
-STREAM_FAILURES = (
-    OSError,
-    TimeoutError,
-    asyncio.IncompleteReadError,
-    msgspec.DecodeError,
-    PacketTooLarge,
-)
 
 
 class Lender:
@@ -165,9 +157,5 @@
             stream.write(LoanLost(sent, f"{type(error).__name__} {error}"))
             return False
         runtime.note_reply()
-        try:
-            stream.write(LoanReplies(replies))
-        except UnicodeEncodeError as error:
-            stream.write(LoanLost(True, f"answer is no text: {error}"))
-            return False
+        stream.write(LoanReplies(replies))
         return True
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -12,15 +12,18 @@
     LoanRefused,
     LoanReplies,
     LoanRequest,
+    LoanReturn,
     LoanStream,
     pack_steps,
     unpack_steps,
 )
 from cardamomdrift.ports import Reply, TransactionState
 from cardamomdrift.position import Position
+from cardamomdrift.routing.instance import InstanceRuntime
 from cardamomdrift.sessions.commands import Begin, Read, SetValue, StepDown, Write
 from cardamomdrift.sessions.state import LoadedState
 from cardamomdrift.upstreams.borrower import BorrowedConnection, Borrower
+from cardamomdrift.upstreams.lender import Lender
 from cardamomdrift.upstreams.pool import InstancePool
 from tests.site import LineClient, Site, free_port
 
@@ -144,6 +147,88 @@
         self.assertIsNone(await pool.lend(False, end))
 
 
+class RoomTest(unittest.IsolatedAsyncioTestCase):
+    """How much one instance takes while transactions hold connections."""
+
+    def make_runtime(self, borrow):
+        clock = asyncio.get_running_loop().time
+        pool = InstancePool(mock.Mock(), clock, borrow)
+        pool.set_limit(1)
+        return InstanceRuntime(mock.Mock(), pool, mock.Mock(), clock)
+
+    async def test_transactions_leave_room_for_statements_if_there_are_loans(self):
+        runtime = self.make_runtime(mock.Mock())
+        limits = []
+        for runtime.transactions in (0, 1, 4, 9):
+            limits.append(runtime.limit)
+        self.assertEqual(limits, [1, 2, 5, 5])
+        self.assertEqual(runtime.transaction_limit, 5)
+
+    async def test_without_loans_the_share_is_the_bound(self):
+        runtime = self.make_runtime(None)
+        runtime.transactions = 1
+        self.assertEqual((runtime.limit, runtime.transaction_limit), (1, 1))
+
+
+class LenderTest(unittest.IsolatedAsyncioTestCase):
+    """A lender with one connection to one instance."""
+
+    async def asyncSetUp(self):
+        clock = asyncio.get_running_loop().time
+        self.connection = FakeConnection()
+        pool = InstancePool(self.connect, clock)
+        pool.set_limit(1)
+        self.runtime = InstanceRuntime(mock.Mock(), pool, mock.Mock(), clock)
+        self.log = mock.Mock()
+        address = ("127.0.0.1", free_port("127.0.0.1"))
+        self.lender = Lender(
+            address, lambda _name: self.runtime, lambda: 1.0, clock, self.log
+        )
+        await self.lender.__aenter__()
+        self.addAsyncCleanup(self.lender.__aexit__, None, None, None)
+        self.stream = LoanStream(*await asyncio.open_connection(*address))
+        self.addCleanup(self.stream.abort)
+
+    async def connect(self, _timeout):
+        return self.connection
+
+    async def ask(self):
+        self.stream.write(LoanRequest("vm-2", "i", False))
+        return await self.stream.receive()
+
+    async def test_a_connection_whose_values_are_no_text_is_closed(self):
+        self.connection.loaded.values["zone"] = "\udcff"
+        with self.assertRaises(asyncio.IncompleteReadError):
+            await self.ask()
+        self.assertFalse(self.connection.reusable)
+        self.assertEqual((self.lender.lent, self.runtime.pool.size), (0, 0))
+        self.log.info.assert_called_once()
+
+    async def test_a_leaving_daemon_begins_no_loan(self):
+        self.lender.stop()
+        self.assertIsInstance(await self.ask(), LoanRefused)
+
+    async def test_a_daemon_that_uses_a_detour_lends_nothing(self):
+        self.runtime.note_detour(asyncio.get_running_loop().time() + 1.0)
+        self.assertIsInstance(await self.ask(), LoanRefused)
+
+    async def test_a_connection_in_a_transaction_is_not_taken_back(self):
+        self.assertIsInstance(await self.ask(), LoanGranted)
+        self.connection.state = TransactionState.OPEN
+        self.stream.write(LoanReturn({}, []))
+        with self.assertRaises(asyncio.IncompleteReadError):
+            await self.stream.receive()
+        self.assertFalse(self.connection.reusable)
+        self.assertEqual(self.lender.counts["lost"], 1)
+
+    async def test_a_returned_connection_is_lent_again_with_what_it_holds(self):
+        self.assertIsInstance(await self.ask(), LoanGranted)
+        self.stream.write(LoanReturn({"zone": "a"}, ["w1"]))
+        granted = await self.ask()
+        self.assertEqual((granted.values, granted.prepared), ({"zone": "a"}, ["w1"]))
+        self.assertEqual(self.lender.counts["granted"], 2)
+
+
 class BorrowedConnectionTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.script = []
@@ -224,6 +309,24 @@
         with self.assertRaises(UpstreamUnreachable):
             await connection.exchange([("id", Write("WRITE x \udcff"))])
 
+    async def test_it_is_not_reusable_while_an_answer_is_outstanding(self):
+        self.script = [LoanGranted({}, [], None)]
+        _, connection = await self.borrow()
+        self.assertTrue(connection.reusable)
+        asking = asyncio.create_task(connection.exchange([("id", Write("WRITE x"))]))
+        await asyncio.sleep(0.02)
+        self.assertFalse(connection.reusable)
+        asking.cancel()
+        await asyncio.wait([asking])
+
+    async def test_an_unused_stream_is_closed(self):
+        self.script = [LoanRefused("none")]
+        with mock.patch("cardamomdrift.upstreams.borrower.STREAM_TIME", 0.05):
+            borrower, _ = await self.borrow()
+        self.assertEqual(len(borrower._streams), 1)
+        await asyncio.sleep(0.3)
+        self.assertEqual(borrower._streams, {})
+
     async def test_an_answer_outstanding_ends_the_loan(self):
         self.script = [LoanGranted({}, [], None)]
         _, connection = await self.borrow()
@@ -380,6 +483,17 @@
         stop.set()
         await busy
 
+    async def test_answers_over_a_loan_say_nothing_of_the_own_path(self):
+        cluster = self.site.daemons["vm-3"].clusters.get("g")
+        runtime = cluster.instances[self.primary.name]
+        runtime.answered_at = before = -1.0
+        runtime.silence.asked(cluster.clock() - 1.0)
+        cluster.note_reply(self.primary.name, None, 0.0, direct=False)
+        self.assertGreaterEqual(runtime.silence.unanswered(cluster.clock()), 1.0)
+        self.assertEqual(runtime.answered_at, before)
+        cluster.note_reply(self.primary.name, None, 0.0)
+        self.assertEqual(runtime.silence.unanswered(cluster.clock()), 0.0)
+
     async def test_a_replaced_primary_has_no_detour(self):
         stop = asyncio.Event()
         busy = asyncio.create_task(self.keep_busy(stop))
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -6,6 +6,8 @@
 
 from cardamomdrift.membership import control
 from cardamomdrift.membership.instance_list import CURRENT_TIME
+from cardamomdrift.sessions.commands import Read, SetValue
+from cardamomdrift.sessions.handler import SessionHandler
 from tests.site import LineClient, Site, lead_row
 
 
@@ -180,6 +182,42 @@
             ]
             self.assertEqual(runs, [{"zone": "a"}])
 
+    async def test_a_second_attempt_that_waits_for_a_connection_ends(self):
+        async with Site(daemons=1) as site:
+            crew = await site.caller("vm-1", "crew")
+            await crew.ask("READ a")
+            acquired = []
+            for one in site.group.instances.values():
+                one.work = 0.2
+            for runtime in site.daemons["vm-1"].clusters.get("g").instances.values():
+                acquire = runtime.pool.acquire
+
+                async def late(*args, acquire=acquire, **options):
+                    acquired.append(True)
+                    if len(acquired) > 1:
+                        await asyncio.sleep(0.4)
+                    return await acquire(*args, **options)
+
+                runtime.pool.acquire = late
+            await crew.ask("READ a", "late-two")
+            self.assertEqual(len(acquired), 2)
+            await asyncio.sleep(0.8)
+            runs = [
+                name
+                for one in site.group.instances.values()
+                for name, *_ in one.runs
+                if name == "late-two"
+            ]
+            self.assertEqual(runs, ["late-two"])
+
+    async def test_a_request_keeps_the_values_of_its_moment(self):
+        async with Site(daemons=1) as site:
+            handler = SessionHandler(site.daemons["vm-1"].clusters, "crew", "u")
+            await handler.handle("id1", SetValue("zone", "a"))
+            request = handler._make_request("id2", Read("READ a"))
+            await handler.handle("id3", SetValue("zone", "b"))
+            self.assertEqual(request.values, {"zone": "a"})
+
     async def test_a_write_whose_answer_is_lost_is_in_doubt_and_runs_once(self):
         async with Site(daemons=1) as site:
             book = await site.caller("vm-1", "book")
@@ -361,6 +399,17 @@
             control.GONE_TIME = waits
 
 
+class RemovalTest(unittest.IsolatedAsyncioTestCase):
+    async def test_whoever_was_removed_itself_removes_nobody(self):
+        async with Site(daemons=2) as site:
+            plane = site.daemons["vm-1"].control
+            await plane.refresh()
+            site.store.remove("cardamomdrift", "member/vm-1")
+            with mock.patch.object(plane, "_find_gone", return_value=["vm-2"]):
+                await plane._remove_gone(0.0)
+            self.assertIsNotNone(site.store.get("cardamomdrift", "member/vm-2"))
+
+
 class ConfigurationTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_newer_one_reaches_a_daemon_that_the_store_turns_away(self):
         async with Site() as site:
