--- a/cardamomdrift/failover/execution.py
+++ b/cardamomdrift/failover/execution.py
@@ -22,6 +22,7 @@
     DUTY_KEY,
     LEADERSHIP_PREFIX,
     TABLE,
+    VOTERS_KEY,
     DutyRecord,
     LeadershipRecord,
     decode_record,
@@ -37,11 +38,12 @@
     Reason,
     answers_needed,
     choose_candidate,
-    has_quorum,
     is_released,
     may_call_platform,
     takeover_at,
 )
+from cardamomdrift.failover.voters import has_quorum
+from cardamomdrift.peers.contacts import LIVENESS_TIMEOUT
 from cardamomdrift.ports import Committed
 
 PLATFORM_CALL_TIMEOUT = 0.6  # seconds; a call takes 20 ms
@@ -123,12 +125,12 @@
         """
         await self._control.refresh()
         leadership = cluster.leadership
-        self._check_counted_by_all()
         rows = self._control.rows
         key = leadership_key(cluster.group.name)
         own_key = member_key(self._roster.vm)
         if own_key not in rows:
             raise ReplacementFailed("this daemon is not registered")
+        self._check_quorum_reachable()
         duty, duty_puts = self._claim_duty(rows)
         self._check_no_other_replacement(duty.token)
         record = LeadershipRecord(
@@ -141,7 +143,7 @@
         )
         expected = {
             row_key: rows[row_key].version if row_key in rows else 0
-            for row_key in (key, own_key, DUTY_KEY)
+            for row_key in (key, own_key, DUTY_KEY, VOTERS_KEY)
         }
         puts = duty_puts | {key: encode_record(record)}
         self._log.warning(
@@ -163,18 +165,20 @@
         self._announce()
         return Intent(record.generation, duty.token, begun_at, committed_at)
 
-    def _check_counted_by_all(self):
-        """Check that every registered daemon has this one in its roster.
+    def _check_quorum_reachable(self):
+        """Check that enough voters can acknowledge a replacement.
 
-        A daemon whose roster lacks this one needs none of its promises for the
-        permission, so it could go on using a primary that this daemon replaces.
+        An intent stops all writes of the group, so none is written in vain.
         """
-        for name in self._control.registered_names:
-            peer = self._roster.peers.get(name)
-            if name != self._roster.vm and (peer is None or not peer.has_echoed):
-                raise ReplacementFailed(
-                    f"{name} does not count this daemon as a member yet"
-                )
+        now = boot_clock()
+        live = {
+            name
+            for name in self._roster.live_members(now, LIVENESS_TIMEOUT)
+            if name == self._roster.vm or self._roster.peers[name].has_echoed
+        }
+        voter_sets = self._control.voter_sets
+        if not voter_sets or not has_quorum(live, voter_sets):
+            raise ReplacementFailed("too few voters are heard")
 
     def _claim_duty(self, rows):
         """Return the DutyRecord of this daemon and the rows to write for it.
@@ -215,8 +219,8 @@
                 if stored.attempt == record.attempt:
                     return
             raise ReplacementFailed(
-                "another daemon changed the rows of the duty, this group or this "
-                "daemon first"
+                "another daemon changed the rows of the duty, the voters, this group "
+                "or this daemon first"
             )
 
     def _check_no_other_replacement(self, token):
@@ -305,14 +309,20 @@
                     "another may still use it"
                 )
             released = self._peer_reports.released(group, names)
-            acknowledged = self._peer_reports.count_acknowledgements(
-                group, released, intent.generation
+            voter_sets = self._control.voter_sets
+            acknowledging = self._peer_reports.acknowledging(
+                group, voter_sets, intent.generation
             )
-            if quorum_at is None and has_quorum(acknowledged, len(released)):
+            if quorum_at is None and has_quorum(acknowledging, voter_sets):
                 quorum_at = now
+            all_counted = self._peer_reports.all_count_the_same(
+                voter_sets, acknowledging
+            )
             own_released = leadership.released >= intent.generation
             own_released = own_released and now > dropped_permission_until(self._roster)
-            if own_released and is_released(intent, released, quorum_at, now):
+            if own_released and is_released(
+                intent, released, all_counted, quorum_at, now
+            ):
                 break
             await asyncio.sleep(POLL_INTERVAL)
         missing = [
--- a/cardamomdrift/failover/peer_reports.py
+++ b/cardamomdrift/failover/peer_reports.py
@@ -22,31 +22,42 @@
         self._roster = roster
         self._clusters = clusters
 
-    def count_acknowledgements(self, group, released, generation):
-        """Return how many daemons acknowledge a replacement.
-
-        A daemon acknowledges a replacement if it knows of it and is in the rosters of
-        all daemons that do not know of it.
+    def acknowledging(self, group, voter_sets, generation):
+        """Return the names of the voters that know of a replacement.
 
         Parameters
         ----------
         group : str
-        released : dict of str to int
-            As returned by `released`.
+        voter_sets : sequence of sequence of str
         generation : int
             Number of the replacement.
         """
         peers_in_agreement = self._peers_in_agreement()
         acknowledging = set()
-        for name in released:
-            report = self._latest_report(name, group, peers_in_agreement)
+        for name in set().union(*voter_sets):
+            if name == self._roster.vm:
+                report = self._clusters.get(group).leadership
+            else:
+                report = self._latest_report(name, group, peers_in_agreement)
             if report is not None and report.generation >= generation:
                 acknowledging.add(name)
-        rest = released.keys() - acknowledging
-        return sum(
-            all(self._roster.is_counted_by(name, other) for other in rest)
-            for name in acknowledging
-        )
+        return acknowledging
+
+    def all_count_the_same(self, voter_sets, acknowledging):
+        """Whether all voters know of a replacement and count the same daemons.
+
+        Then no daemon that this one does not count can have a permission, because a
+        voter counts each daemon to which it has lately sent a promise.
+        """
+        digest = self._roster.members_digest
+        for name in set().union(*voter_sets):
+            if name not in acknowledging:
+                return False
+            if name == self._roster.vm:
+                continue
+            if self._roster.peers[name].heartbeat.members_digest != digest:
+                return False
+        return True
 
     def released(self, group, names):
         """Return the generation that each daemon has released, by name; -1 if unknown.
--- a/cardamomdrift/failover/records.py
+++ b/cardamomdrift/failover/records.py
@@ -3,7 +3,7 @@
 ===============
 
 Rows of the daemons' own table in the platform's store: the registered daemons, the
-holder of the duty to promote, and the primary of each group.
+voters among them, the holder of the duty to promote, and the primary of each group.
 """
 
 import msgspec
@@ -12,6 +12,9 @@
 
 TABLE = "cardamomdrift"
 DUTY_KEY = "duty"
+# Read before the groups' rows: a read that shows an epoch shows all replacements that
+# were committed before it.
+VOTERS_KEY = "epoch"
 MEMBER_PREFIX = "member/"
 LEADERSHIP_PREFIX = "lead/"
 
@@ -36,6 +39,23 @@
     token: int
 
 
+class VotersRecord(msgspec.Struct, frozen=True):
+    """Row of the daemons that promise permissions and replace primaries.
+
+    Attributes
+    ----------
+    epoch : int
+        Rises with each change of the set.
+    names : tuple of str
+    former : tuple of str
+        Voters of the epoch before, until they can promise nothing in it any more.
+    """
+
+    epoch: int
+    names: tuple[str, ...]
+    former: tuple[str, ...]
+
+
 class LeadershipRecord(msgspec.Struct, frozen=True):
     """Row of the last replacement of a group's primary.
 
--- a/cardamomdrift/failover/replacement.py
+++ b/cardamomdrift/failover/replacement.py
@@ -10,10 +10,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-from cardamomdrift.failover.permission import (
-    ACKNOWLEDGEMENTS_NEEDED,
-    PERMISSION_VALIDITY,
-)
+from cardamomdrift.failover.permission import PERMISSION_VALIDITY
 from cardamomdrift.peers.contacts import CONTACT_AGE_LIMIT
 
 REFUSED_TIMEOUT = 0.15  # seconds; a connection that was reset is reopened in 30 ms
@@ -209,40 +206,27 @@
     return now + call_timeout < intent.begun_at + INTENT_LIFETIME
 
 
-def has_quorum(acknowledged, others):
-    """Whether enough daemons have acknowledged a replacement.
-
-    The daemons that acknowledge it, and the one that carries it out, no longer make
-    promises for the old generation.  A permission needs recent promises of at least
-    all other daemons but one, so the permissions of the remaining daemons expire.
-
-    Parameters
-    ----------
-    acknowledged : int
-        Other daemons that know of the replacement and are in the rosters of all that do
-        not.
-    others : int
-        Number of other daemons.
-    """
-    return acknowledged >= min(ACKNOWLEDGEMENTS_NEEDED, others)
-
-
-def is_released(intent, released_generations, quorum_at, now):
+def is_released(intent, released_generations, all_counted, quorum_at, now):
     """Whether no other daemon uses the old primary any more.
 
-    Either all have released it, or their permissions have expired after a quorum.
+    Either all have released it, or their permissions have expired after a quorum of the
+    voters has acknowledged the replacement (see `failover.voters`).
 
     Parameters
     ----------
     intent : Intent
     released_generations : dict of str to int
         Generation that each other daemon has released, by name.
+    all_counted : bool
+        Whether no daemon that is missing there can have a permission.
     quorum_at : float or None
         When the quorum was first seen; None before.
     now : float
         Boot clock.
     """
-    if all(released >= intent.generation for released in released_generations.values()):
+    if all_counted and all(
+        released >= intent.generation for released in released_generations.values()
+    ):
         return True
     if quorum_at is None:
         return False
--- a/cardamomdrift/failover/replacer.py
+++ b/cardamomdrift/failover/replacer.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import math
 from dataclasses import dataclass
 
 from cardamomdrift.clock import boot_clock
@@ -198,10 +199,11 @@
     def _rank_delay(self, cluster, now):
         """Return for how many seconds this daemon leaves the replacement to others.
 
-        The holder of the duty comes first, then the live daemons that reach the store,
-        in the order of their rank for the group.
+        The holder of the duty comes first, then the live voters that reach the store,
+        in the order of their rank for the group.  The other daemons replace no primary,
+        since they do not hear whether it has been released.
         """
-        live = self._roster.live_members(now, LIVENESS_TIMEOUT)
+        live = self._roster.live_voters(now, LIVENESS_TIMEOUT)
         with_store = [
             name
             for name in live
@@ -213,6 +215,8 @@
         if holder in order:
             order.remove(holder)
             order.insert(0, holder)
+        if self._roster.vm not in order:
+            return math.inf
         return order.index(self._roster.vm) * RANK_DELAY
 
     def _duty_holder(self):
--- a/cardamomdrift/limits/shares.py
+++ b/cardamomdrift/limits/shares.py
@@ -9,10 +9,17 @@
 """
 
 from dataclasses import dataclass
+from functools import lru_cache
 
 from cardamomdrift.membership.rendezvous import home_set
 
 OPERATOR_RESERVE = 1  # connections for tools of operators
+# Connections of each lender if there are more VMs than connections: one for a
+# transaction, one for single statements, and one that a second transaction may borrow.
+LENDER_SHARE = 3
+# One connection in so many stays free for probes if the VMs outnumber the connections.
+PROBE_RESERVE_PART = 8
+LENDERS_CACHE_SIZE = 8192  # instances and sets of VMs whose lenders are kept
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +80,8 @@
 
     The remainder after equal shares stays free for VMs that restart while the instance
     still has their old connections.  If there are more VMs than connections, the VMs
-    ranked first for the instance have one each, and the others borrow connections.
+    ranked first for the instance have ``LENDER_SHARE`` each, and the others borrow
+    connections.
 
     Parameters
     ----------
@@ -85,20 +93,28 @@
     instance : str
     """
     share = share_of(limit, len(members))
-    return share or int(vm in lending_vms(limit, members, instance))
+    if share or vm not in lending_vms(limit, members, instance):
+        return share
+    return min(LENDER_SHARE, max(limit - OPERATOR_RESERVE, 1))
 
 
+@lru_cache(maxsize=LENDERS_CACHE_SIZE)
 def lending_vms(limit, members, instance):
     """Return the VMs that have connections of their own to an instance.
 
+    If there are more VMs than connections, a few VMs have several connections each, so
+    that a lender whose connection is held by a transaction still has others.  Some
+    connections stay free for probes of the VMs without any.
+
     Parameters
     ----------
     limit : int
         Connections that the instance accepts.
-    members : sequence of str
+    members : tuple of str
     instance : str
     """
     usable = max(limit - OPERATOR_RESERVE, 1)
     if usable >= len(members):
-        return tuple(members)
-    return home_set(instance, members, usable)
+        return members
+    lenders = (usable - usable // PROBE_RESERVE_PART) // LENDER_SHARE
+    return home_set(instance, members, max(lenders, 1))
--- a/cardamomdrift/membership/control.py
+++ b/cardamomdrift/membership/control.py
@@ -3,7 +3,8 @@
 =============
 
 Keeps this daemon registered in the platform's store, reads the store when the promises
-of the other daemons do not suffice, and removes the rows of daemons that have failed.
+of the voters do not suffice, changes the set of voters, and removes the rows of daemons
+that have failed.
 """
 
 import asyncio
@@ -15,16 +16,12 @@
     PlatformRefused,
     PlatformUnavailable,
 )
-from cardamomdrift.failover.permission import (
-    ECHO_TIMEOUT,
-    PERMISSION_VALIDITY,
-    SILENT_DAEMON_TIMEOUT,
-    STORE_READ_VALIDITY,
-)
+from cardamomdrift.failover.permission import STORE_READ_VALIDITY
 from cardamomdrift.failover.records import (
     LEADERSHIP_PREFIX,
     MEMBER_PREFIX,
     TABLE,
+    VOTERS_KEY,
     LeadershipRecord,
     MemberRecord,
     decode_record,
@@ -34,22 +31,21 @@
 )
 from cardamomdrift.loops import repeat
 from cardamomdrift.membership.rendezvous import rank
+from cardamomdrift.membership.voter_keeper import VoterKeeper
 from cardamomdrift.peers.contacts import LIVENESS_TIMEOUT
 from cardamomdrift.ports import Committed
-from cardamomdrift.util import cancel_all
+from cardamomdrift.util import cancel_all, hash_number
 
 STEP_INTERVAL = 0.1  # seconds
 PERMISSION_REFRESH_MARGIN = 0.5  # seconds of permission left when the store is read
-RANK_DELAY = 0.1  # seconds for each live daemon ranked higher
-# Seconds without a heartbeat after which a daemon is removed.  This is longer than a
-# restart takes, and longer than the permission of that daemon can depend on the one
-# that removes it.
-REMOVAL_TIMEOUT = SILENT_DAEMON_TIMEOUT + ECHO_TIMEOUT + 0.5
+RANK_DELAY = 0.1  # seconds for each live voter ranked higher
+# Seconds that a daemon that is no voter waits longer than the voters, plus a part of
+# the spread by its name.  A voter's heartbeat reports the read of the store before.
+CONFIRM_DELAY, CONFIRM_SPREAD = 0.2, 0.2
+STORE_READ_DELAY, STORE_READ_SPREAD = 2.5, 4.0
+SPREAD_STEPS = 1024
+REMOVAL_TIMEOUT = 8.0  # seconds without a heartbeat; longer than a restart takes
 ISOLATED_REMOVAL_TIMEOUT = 24.0  # seconds, if this daemon hears no other one
-# Seconds without a heartbeat after which this daemon removes one that has never echoed
-# its heartbeats.  The permission of the silent daemon ends earlier, unless it reads the
-# store and so learns of this daemon.
-UNECHOED_REMOVAL_TIMEOUT = STORE_READ_VALIDITY + PERMISSION_VALIDITY + 1.0
 # Seconds between reads of the store.  The other half of the validity is left for
 # outages of the store.
 STORE_READ_INTERVAL = STORE_READ_VALIDITY / 2
@@ -97,12 +93,13 @@
         self._confirmation_due_since = None
         self._retry_at = 0.0
         self._read_at = 0.0
-        self._registered_at = 0.0
         self._resumed_at = boot_clock()
+        self._confirmed_at = None
         self._last_step_at = self._resumed_at
         self._registered_names = frozenset()
         self._lock = asyncio.Lock()
         self._task = None
+        self._voter_keeper = VoterKeeper(roster, log, self._resumed_at)
         self.reachable = False
         self.unsettled_rows = {}
 
@@ -121,6 +118,16 @@
         """Names of the daemons that were registered at the last read of the store."""
         return self._registered_names
 
+    @property
+    def confirmed_at(self):
+        """When this daemon's newest read of the store began; None before the first."""
+        return self._confirmed_at
+
+    @property
+    def voter_sets(self):
+        """Sets of voters of each of which a replacement needs a quorum."""
+        return self._voter_keeper.voter_sets
+
     async def __aenter__(self):
         self._task = asyncio.create_task(repeat("control", self._run, self._log))
         return self
@@ -146,8 +153,13 @@
         if not self._registered:
             await self._register()
             await self.refresh()
+        elif self._roster.is_voter and not self._roster.promised_epoch:
+            self._retry_at = now + RETRY_INTERVAL
+            await self.refresh()
         elif self._is_confirmation_due(now):
             await self.refresh()
+        elif self._voter_keeper.is_due(self._registered_names, now, self._resumed_at):
+            await self._change_voters(now)
         elif self._is_store_read_due(now):
             self._read_at = now
             await self.refresh()
@@ -164,20 +176,13 @@
         record = MemberRecord(self._address, self._roster.incarnation)
         key = member_key(self._roster.vm)
         await self._store.commit(TABLE, {}, {key: encode_record(record)})
-        self.record_registration(boot_clock())
+        self.record_registration()
         self._set_reachable(True)
         self._log.info("daemon registered", incarnation=self._roster.incarnation)
 
-    def record_registration(self, now):
-        """Record that the store has this daemon's row.
-
-        Parameters
-        ----------
-        now : float
-            Boot clock.
-        """
+    def record_registration(self):
+        """Record that the store has this daemon's row."""
         self._registered = True
-        self._registered_at = now
 
     async def deregister(self):
         """Stop, and remove this daemon's row from the store.
@@ -203,18 +208,40 @@
             return False
         if self._confirmation_due_since is None:
             self._confirmation_due_since = now
-        live = self._roster.live_members(now, LIVENESS_TIMEOUT)
-        delay = rank("confirm", live).index(self._roster.vm) * RANK_DELAY
+        delay = self._read_delay(
+            "confirm", now, RANK_DELAY, CONFIRM_DELAY, CONFIRM_SPREAD
+        )
         return now >= self._confirmation_due_since + delay
 
     def _is_store_read_due(self, now):
         """Whether a read is due so that promises keep counting for all daemons."""
         if now < self._read_at + SILENT_READ_INTERVAL:
             return False
-        live = self._roster.live_members(now, LIVENESS_TIMEOUT)
-        delay = rank("roster", live).index(self._roster.vm) * STORE_READ_RANK_DELAY
+        delay = self._read_delay(
+            "roster", now, STORE_READ_RANK_DELAY, STORE_READ_DELAY, STORE_READ_SPREAD
+        )
         return now >= self._permission.store_read_at + STORE_READ_INTERVAL + delay
 
+    def _read_delay(self, key, now, rank_delay, other_delay, spread):
+        """Return for how many seconds this daemon leaves a read of the store to others.
+
+        Parameters
+        ----------
+        key : str
+            Key of the order of the voters.
+        now : float
+        rank_delay : float
+            Seconds for each live voter ranked higher.
+        other_delay, spread : float
+            Shortest delay of a daemon that is no voter, and the range above it.
+        """
+        vm = self._roster.vm
+        live = self._roster.live_voters(now, LIVENESS_TIMEOUT)
+        if vm in live:
+            return rank(key, live).index(vm) * rank_delay
+        part = hash_number(key, vm) % SPREAD_STEPS / SPREAD_STEPS
+        return (other_delay if live else 0.0) + spread * part
+
     async def refresh(self):
         """Read the daemons' table and apply its rows.
 
@@ -230,7 +257,9 @@
             self._read_at = begun_at
             self._rows = snapshot.rows
             self._apply_leadership_rows(snapshot.rows)
+            self._voter_keeper.apply_row(snapshot.rows.get(VOTERS_KEY), boot_clock())
             self._apply_member_rows(snapshot.rows)
+            self._confirmed_at = begun_at
             if self._roster.vm in self._registered_names:
                 self._permission.record_store_read(begun_at)
             elif self._registered:
@@ -333,9 +362,34 @@
             taken=isinstance(result, Committed),
         )
 
+    async def _change_voters(self, now):
+        """Write the row of the voters if it is still to be changed."""
+        keeper = self._voter_keeper
+        await self.refresh()
+        record = keeper.next_record(
+            self._registered_names, boot_clock(), self._resumed_at
+        )
+        own_row = self._rows.get(member_key(self._roster.vm))
+        if record is None or own_row is None:
+            keeper.postpone(now)
+            return
+        expected = {VOTERS_KEY: keeper.version, own_row.key: own_row.version}
+        puts = {VOTERS_KEY: encode_record(record)}
+        result = await self._store.commit(TABLE, expected, puts)
+        self._log.warning(
+            "voters changed",
+            epoch=record.epoch,
+            voters=",".join(record.names),
+            former=",".join(record.former) or None,
+            taken=isinstance(result, Committed),
+        )
+        await self.refresh()
+
     def _silent_daemons(self, now, min_silence=0.0):
         """Return the names of the daemons that have reached their removal timeout.
 
+        Only a voter hears all daemons, so the others find none.
+
         Parameters
         ----------
         now : float
@@ -349,14 +403,10 @@
         ]
 
     def _has_timed_out(self, peer, now, min_silence):
+        roster = self._roster
         heard_at = peer.heard_at or peer.added_at
-        since = max(heard_at, self._resumed_at)
-        limit = REMOVAL_TIMEOUT
-        if not peer.has_echoed:
-            # The peer may never have learned of this daemon's registration.
-            since = max(since, self._registered_at)
-            limit = UNECHOED_REMOVAL_TIMEOUT
-        return now - since >= max(limit, min_silence)
+        since = max(heard_at, self._resumed_at, roster.voter_since)
+        return now - since >= max(REMOVAL_TIMEOUT, min_silence)
 
     def _is_removal_read_due(self, now):
         """Whether a read is due to see which silent daemons are still registered."""
@@ -365,9 +415,12 @@
         return bool(self._silent_daemons(now))
 
     def _removable_daemons(self, now):
-        """Return the names of the daemons whose rows this one may remove now."""
+        """Return the names of the daemons whose rows this voter may remove now."""
+        if not self._roster.is_voter:
+            return []
         live = self._roster.live_members(now, LIVENESS_TIMEOUT)
-        delay = rank("remove", live).index(self._roster.vm) * RANK_DELAY
+        voters = self._roster.live_voters(now, LIVENESS_TIMEOUT)
+        delay = rank("remove", voters).index(self._roster.vm) * RANK_DELAY
         # A daemon that hears no other is more likely partitioned than the last one.
         min_silence = REMOVAL_TIMEOUT if len(live) > 1 else ISOLATED_REMOVAL_TIMEOUT
         return self._silent_daemons(now, min_silence + delay)
--- a/cardamomdrift/membership/feed.py
+++ b/cardamomdrift/membership/feed.py
@@ -18,6 +18,8 @@
 WATCH_TIMEOUT = 3.0  # seconds; a silent connection is noticed after this time
 DAEMONS_PER_WATCH_TIMEOUT = 5  # daemons; if there are more, each waits longer
 MAX_WATCH_TIMEOUT = 18.0  # seconds; the store keeps 20 s of history
+CHANGE_INTERVAL_PER_DAEMON = 0.01  # seconds between two changes, for each daemon
+MAX_CHANGE_INTERVAL = 1.0  # seconds
 HINT_GRACE = 0.5  # seconds to wait for a change that a peer has received already
 # Seconds.  Five daemons make 20 calls a second during an outage of the store.
 RETRY_INTERVAL = 0.25
@@ -42,6 +44,21 @@
     changed: int = 0
 
 
+def change_interval(daemons):
+    """Return how many seconds to wait after a change before asking for the next one.
+
+    Load pattern: all instances of a deployment register, or are replaced, within
+    seconds.  Each change ends the waiting calls of all daemons, so a large fleet would
+    make as many calls as it has daemons for each single change.
+
+    Parameters
+    ----------
+    daemons : int
+        Daemons that follow the table.
+    """
+    return min(CHANGE_INTERVAL_PER_DAEMON * daemons, MAX_CHANGE_INTERVAL)
+
+
 class TableFeed:
     """Follows one table; an async context manager.
 
@@ -103,13 +120,15 @@
             await self._read()
             return
         rows = self._state.rows
-        if changes.changed or changes.removed:
-            rows = {key: row for key, row in rows.items() if key not in changes.removed}
-            rows |= changes.changed
-            await self._apply_state(TableState(rows, changes.version, changes.newest))
-        else:
+        if not (changes.changed or changes.removed):
             self._state = TableState(rows, changes.version, self._state.changed)
+            self._set_reachable(True)
+            return
+        rows = {key: row for key, row in rows.items() if key not in changes.removed}
+        rows |= changes.changed
+        await self._apply_state(TableState(rows, changes.version, changes.newest))
         self._set_reachable(True)
+        await asyncio.sleep(change_interval(self._count_daemons()))
 
     async def _read(self):
         hinted_version = self._hinted_version
--- /dev/null
+++ b/cardamomdrift/membership/voter_keeper.py
@@ -0,0 +1,212 @@
+"""
+Voter keeper
+============
+
+Decides when this daemon changes the set of voters, and which row it then writes to the
+store.  The quorums and the choice of the voters are in `failover.voters`; the control
+plane reads and writes the store.
+"""
+
+from cardamomdrift.errors import ControlRecordError
+from cardamomdrift.failover.permission import (
+    PERMISSION_VALIDITY,
+    STORE_READ_VALIDITY,
+)
+from cardamomdrift.failover.records import VotersRecord, decode_record
+from cardamomdrift.failover.voters import (
+    VOTER_KEY,
+    first_voters,
+    has_quorum,
+    next_voters,
+)
+from cardamomdrift.membership.rendezvous import rank
+from cardamomdrift.peers.contacts import LIVENESS_TIMEOUT
+
+# Seconds after its registration until a daemon names the first voters; the daemons of a
+# new deployment register meanwhile.
+FIRST_VOTERS_DELAY = 0.4
+VOTER_SILENCE_TIMEOUT = 3.0  # seconds until a silent voter loses its place
+# Seconds without any voter after which another daemon changes the set.
+NO_VOTER_TIMEOUT = 24.0
+RANK_DELAY = 0.2  # seconds for each live voter ranked higher
+RETRY_DELAY = 2.0  # seconds after a read that showed no need of a change
+RELEASE_MARGIN = 0.05  # seconds to wait after permissions have expired
+# Seconds after which the promises of an earlier epoch have ended in any case.
+FORMER_TIMEOUT = STORE_READ_VALIDITY + PERMISSION_VALIDITY + 1.0
+
+
+class VoterKeeper:
+    """Row of the voters and the decision to change it; does no input or output.
+
+    Parameters
+    ----------
+    roster : Roster
+    log : structlog logger
+    now : float
+        Boot clock.
+    """
+
+    def __init__(self, roster, log, now):
+        self._roster = roster
+        self._log = log
+        self._record = None
+        self._version = 0
+        self._seen_at = now
+        self._voter_heard_at = now
+        self._acknowledged_at = None
+        self._wanted_since = None
+        self._retry_at = now
+
+    @property
+    def voter_sets(self):
+        """The voters and, until a change of them is complete, also the former ones."""
+        if self._record is None:
+            return ()
+        return tuple(filter(None, (self._record.names, self._record.former)))
+
+    @property
+    def version(self):
+        """Version of the row as last read; 0 if there was none."""
+        return self._version
+
+    def apply_row(self, row, now):
+        """Apply the row of the voters, or None, as this daemon has read it."""
+        if row is None:
+            self._roster.confirmed_epoch = self._roster.confirmed_epoch or 0
+            return
+        try:
+            record = decode_record(row, VotersRecord)
+        except ControlRecordError as error:
+            self._log.error("row not usable", error=str(error))
+            return
+        if row.version != self._version:
+            self._record, self._version = record, row.version
+            self._seen_at = now
+            self._acknowledged_at = None
+        self._roster.adopt_voters(record.epoch, record.names, now)
+        self._roster.confirmed_epoch = record.epoch
+
+    # Decision
+
+    def is_due(self, registered, now, resumed_at):
+        """Whether this daemon is to read the store in order to change the row.
+
+        Parameters
+        ----------
+        registered : set of str
+            Daemons that were registered at the last read of the store.
+        now : float
+        resumed_at : float
+            When this daemon started or was last resumed after a suspension.
+        """
+        if now < self._retry_at:
+            return False
+        live = self._roster.live_members(now, LIVENESS_TIMEOUT)
+        known = set(registered).union(live)
+        if self.next_record(known, now, resumed_at) is None:
+            self._wanted_since = None
+            return False
+        if self._wanted_since is None:
+            self._wanted_since = now
+        return now >= self._wanted_since + self._rank_delay(registered, now)
+
+    def postpone(self, now):
+        """Wait before the next change, after this one was written or not needed."""
+        self._wanted_since = None
+        self._retry_at = now + RETRY_DELAY
+
+    def _rank_delay(self, registered, now):
+        if self._record is None:
+            order = first_voters(registered)
+            delay = FIRST_VOTERS_DELAY
+        else:
+            order = rank(VOTER_KEY, self._roster.live_voters(now, LIVENESS_TIMEOUT))
+            delay = 0.0
+        vm = self._roster.vm
+        position = list(order).index(vm) if vm in order else len(order)
+        return delay + position * RANK_DELAY
+
+    def next_record(self, registered, now, resumed_at):
+        """Return the VotersRecord that this daemon is to write now, or None.
+
+        Parameters
+        ----------
+        registered : set of str
+        now, resumed_at : float
+            As for `is_due`.
+        """
+        if self._record is None:
+            names = first_voters(registered)
+            return VotersRecord(1, names, ()) if names else None
+        if not self._may_change(now, resumed_at):
+            return None
+        if self._record.former:
+            return self._complete_record(now)
+        return self._changed_record(registered, now, resumed_at)
+
+    def _may_change(self, now, resumed_at):
+        """Whether this daemon is a voter, or has heard no voter for long."""
+        roster = self._roster
+        if roster.is_voter:
+            return True
+        if roster.live_voters(now, LIVENESS_TIMEOUT):
+            self._voter_heard_at = now
+        since = max(self._voter_heard_at, self._seen_at, resumed_at)
+        return now - since >= NO_VOTER_TIMEOUT
+
+    def _complete_record(self, now):
+        """Return the record without the former voters once they promise nothing."""
+        record = self._record
+        if self._acknowledged_at is None and self._has_former_quorum():
+            self._acknowledged_at = now
+        acknowledged_at = self._acknowledged_at
+        expired = now >= self._seen_at + FORMER_TIMEOUT
+        if acknowledged_at is not None:
+            released_at = acknowledged_at + PERMISSION_VALIDITY + RELEASE_MARGIN
+            expired = expired or now >= released_at
+        return VotersRecord(record.epoch, record.names, ()) if expired else None
+
+    def _has_former_quorum(self):
+        """Whether a quorum of the former voters knows the present epoch."""
+        roster, record = self._roster, self._record
+        knowing = {roster.vm}
+        for name in record.former:
+            peer = roster.peers.get(name)
+            heard = peer is not None and peer.heartbeat is not None
+            if heard and peer.heartbeat.epoch >= record.epoch:
+                knowing.add(name)
+        return has_quorum(knowing, (record.former,))
+
+    def _changed_record(self, registered, now, resumed_at):
+        record = self._record
+        unfit = {name for name in record.names if self._is_unfit(name, now, resumed_at)}
+        candidates = {
+            name
+            for name in self._roster.live_members(now, LIVENESS_TIMEOUT)
+            if not self._is_stopping(name)
+        }
+        if self._roster.is_voter:
+            names = next_voters(record.names, set(registered), candidates, unfit)
+        else:
+            # All voters are gone.  This daemon cannot tell which others are alive.
+            names = first_voters({*registered, self._roster.vm} - set(record.names))
+        if not names or names == record.names:
+            return None
+        return VotersRecord(record.epoch + 1, names, record.names)
+
+    def _is_stopping(self, name):
+        if name == self._roster.vm:
+            return self._roster.stopping
+        peer = self._roster.peers.get(name)
+        return peer is not None and (peer.is_stopping or peer.is_leaving)
+
+    def _is_unfit(self, name, now, resumed_at):
+        """Whether a voter is about to stop or has been silent for too long."""
+        if self._is_stopping(name):
+            return True
+        if name == self._roster.vm:
+            return False
+        peer = self._roster.peers.get(name)
+        heard_at = peer.heard_at if peer is not None else None
+        since = max(heard_at or 0.0, self._seen_at, resumed_at)
+        return now - since >= VOTER_SILENCE_TIMEOUT
--- a/cardamomdrift/peers/announcer.py
+++ b/cardamomdrift/peers/announcer.py
@@ -2,16 +2,26 @@
 Announcer
 =========
 
-Sends this daemon's heartbeats and handles those of the others.
+Sends this daemon's heartbeats and handles those of the others.  Daemons that are no
+voters exchange heartbeats with the voters only; one of the voters, which differs from
+daemon to daemon, informs them of samples and of the other daemons.
 """
 
 import asyncio
 import math
+from functools import lru_cache
 
 from cardamomdrift.clock import boot_clock
 from cardamomdrift.failover.permission import ECHO_TIMEOUT
 from cardamomdrift.loops import repeat
-from cardamomdrift.peers.heartbeat import GroupClaim, Heartbeat, hash_leaderships
+from cardamomdrift.membership.rendezvous import rank
+from cardamomdrift.peers.contacts import LIVENESS_TIMEOUT
+from cardamomdrift.peers.heartbeat import (
+    HEARTBEAT_FORMAT,
+    GroupClaim,
+    Heartbeat,
+    hash_leaderships,
+)
 from cardamomdrift.util import MILLISECONDS, cancel_all, seconds
 
 HEARTBEAT_INTERVAL = 0.3  # seconds; four heartbeats fit into PERMISSION_VALIDITY
@@ -24,6 +34,23 @@
 REPORTED_SILENCE_MS = 100  # a claim with a longer silence of the primary is a report
 LIST_AGE_LIMIT_MS = 1_000_000  # highest age of the list of instances that is sent
 SILENCE_LOG_TIME = 1.0  # seconds without a heartbeat until a daemon is logged as silent
+# Seconds between heartbeats to all peers that are sent on a change: a fixed part, and a
+# part for each peer.
+MIN_SEND_INTERVAL, MIN_SEND_INTERVAL_PER_PEER = 0.005, 0.0005
+MEMBERS_INTERVAL = 1.0  # seconds between two full lists of the daemons to one peer
+INFORMER_CACHE_SIZE = 4096  # daemons for which the voter that informs them is kept
+
+
+@lru_cache(maxsize=INFORMER_CACHE_SIZE)
+def informing_voter(name, voters):
+    """Return the voter that informs a daemon; empty without voters.
+
+    Parameters
+    ----------
+    name : str
+    voters : tuple of str
+    """
+    return rank(f"informer/{name}", voters)[0] if voters else ""
 
 
 def _milliseconds(age):
@@ -70,6 +97,8 @@
         self._send_requested = asyncio.Event()
         self._silent = set()
         self._sampled_at = {}
+        self._relayed_at = {}
+        self._members_sent_at = {}
         self._silence_reported_at = {}
         self._task = None
         self.leaving = False
@@ -94,21 +123,35 @@
         self.send_all()
         self._log_silent(now)
         self._permission.extend_by_promises(now)
+        peers = len(self._roster.correspondents())
+        await asyncio.sleep(MIN_SEND_INTERVAL + MIN_SEND_INTERVAL_PER_PEER * peers)
         try:
-            async with asyncio.timeout(HEARTBEAT_INTERVAL):
+            async with asyncio.timeout_at(self._loop_time_at(now + HEARTBEAT_INTERVAL)):
                 await self._send_requested.wait()
         except TimeoutError:
             pass
         self._send_requested.clear()
 
+    @staticmethod
+    def _loop_time_at(at):
+        """Return the time of the loop's clock at a time of the boot clock."""
+        return asyncio.get_running_loop().time() + at - boot_clock()
+
     # Sending
 
     def send_all(self):
-        """Send a heartbeat to every daemon that this one counts."""
-        self._sampled_at |= self._send_to(list(self._roster.peers.values()))
+        """Send a heartbeat to every daemon with which this one exchanges them."""
+        self._send_to(self._roster.correspondents(), to_all=True)
+
+    def _send_to(self, peers, to_all=False):
+        """Send heartbeats.
 
-    def _send_to(self, peers):
-        """Send heartbeats; return the start times of the samples in them, by group."""
+        Parameters
+        ----------
+        peers : list of Peer
+        to_all : bool
+            Whether these are all peers, so that the samples sent need not be repeated.
+        """
         now = boot_clock()
         members = self._roster.addresses()
         leaderships_digest = hash_leaderships(
@@ -118,24 +161,85 @@
             cluster.group.name: self._make_claim(cluster, now)
             for cluster in self._clusters
         }
-        due_samples = {
-            group: now - seconds(claim.position_age_ms)
-            for group, claim in claims.items()
-            if self._is_sample_due(group, claim, now)
-        }
-        recent_claims = {
+        urgent = {
             group: claim
             for group, claim in claims.items()
-            if self._is_silence_recent(group, claim, now) or group in due_samples
+            if self._is_silence_recent(group, claim, now)
         }
+        own_samples = self._due_samples(claims, self._sampled_at, now)
+        relayed_samples = self._due_samples(claims, self._relayed_at, now)
+        voters = self._roster.live_voters(now, LIVENESS_TIMEOUT)
+        silent = self._silent_names(now)
         for peer in peers:
+            informs = informing_voter(peer.name, voters) == self._roster.vm
+            if peer.name in self._roster.voters.names or not self._roster.is_voter:
+                groups = urgent | own_samples
+            else:
+                groups = urgent | relayed_samples if informs else urgent
             same_leaderships = (
                 peer.heartbeat is not None
                 and peer.heartbeat.leaderships_digest == leaderships_digest
             )
-            groups = recent_claims if same_leaderships and peer.has_echoed else claims
-            self._send(peer, now, members, leaderships_digest, groups)
-        return due_samples
+            if not (same_leaderships and peer.has_echoed):
+                groups = claims
+            self._send(
+                peer,
+                now,
+                members if informs and self._needs_members(peer, now) else None,
+                leaderships_digest,
+                groups,
+                silent if informs else None,
+            )
+        if to_all:
+            self._sampled_at |= self._sample_times(own_samples, now)
+            self._relayed_at |= self._sample_times(relayed_samples, now)
+
+    def _silent_names(self, now):
+        """Return the daemons that this voter has not heard lately."""
+        if not self._roster.is_voter:
+            return ()
+        live = self._roster.live_members(now, LIVENESS_TIMEOUT)
+        return tuple(sorted(self._roster.peers.keys() - set(live)))
+
+    def _needs_members(self, peer, now):
+        """Whether to send a peer the full list of the daemons.
+
+        The list is sent at intervals until the peer's heartbeats have the same hash.
+        """
+        last = peer.heartbeat
+        if last is None or last.members_digest == self._roster.members_digest:
+            return False
+        if now - self._members_sent_at.get(peer.name, -math.inf) < MEMBERS_INTERVAL:
+            return False
+        self._members_sent_at[peer.name] = now
+        return True
+
+    @staticmethod
+    def _due_samples(claims, sent_at, now):
+        """Return the claims with a sample SAMPLE_INTERVAL newer than the last one.
+
+        Parameters
+        ----------
+        claims : dict of str to GroupClaim
+        sent_at : dict of str to float
+            When the last sample began, by group.
+        now : float
+        """
+        return {
+            group: claim
+            for group, claim in claims.items()
+            if claim.position is not None
+            and now - seconds(claim.position_age_ms)
+            >= sent_at.get(group, -math.inf) + SAMPLE_INTERVAL
+        }
+
+    @staticmethod
+    def _sample_times(claims, now):
+        """Return when the samples in some claims began, by group."""
+        return {
+            group: now - seconds(claim.position_age_ms)
+            for group, claim in claims.items()
+        }
 
     def _is_silence_recent(self, group, claim, now):
         """Whether a daemon reported a silent primary within SILENCE_REPORT_TIME.
@@ -149,30 +253,16 @@
             now - self._silence_reported_at.get(group, -math.inf) <= SILENCE_REPORT_TIME
         )
 
-    def _is_sample_due(self, group, claim, now):
-        """Whether the claim's sample is SAMPLE_INTERVAL newer than the last one.
-
-        The last one is the newest sample of the group that this daemon has sent or
-        received.
-        """
-        if claim.position is None:
-            return False
-        sampled_at = self._sampled_at.get(group, -math.inf)
-        return now - seconds(claim.position_age_ms) >= sampled_at + SAMPLE_INTERVAL
-
-    def _send(self, peer, now, members, leaderships_digest, groups):
+    def _send(self, peer, now, members, leaderships_digest, groups, silent):
         last = peer.heartbeat
-        members_digest = self._roster.members_digest
-        same_members = (
-            last is not None
-            and peer.has_echoed
-            and last.members_digest == members_digest
-        )
+        voters = self._roster.voters
+        knows_voters = last is not None and last.epoch == voters.epoch
         # The receiver relies on a heartbeat with an echo as a promise.  A daemon that
         # has been silent for too long must get no echo.
         echoed = last is not None and now - peer.heard_at <= ECHO_TIMEOUT
-        store_read_at = self._permission.store_read_at
+        confirmed_at = self._control.confirmed_at
         heartbeat = Heartbeat(
+            format=HEARTBEAT_FORMAT,
             sender=self._roster.vm,
             incarnation=self._roster.incarnation,
             stamp=math.floor(now * MILLISECONDS),
@@ -181,19 +271,24 @@
             echo_delay_ms=math.floor((now - peer.heard_at) * MILLISECONDS)
             if echoed
             else 0,
-            members_digest=members_digest,
-            members=None if same_members else members,
-            confirmed_age_ms=_milliseconds(now - store_read_at)
-            if store_read_at > 0
-            else None,
+            members_digest=self._roster.members_digest,
+            members=members,
+            epoch=voters.epoch,
+            voters=None if knows_voters and peer.has_echoed else voters.names,
+            promised_epoch=self._roster.promised_epoch,
+            confirmed_age_ms=None
+            if confirmed_at is None
+            else _milliseconds(now - confirmed_at),
             listed=peer.name in self._control.registered_names,
             store_reachable=self._control.reachable,
             version=self._configuration.version,
             list_changed=self._instances.changed,
             list_age_ms=min(_milliseconds(self._instances.age()), LIST_AGE_LIMIT_MS),
+            stopping=self._roster.stopping,
             leaving=self.leaving,
             leaderships_digest=leaderships_digest,
             groups=groups,
+            silent=silent,
         )
         self._port.send(peer.address, heartbeat)
 
@@ -238,11 +333,15 @@
         if not self._roster.apply_heartbeat(heartbeat, now, source):
             return
         peer = self._roster.peers[heartbeat.sender]
-        if not self._control.registered_names:
-            # The store has not been read yet: count the daemons that the sender counts.
-            for name, address in peer.members.items():
-                self._roster.add(name, address, now)
         must_send = self._apply_claims(peer, now)
+        if heartbeat.voters is not None:
+            adopted = self._roster.adopt_voters(heartbeat.epoch, heartbeat.voters, now)
+            must_send = must_send or adopted
+        if self._roster.is_voter and not self._roster.promised_epoch:
+            digest = hash_leaderships(cluster.leadership for cluster in self._clusters)
+            confirmed = self._roster.confirm_epoch(heartbeat, digest)
+            must_send = must_send or confirmed
+        self._apply_members(heartbeat, now)
         had_permission = self._permission.holds(now)
         self._permission.record_relayed_read(peer)
         self._permission.extend_by_promises(now)
@@ -258,9 +357,24 @@
             self._clusters.dispatch_waiting()
         if must_send:
             self._send_requested.set()
-        elif is_new_incarnation or not peer.has_echoed:
+        elif (
+            is_new_incarnation
+            or not peer.has_echoed
+            or heartbeat.epoch < self._roster.voters.epoch
+        ):
             self._send_to([peer])
 
+    def _apply_members(self, heartbeat, now):
+        """Count the daemons that a voter counts, unless this daemon is a voter.
+
+        A voter hears all daemons itself.
+        """
+        if heartbeat.members is None or self._roster.is_voter:
+            return
+        changed = self._roster.follow(heartbeat.members, now)
+        if changed:
+            self._on_change()
+
     def _apply_claims(self, peer, now):
         """Apply a peer's claims; return whether to send heartbeats immediately."""
         must_send = False
@@ -290,8 +404,10 @@
         return must_send
 
     def _log_silent(self, now):
+        expected = {peer.name for peer in self._roster.correspondents()}
+        self._silent &= expected
         for name, peer in self._roster.peers.items():
-            if peer.heard_at is None or peer.is_leaving:
+            if name not in expected or peer.heard_at is None or peer.is_leaving:
                 continue
             fresh = self._roster.is_fresh(name, now, SILENCE_LOG_TIME)
             if fresh and name in self._silent:
--- a/cardamomdrift/peers/heartbeat.py
+++ b/cardamomdrift/peers/heartbeat.py
@@ -15,6 +15,7 @@
 from cardamomdrift.util import hash_number
 
 DATAGRAM_SIZE_LIMIT = 60_000  # bytes
+HEARTBEAT_FORMAT = 2  # raised with each change of the fields below
 DIGEST_MASK = 0xFFFFFFFF  # 32 bits suffice for the few dozen sets of daemons in a day
 
 
@@ -57,6 +58,8 @@
 
     Attributes
     ----------
+    format : int
+        ``HEARTBEAT_FORMAT`` of the sender; those of another format are dropped.
     sender : str
     incarnation : str
         Changes when the daemon starts or registers again.
@@ -71,13 +74,20 @@
     members_digest : int
         Hash of the names and addresses of the daemons that the sender counts.
     members : dict of str to str or None
-        Address of each of them, the sender included; None if the receiver's last
-        heartbeat had the same hash.
+        Address of each of them, the sender included.  None unless the sender is the
+        voter that informs the receiver, and the receiver's last heartbeat had another
+        hash.
+    epoch : int
+        Epoch of the voters that the sender knows.
+    voters : tuple of str or None
+        Names of these voters; None if the receiver's last heartbeat had this epoch.
+    promised_epoch : int
+        Epoch for which the heartbeat is a promise if the sender is a voter; 0 for none.
     confirmed_age_ms : int or None
-        How long ago the newest read of the store began that all claims of the sender
-        take into account.  A peer may have made the read.  None before the first.
+        How long ago the sender's own newest read of the store began.  All its claims
+        take the read into account.  None before the first read of its process.
     listed : bool
-        Whether the receiver was registered in the last read by the sender itself.
+        Whether the receiver was registered in that read.
     store_reachable : bool
     version : int
         Version of the configuration in force.
@@ -85,14 +95,20 @@
         Version of the last change of the list of instances that the sender knows.
     list_age_ms : int
         How long ago the sender's list was last known to be current.
+    stopping : bool
+        Whether the sender is about to stop.
     leaving : bool
         Whether the sender promotes no instance any more.
     leaderships_digest : int
         Hash of the groups' leaderships as the sender knows them.
     groups : dict of str to GroupClaim
         Only groups about which the receiver may lack this information.
+    silent : tuple of str or None
+        Daemons that the sender has not heard lately, if it is the voter that informs
+        the receiver.
     """
 
+    format: int
     sender: str
     incarnation: str
     stamp: int
@@ -101,15 +117,20 @@
     echo_delay_ms: int
     members_digest: int
     members: dict[str, str] | None
+    epoch: int
+    voters: tuple[str, ...] | None
+    promised_epoch: int
     confirmed_age_ms: int | None
     listed: bool
     store_reachable: bool
     version: int
     list_changed: int
     list_age_ms: int
+    stopping: bool
     leaving: bool
     leaderships_digest: int
     groups: dict[str, GroupClaim]
+    silent: tuple[str, ...] | None
 
 
 def hash_members(members):
@@ -199,4 +220,7 @@
         except msgspec.DecodeError:
             self._log.warning("heartbeat not understood", size=len(data))
             return
+        if heartbeat.format != HEARTBEAT_FORMAT:
+            self._log.warning("heartbeat of another format", format=heartbeat.format)
+            return
         self._on_heartbeat(heartbeat, source)
--- a/cardamomdrift/peers/roster.py
+++ b/cardamomdrift/peers/roster.py
@@ -2,17 +2,24 @@
 Roster
 ======
 
-The daemons that this one counts, the last heartbeat of each and when it can have been
-sent.  A daemon is counted from the time it is first known until its row in the store is
-gone; its promises are needed meanwhile (see `failover.permission`).  The roster does no
-input or output: it is updated from heartbeats and from reads of the store.
+The daemons that this one counts, the voters among them, the last heartbeat of each and
+when it can have been sent.  Voters exchange heartbeats with all daemons, the others
+only with the voters.  The roster does no input or output: it is updated from heartbeats
+and from reads of the store.
 """
 
+import math
 from dataclasses import dataclass, field
 
+from cardamomdrift.failover.voters import Voters, first_voters
 from cardamomdrift.peers.heartbeat import hash_members
 from cardamomdrift.util import seconds
 
+# Seconds since the last heartbeat of a daemon for which it is counted although it has
+# no row in the store.  A permission that it derives from this daemon ends earlier.
+HEARD_HOLD_TIME = 3.0
+REPORTED_SILENCE_TIMEOUT = 2.0  # seconds for which a voter's report of silence counts
+
 
 @dataclass(slots=True)
 class Peer:
@@ -31,23 +38,17 @@
     has_echoed : bool
         Whether it has echoed a stamp of this daemon's incarnation.
     added_at : float
-    incarnation_heard_at : float or None
-        When the first heartbeat of its present incarnation came.
     claims : dict of str to (GroupClaim, float)
         Its last claim on each group, and when that came.
-    members : dict of str to str
-        Daemons that it counts, with their addresses; empty if not known.
     """
 
     name: str
     address: str
     added_at: float
-    incarnation_heard_at: float | None = None
     heartbeat: object = None
     heard_at: float | None = None
     earliest_sent_at: float | None = None
     has_echoed: bool = False
-    members: dict = field(default_factory=dict)
     claims: dict = field(default_factory=dict)
 
     @property
@@ -55,6 +56,11 @@
         """Whether it has announced that it promotes no instance any more."""
         return self.heartbeat is not None and self.heartbeat.leaving
 
+    @property
+    def is_stopping(self):
+        """Whether it has announced that it will stop."""
+        return self.heartbeat is not None and self.heartbeat.stopping
+
 
 class Roster:
     """Daemons that this one counts.
@@ -66,6 +72,14 @@
     incarnation : str
     now : float
         Boot clock.
+
+    Attributes
+    ----------
+    confirmed_epoch : int or None
+        Epoch before which this process knows all replacements; None until it has itself
+        read the store.
+    stopping : bool
+        Whether this daemon is about to stop.
     """
 
     def __init__(self, vm, address, incarnation, now):
@@ -75,6 +89,12 @@
         self._peers = {}
         self._members_digest = None
         self._dropped_at = now
+        self._voters = Voters()
+        self._voter_since = math.inf
+        self._reported_silent = frozenset()
+        self._silence_reported_at = -math.inf
+        self.confirmed_epoch = None
+        self.stopping = False
 
     @property
     def vm(self):
@@ -96,6 +116,87 @@
         """Names of all daemons, this one included, sorted."""
         return tuple(sorted((*self._peers, self._vm)))
 
+    @property
+    def voters(self):
+        """The Voters of the newest epoch that this daemon knows."""
+        return self._voters
+
+    @property
+    def is_voter(self):
+        """Whether this daemon is a voter."""
+        return self._vm in self._voters.names
+
+    @property
+    def voter_since(self):
+        """When this daemon became a voter; infinity if it is none."""
+        return self._voter_since
+
+    @property
+    def promised_epoch(self):
+        """Epoch in which this daemon may promise as a voter; 0 if in none.
+
+        A voter promises only if it knows all replacements that were committed before
+        the epoch.
+        """
+        known = self._voters.epoch
+        return known if self.confirmed_epoch == known else 0
+
+    def confirm_epoch(self, heartbeat, leaderships_digest):
+        """Note that a voter knows no replacement that this one does not know.
+
+        If that voter may promise in the present epoch, so may this one, without a read
+        of the store.  A process that has not read the store at all may have forgotten
+        what it acknowledged before a restart.
+
+        Parameters
+        ----------
+        heartbeat : Heartbeat
+        leaderships_digest : int
+            Hash of the groups' leaderships as this daemon knows them.
+
+        Returns
+        -------
+        bool
+            Whether this daemon may now promise in the epoch, and could not before.
+        """
+        epoch = self._voters.epoch
+        if self.confirmed_epoch is None or self.confirmed_epoch == epoch:
+            return False
+        if heartbeat.promised_epoch != epoch or heartbeat.epoch != epoch:
+            return False
+        if heartbeat.leaderships_digest != leaderships_digest:
+            return False
+        self.confirmed_epoch = epoch
+        return True
+
+    def adopt_voters(self, epoch, names, now):
+        """Apply the voters of an epoch if it is newer; return whether it was."""
+        if epoch <= self._voters.epoch:
+            return False
+        was_voter = self.is_voter
+        self._voters = Voters(epoch, tuple(names))
+        if not self.is_voter:
+            self._voter_since = math.inf
+        elif not was_voter:
+            self._voter_since = now
+        return True
+
+    def correspondents(self):
+        """Return the peers to which this daemon sends heartbeats.
+
+        Until the voters are known, these are the daemons from which the first voters
+        are chosen.
+        """
+        if self.is_voter:
+            return list(self._peers.values())
+        names = self._voters.names or first_voters(self.names)
+        return [self._peers[name] for name in names if name in self._peers]
+
+    def live_voters(self, now, limit):
+        """Return the voters heard within ``limit`` seconds, this daemon included."""
+        live = self.live_members(now, limit)
+        return tuple(name for name in live if name in self._voters.names)
+
     def addresses(self):
         """Return the address of each daemon, this one included."""
         known = {name: peer.address for name, peer in self._peers.items()}
@@ -153,10 +254,11 @@
         if name == self._vm:
             return False
         peer = self._peers.get(name)
-        members = self._members_of(heartbeat, peer)
-        address = members.get(name, source)
-        if address is not None and (peer is None or name in members):
-            self.add(name, address, now)
+        is_new = peer is None or peer.heartbeat is None
+        if is_new or peer.heartbeat.incarnation != heartbeat.incarnation:
+            address = source or (heartbeat.members or {}).get(name)
+            if address is not None:
+                self.add(name, address, now)
         peer = self._peers.get(name)
         if peer is None:
             return False
@@ -173,42 +275,43 @@
             group: (claim, now) for group, claim in heartbeat.groups.items()
         }
         peer.heard_at = now
-        peer.members = members
         if not same_incarnation:
             # A restarted daemon may not know of this one yet.
             peer.has_echoed = False
             peer.earliest_sent_at = None
-            peer.incarnation_heard_at = now
         if heartbeat.echo_incarnation == self._incarnation:
             peer.has_echoed = True
             peer.earliest_sent_at = seconds(heartbeat.echo + heartbeat.echo_delay_ms)
+        if heartbeat.silent is not None:
+            self._reported_silent = frozenset(heartbeat.silent)
+            self._silence_reported_at = now
         return True
 
-    def _members_of(self, heartbeat, peer):
-        """Return the daemons that a heartbeat's sender counts; empty if not known."""
-        if heartbeat.members is not None:
-            return heartbeat.members
-        if heartbeat.members_digest == self.members_digest:
-            return self.addresses()
-        if peer is not None and hash_members(peer.members) == heartbeat.members_digest:
-            return peer.members
-        return {}
-
-    def is_counted_by(self, name, other):
-        """Whether ``other`` is known to count the present incarnation of ``name``."""
-        peer, counting_peer = self._peers.get(name), self._peers.get(other)
-        if (
-            peer is None
-            or counting_peer is None
-            or counting_peer.earliest_sent_at is None
-        ):
-            return False
-        if (
-            peer.incarnation_heard_at is None
-            or counting_peer.earliest_sent_at < peer.incarnation_heard_at
-        ):
-            return False
-        return name in counting_peer.members
+    def reachable_peers(self, now, limit):
+        """Return the peers that are probably alive, by name.
+
+        A voter has heard them within ``limit`` seconds.  Other daemons leave out those
+        that a voter has lately reported as silent.
+        """
+        if self.is_voter:
+            names = self.live_members(now, limit)
+            return {name: self._peers[name] for name in names if name in self._peers}
+        silent = self._reported_silent
+        if now - self._silence_reported_at > REPORTED_SILENCE_TIMEOUT:
+            silent = frozenset()
+        return {name: peer for name, peer in self._peers.items() if name not in silent}
+
+    def follow(self, members, now):
+        """Count the daemons that a voter counts, with their addresses by name.
+
+        Those heard lately are counted in any case.
+
+        Returns
+        -------
+        bool
+            Whether the daemons counted have changed.
+        """
+        return self.apply_registered(members, now)
 
     def remove(self, name):
         """Stop counting a daemon that can promote no instance any more.
@@ -233,10 +336,10 @@
         return tuple(sorted((*fresh, self._vm)))
 
     def apply_registered(self, registered, now):
-        """Count exactly the daemons that a read of the store lists as registered.
+        """Count the daemons that a read of the store lists as registered.
 
-        A daemon whose row is gone can promote no instance until it registers again, and
-        then only after this one has heard from it.  So it need not be counted.
+        The others are no longer counted, except those heard lately, because they may
+        have a permission that this daemon has promised.
 
         Parameters
         ----------
@@ -254,6 +357,8 @@
             self.add(name, address, now)
         for name in before - registered.keys():
             if not self._peers[name].is_leaving:
+                if self.is_fresh(name, now, HEARD_HOLD_TIME):
+                    continue
                 self._dropped_at = now
             self.remove(name)
         return before != set(self._peers)
--- a/cardamomdrift/platform/daemon.py
+++ b/cardamomdrift/platform/daemon.py
@@ -192,22 +192,18 @@
     def _members(self):
         """Return the names of the daemons that share the connections.
 
-        Empty until the store or a peer has given the list of the daemons.
+        Empty until the voters are known, and with them the list of the daemons.
         """
-        known = self.control.registered_names or self.roster.peers
-        return self.roster.names if known else ()
+        return self.roster.names if self.roster.voters.epoch else ()
 
     def _contacts(self, group, generation):
         return primary_contacts(self.roster, group, generation, boot_clock())
 
     def _lender_addresses(self):
         """Return the addresses, by name, of the daemons that may lend connections."""
-        peers = self.roster.peers
-        live = self.roster.live_members(boot_clock(), LIVENESS_TIMEOUT)
+        peers = self.roster.reachable_peers(boot_clock(), LIVENESS_TIMEOUT)
         return {
-            name: peers[name].address
-            for name in live
-            if name in peers and not peers[name].is_leaving
+            name: peer.address for name, peer in peers.items() if not peer.is_leaving
         }
 
     # Start-up
@@ -265,10 +261,18 @@
             table,
             on_rows,
             self._on_reachability_change,
-            lambda: len(self.roster.names),
+            self._count_followers,
             self.log,
         )
 
+    def _count_followers(self):
+        """Return the number of daemons that follow a table as closely as this one.
+
+        The others learn from the voters how current their tables are.
+        """
+        roster = self.roster
+        return len(roster.voters.names) if roster.is_voter else len(roster.names)
+
     async def _serve_metrics(self):
         """Serve the metrics; a failure is logged, since callers do not need them."""
         address = self._settings.metrics
@@ -364,6 +368,8 @@
             "ready": self.ready,
             "version": self.version,
             "members": self.roster.names,
+            "voters": self.roster.voters.names,
+            "epoch": self.roster.voters.epoch,
             "store_reachable": self.control.reachable,
             "permission_ms": round((self.permission.until - boot_clock()) * 1000)
             if self.permission.until > 0
@@ -417,6 +423,8 @@
         started = time.monotonic()
         stop_by = started + self._settings.stop_grace - EXIT_RESERVE
         self._stopping = True
+        self.roster.stopping = True
+        self.announcer.announce()
         self.replacer.stop()
         self.log.info("daemon stopping", sessions=self.callers.session_count)
         await asyncio.sleep(min(BALANCER_REMOVAL_TIME, stop_by - time.monotonic()))
--- a/cardamomdrift/routing/connections.py
+++ b/cardamomdrift/routing/connections.py
@@ -10,7 +10,9 @@
 from cardamomdrift.limits.shares import lending_vms, share_with_loans
 from cardamomdrift.util import cancel_all, keep_task
 
-INITIAL_SHARE = 1  # connections to an instance until the other daemons are known
+# Connections to an instance until the other daemons are known.  None is opened ahead of
+# requests, since a fleet that starts may have more daemons than connections.
+INITIAL_SHARE = 1
 WARM_CONNECTIONS = 1  # opened to each instance ahead of the first request
 WARM_TIMEOUT = 1.0  # seconds
 # Seconds.  Instances keep the connections of a VM that lost power for 3 s.  If the
@@ -31,6 +33,7 @@
         self._cluster = cluster
         self._context = context
         self._tasks = set()
+        self._warmed = set()
 
     async def close(self):
         """Cancel the connections that are being opened."""
@@ -41,12 +44,16 @@
         members = self._context.members()
         limit = self._cluster.group.connections
         for name, runtime in self._cluster.instances.items():
-            share = INITIAL_SHARE
-            if members:
-                share = share_with_loans(limit, members, self._context.vm.name, name)
-            if runtime.pool.limit != share:
+            if not members:
+                runtime.set_share(INITIAL_SHARE)
+                continue
+            share = share_with_loans(limit, members, self._context.vm.name, name)
+            is_new = name not in self._warmed
+            if is_new or runtime.pool.limit != share:
+                self._warmed.add(name)
                 runtime.set_share(share)
                 self._warm(runtime)
+        self._warmed &= self._cluster.instances.keys()
 
     def _warm(self, runtime):
         missing = min(WARM_CONNECTIONS, runtime.pool.limit) - runtime.pool.size
--- a/cardamomdrift/routing/reachability.py
+++ b/cardamomdrift/routing/reachability.py
@@ -15,6 +15,9 @@
 # suspect; half of MAX_REPLICA_ANSWER_AGE, up to which its answer counts.
 OTHERS_OVERDUE_TIME = 0.5
 SAMPLE_AGE_LIMIT = 0.5  # seconds; a third of the shortest max age of the bundles in use
+# Seconds, for a VM that would have to open a connection for the sample.  The samples of
+# other VMs arrive by way of a voter within this time.
+LOANED_SAMPLE_AGE_LIMIT = 1.0
 READ_RECENCY = 5.0  # seconds after the last read in which new samples are taken
 
 
@@ -94,7 +97,9 @@
                 runtime.prober.request_probe()
         if primary is None or now - self._cluster.last_read_at > READ_RECENCY:
             return
-        if boot_clock() - self._cluster.newest_sample_at > SAMPLE_AGE_LIMIT:
+        has_connections = primary.pool.limit > 0
+        age_limit = SAMPLE_AGE_LIMIT if has_connections else LOANED_SAMPLE_AGE_LIMIT
+        if boot_clock() - self._cluster.newest_sample_at > age_limit:
             primary.prober.request_probe()
 
     @staticmethod
