A VM is at home at one instance of each group where VMs outnumber connections

Cause: with 79 VMs before 57 connections, 16 VMs held three connections to each instance, chosen instance by instance, so a VM had connections to 6 of 30 instances and borrowed for most statements, also for reads that any instance may serve.

Ruled out: one connection for 57 of the 79 VMs (none is left for a second transaction); the failure domain as the first preference (not known of other VMs).

Change: limits.shares.homes_of gives each VM one home instance of a group as long as there is room, by mutual preference, with two connections; routing.choice adds the time of a loan to instances that need one.

--- a/cardamomdrift/limits/shares.py
+++ b/cardamomdrift/limits/shares.py
@@ -10,16 +10,18 @@
 
 from dataclasses import dataclass
 from functools import lru_cache
+from heapq import heappop, heappush
 
-from cardamomdrift.membership.rendezvous import home_set
+from cardamomdrift.membership.rendezvous import rank
+from cardamomdrift.util import hash_number
 
 OPERATOR_RESERVE = 1  # connections for tools of operators
-# Connections of each lender if there are more VMs than connections: one for a
-# transaction, one for single statements, and one that a second transaction may borrow.
-LENDER_SHARE = 3
+# Connections of a VM to its home instance if there are more VMs than connections: one
+# for a transaction and one for single statements.
+HOME_SHARE = 2
 # One connection in so many stays free for probes if the VMs outnumber the connections.
 PROBE_RESERVE_PART = 8
-LENDERS_CACHE_SIZE = 8192  # instances and sets of VMs whose lenders are kept
+HOMES_CACHE_SIZE = 4096  # groups and sets of VMs whose homes are kept
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,46 +77,84 @@
     return max((limit - OPERATOR_RESERVE) // max(member_count, 1), 0)
 
 
-def share_with_loans(limit, members, vm, instance):
+def share_with_loans(limit, members, vm, instance, instances):
     """Return the connections to an instance that a VM may open.
 
     The remainder after equal shares stays free for VMs that restart while the instance
-    still has their old connections.  If there are more VMs than connections, the VMs
-    ranked first for the instance have ``LENDER_SHARE`` each, and the others borrow
-    connections.
+    still has their old connections.  If there are more VMs than connections, those at
+    home at the instance have ``HOME_SHARE`` each, and the others borrow connections.
 
     Parameters
     ----------
     limit : int
         Connections that the instance accepts.
-    members : sequence of str
-        Names of all VMs counted, this one included.
+    members : tuple of str
+        All VMs.
     vm : str
     instance : str
+    instances : tuple of str
+        All instances of the group, sorted.
     """
     share = share_of(limit, len(members))
-    if share or vm not in lending_vms(limit, members, instance):
+    if share or vm not in lending_vms(limit, members, instance, instances):
         return share
-    return min(LENDER_SHARE, max(limit - OPERATOR_RESERVE, 1))
+    return min(HOME_SHARE, usable_connections(limit))
+
 
+def usable_connections(limit):
+    """Return how many of an instance's connections the VMs may open together."""
+    return max(limit - OPERATOR_RESERVE, 1)
 
-@lru_cache(maxsize=LENDERS_CACHE_SIZE)
-def lending_vms(limit, members, instance):
+
+def lending_vms(limit, members, instance, instances):
     """Return the VMs that have connections of their own to an instance.
 
-    If there are more VMs than connections, a few VMs have several connections each, so
-    that a lender whose connection is held by a transaction still has others.  Some
-    connections stay free for probes of the VMs without any.
+    Parameters
+    ----------
+    limit, members, instance, instances
+        As for `share_with_loans`.
+    """
+    if usable_connections(limit) >= len(members):
+        return members
+    return homes_of(limit, members, instances).get(instance, ())
+
+
+@lru_cache(maxsize=HOMES_CACHE_SIZE)
+def homes_of(limit, members, instances):
+    """Return the VMs that are at home at each instance of a group, by instance.
+
+    Load pattern: more VMs than connections to each instance, and reads that any
+    instance may serve.  A VM with connections to one instance of each group runs most
+    reads over its own connections, where connections to a few instances of some groups
+    would leave most statements to loans.
+
+    Each VM is at home at one instance, as long as there is room.  It prefers the
+    instances in an order of its own, and an instance prefers VMs in the same way.  So a
+    VM or an instance that is added or lost moves few others.
 
     Parameters
     ----------
     limit : int
-        Connections that the instance accepts.
+        Connections that each instance accepts.
     members : tuple of str
-    instance : str
+    instances : tuple of str
+        Sorted.
     """
-    usable = max(limit - OPERATOR_RESERVE, 1)
-    if usable >= len(members):
-        return members
-    lenders = (usable - usable // PROBE_RESERVE_PART) // LENDER_SHARE
-    return home_set(instance, members, max(lenders, 1))
+    usable = usable_connections(limit)
+    places = max((usable - usable // PROBE_RESERVE_PART) // HOME_SHARE, 1)
+    homes = {instance: [] for instance in instances}
+    for member in members:
+        vm, preferences = member, iter(rank(member, instances))
+        while vm is not None:
+            instance = next(preferences, None)
+            if instance is None:
+                break
+            entry = (-hash_number(instance, vm), vm, preferences)
+            vm, preferences = None, None
+            heappush(homes[instance], entry)
+            if len(homes[instance]) > places:
+                _, vm, preferences = heappop(homes[instance])
+    return {
+        instance: tuple(sorted(vm for _, vm, _ in entries))
+        for instance, entries in homes.items()
+    }
--- a/cardamomdrift/routing/choice.py
+++ b/cardamomdrift/routing/choice.py
@@ -14,6 +14,8 @@
 SAME_DOMAIN_BONUS = 0.001  # seconds
 # Seconds; keeps the primary for writes while replicas are as fast.
 PRIMARY_PENALTY = 0.002
+# Seconds; asking for a loan and using it cross failure domains four times.
+LOAN_TIME = 0.005
 UNKNOWN_CATCH_UP_TIME = 60.0  # seconds
 
 
@@ -40,6 +42,8 @@
         Whether a long statement may go there now.
     penalty : float
         Expected seconds of delay behind long statements.
+    borrowed : bool
+        Whether this daemon has to borrow a connection to it.
     """
 
     name: str
@@ -52,6 +56,7 @@
     service_time: float
     long_allowed: bool = True
     penalty: float = 0.0
+    borrowed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +98,8 @@
     time += candidate.penalty
     if candidate.primary:
         time += PRIMARY_PENALTY
+    if candidate.borrowed:
+        time += LOAN_TIME
     if candidate.same_domain:
         time -= SAME_DOMAIN_BONUS
     return time
--- a/cardamomdrift/routing/connections.py
+++ b/cardamomdrift/routing/connections.py
@@ -43,11 +43,13 @@
         """Set the limit of each pool to this VM's share of the connections."""
         members = self._context.members()
         limit = self._cluster.group.connections
+        instances = self._instance_names()
         for name, runtime in self._cluster.instances.items():
             if not members:
                 runtime.set_share(INITIAL_SHARE)
                 continue
-            share = share_with_loans(limit, members, self._context.vm.name, name)
+            vm = self._context.vm.name
+            share = share_with_loans(limit, members, vm, name, instances)
             is_new = name not in self._warmed
             if is_new or runtime.pool.limit != share:
                 self._warmed.add(name)
@@ -55,6 +57,9 @@
                 self._warm(runtime)
         self._warmed &= self._cluster.instances.keys()
 
+    def _instance_names(self):
+        return tuple(sorted(self._cluster.instances))
+
     def _warm(self, runtime):
         missing = min(WARM_CONNECTIONS, runtime.pool.limit) - runtime.pool.size
         for _ in range(missing):
@@ -88,7 +93,9 @@
             lenders = self._cluster.reaching_daemons()
         else:
             limit = self._cluster.group.connections
-            lenders = lending_vms(limit, self._context.members(), name)
+            lenders = lending_vms(
+                limit, self._context.members(), name, self._instance_names()
+            )
         return await self._context.borrow(name, lenders, pinned, deadline_at)
 
     def trim(self, now):
--- a/cardamomdrift/routing/dispatch.py
+++ b/cardamomdrift/routing/dispatch.py
@@ -280,6 +280,7 @@
                     long_allowed=not ticket.long
                     or self._may_run_long(name, long_replica, long_allowed),
                     penalty=penalty if name == long_replica else 0.0,
+                    borrowed=runtime.borrows,
                 )
             )
         return candidates
--- a/cardamomdrift/routing/instance.py
+++ b/cardamomdrift/routing/instance.py
@@ -121,6 +121,13 @@
         silent = self._silence.unanswered(now) > SILENCE_LIMIT
         return not self.leaving and not silent and self._failed_at is None
 
+    @property
+    def borrows(self):
+        """Whether a request there needs a connection of another VM."""
+        return self._pool.only_loans or (
+            self._pool.may_borrow and self._pool.limit == 0
+        )
+
     @property
     def uses_detour(self):
         """Whether requests go there over connections of other VMs."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -198,6 +198,21 @@
                 False,
                 Serve("p"),
             ),
+            (
+                "own connection before a borrowed one",
+                [replica, replace(replica, name="s", same_domain=True, borrowed=True)],
+                False,
+                Serve("r"),
+            ),
+            (
+                "borrowed connection if the own ones are busy",
+                [
+                    replace(replica, in_flight=2),
+                    replace(replica, name="s", borrowed=True),
+                ],
+                False,
+                Serve("s"),
+            ),
             (
                 "replica far behind",
                 [primary, replace(replica, position=P(1, 1))],
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -24,6 +24,7 @@
     """Return the state of an InstanceRuntime on which the dispatcher relies."""
     return SimpleNamespace(
         usable=usable,
+        borrows=False,
         in_flight=0,
         long_in_flight=0,
         transactions=0,
