Every instance has several VMs at home, also before few connections

Change: at least three VMs are at home at each instance as far as its connections suffice; a VM has several homes if there are few VMs; all connections are divided.

--- a/cardamomdrift/limits/shares.py
+++ b/cardamomdrift/limits/shares.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from functools import lru_cache
 from heapq import heappop, heappush
+from math import ceil
 
 from cardamomdrift.membership.rendezvous import rank
 from cardamomdrift.util import hash_number
@@ -19,6 +20,8 @@
 # Connections of a VM to its home instance if there are more VMs than connections: one
 # for a transaction and one for single statements.
 HOME_SHARE = 2
+# VMs at home at each instance at least, as far as connections suffice: two may be lost.
+MIN_HOME_VMS = 3
 # One connection in so many stays free for probes if the VMs outnumber the connections.
 PROBE_RESERVE_PART = 8
 HOMES_CACHE_SIZE = 4096  # groups and sets of VMs whose homes are kept
@@ -96,9 +99,9 @@
         All instances of the group, sorted.
     """
     share = share_of(limit, len(members))
-    if share or vm not in lending_vms(limit, members, instance, instances):
+    if share:
         return share
-    return min(HOME_SHARE, usable_connections(limit))
+    return homes_of(limit, members, instances).get(instance, {}).get(vm, 0)
 
 
 def usable_connections(limit):
@@ -116,21 +119,22 @@
     """
     if usable_connections(limit) >= len(members):
         return members
-    return homes_of(limit, members, instances).get(instance, ())
+    return tuple(homes_of(limit, members, instances).get(instance, ()))
 
 
 @lru_cache(maxsize=HOMES_CACHE_SIZE)
 def homes_of(limit, members, instances):
-    """Return the VMs that are at home at each instance of a group, by instance.
+    """Return the connections of the VMs at home at each instance, by instance and VM.
 
     Load pattern: more VMs than connections to each instance, and reads that any
     instance may serve.  A VM with connections to one instance of each group runs most
     reads over its own connections, where connections to a few instances of some groups
     would leave most statements to loans.
 
-    Each VM is at home at one instance, as long as there is room.  It prefers the
-    instances in an order of its own, and an instance prefers VMs in the same way.  So a
-    VM or an instance that is added or lost moves few others.
+    Each VM is at home at one instance, as long as there is room, or at several if there
+    are few VMs.  It prefers the instances in an order of its own, and an instance
+    prefers VMs in the same way.  So a VM or an instance that is added or lost moves few
+    others, and no instance is left without VMs.
 
     Parameters
     ----------
@@ -141,20 +145,30 @@
         Sorted.
     """
     usable = usable_connections(limit)
-    places = max((usable - usable // PROBE_RESERVE_PART) // HOME_SHARE, 1)
+    shared = usable - usable // PROBE_RESERVE_PART
+    places = max(ceil(shared / HOME_SHARE), min(shared, MIN_HOME_VMS))
+    homes_each = min(ceil(places * len(instances) / len(members)), len(instances))
+    preferences = {vm: iter(rank(vm, instances)) for vm in members}
     homes = {instance: [] for instance in instances}
-    for member in members:
-        vm, preferences = member, iter(rank(member, instances))
-        while vm is not None:
-            instance = next(preferences, None)
-            if instance is None:
-                break
-            entry = (-hash_number(instance, vm), vm, preferences)
-            vm, preferences = None, None
-            heappush(homes[instance], entry)
-            if len(homes[instance]) > places:
-                _, vm, preferences = heappop(homes[instance])
+    unplaced = list(members) * homes_each
+    while unplaced:
+        vm = unplaced.pop()
+        instance = next(preferences[vm], None)
+        if instance is None:
+            continue
+        heappush(homes[instance], (-hash_number(instance, vm), vm))
+        if len(homes[instance]) > places:
+            _, last = heappop(homes[instance])
+            unplaced.append(last)
     return {
-        instance: tuple(sorted(vm for _, vm, _ in entries))
+        instance: _divide(shared, [vm for _, vm in sorted(entries, reverse=True)])
         for instance, entries in homes.items()
     }
+
+
+def _divide(connections, vms):
+    """Return the connections of each VM; the first ones get the remainder."""
+    if not vms:
+        return {}
+    share, remainder = divmod(connections, len(vms))
+    return {vm: share + (index < remainder) for index, vm in enumerate(vms)}
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -92,6 +92,17 @@
                 set(lenders), {vm for vm, share in shares.items() if share}
             )
 
+    def test_every_instance_has_several_lenders(self):
+        """An instance that nobody is at home at would not be reachable at all."""
+        for count in range(4, 60):
+            members = tuple(f"vm-{index}" for index in range(count))
+            for limit in range(2, count + 1):
+                shares = [self.shares(limit, members, name) for name in self.INSTANCES]
+                for by_vm in shares:
+                    lenders = sum(share > 0 for share in by_vm.values())
+                    self.assertGreaterEqual(lenders, min(limit - 1, 2), (count, limit))
+                    self.assertLess(sum(by_vm.values()), limit)
+
     def test_almost_every_vm_is_at_home_at_one_instance(self):
         members = tuple(f"vm-{index}" for index in range(79))
         homes = homes_of(58, members, self.INSTANCES)
