A refused attempt does not end a read whose hedge still runs

Change: while other attempts run, a refusal is only noted. A refusal of a hedged attempt is passed on only if all others have failed, too, and the read has been tried again.

--- a/cardamomdrift/routing/statements.py
+++ b/cardamomdrift/routing/statements.py
@@ -188,6 +188,12 @@
                 try:
                     return task.result()
                 except TryElsewhere as failure:
+                    if running:
+                        # The other attempts may still succeed, and no further one is
+                        # started now.
+                        tried.add(failure.instance)
+                        request.trace.events.append(str(failure))
+                        continue
                     await self._handle_failure(request, failure, tried, attempt)
             if not running:
                 return None
@@ -196,12 +202,12 @@
         """Return if another attempt may follow a failed one; otherwise raise.
 
         A reply of RETRYABLE_REFUSALS is passed on to the caller if its instance is
-        already in ``tried``.
+        already in ``tried``, unless that is only because the attempt was hedged.
         """
         cluster = self._cluster
         reply = failure.reply
         retryable = reply is not None and reply.refusal in RETRYABLE_REFUSALS
-        if retryable and failure.instance in tried:
+        if retryable and failure.instance in tried and not attempt.hedged:
             raise RefusedByInstance(reply.code, reply.detail)
         tried.add(failure.instance)
         usable = {name for name, runtime in cluster.instances.items() if runtime.usable}
@@ -239,6 +245,8 @@
         if not free or not cluster.budget.spend():
             return False
         tried |= awaited
+        for attempt in running.values():
+            attempt.hedged = True
         cluster.counts.hedges += 1
         request.trace.events.append(f"{' '.join(awaited)}: slow, asked another")
         return True
@@ -291,10 +299,20 @@
 
 
 class _Attempt:
-    """One attempt of a read: its instance, once placed, and whether it was sent."""
+    """One attempt of a read.
 
-    __slots__ = ("name", "sent")
+    Attributes
+    ----------
+    name : str or None
+        Its instance, once it is placed.
+    sent : bool
+    hedged : bool
+        Whether another attempt was started because this one was slow.
+    """
+
+    __slots__ = ("hedged", "name", "sent")
 
     def __init__(self):
         self.name = None
         self.sent = False
+        self.hedged = False
