Claims of heartbeats in a module of their own

Cause: peers/announcer.py had grown past one job; what a heartbeat says of a group is decided without input or output.

Change: make_claim, due_samples and sample_times move to peers/claims.py, unchanged.

--- a/cardamomdrift/peers/announcer.py
+++ b/cardamomdrift/peers/announcer.py
@@ -15,19 +15,21 @@
 from cardamomdrift.failover.permission import ECHO_TIMEOUT
 from cardamomdrift.loops import repeat
 from cardamomdrift.membership.rendezvous import rank
+from cardamomdrift.peers.claims import (
+    due_samples,
+    make_claim,
+    milliseconds,
+    sample_times,
+)
 from cardamomdrift.peers.contacts import LIVENESS_TIMEOUT
 from cardamomdrift.peers.heartbeat import (
     HEARTBEAT_FORMAT,
-    GroupClaim,
     Heartbeat,
     hash_leaderships,
 )
 from cardamomdrift.util import MILLISECONDS, cancel_all, seconds
 
 HEARTBEAT_INTERVAL = 0.3  # seconds; four heartbeats fit into PERMISSION_VALIDITY
-# Seconds from a sample of a primary's log position to the next one that heartbeats
-# include; samples of other daemons count too.
-SAMPLE_INTERVAL = 0.25
 # When a daemon reports that a group's primary does not answer it, all daemons include
 # their claims on the group in their heartbeats for this many seconds.
 SILENCE_REPORT_TIME = 1.0
@@ -53,11 +55,6 @@
     return rank(f"informer/{name}", voters)[0] if voters else ""
 
 
-def _milliseconds(age):
-    """Return an age in seconds as whole milliseconds, rounded up."""
-    return math.ceil(age * MILLISECONDS)
-
-
 class Announcer:
     """Sends and receives heartbeats; an async context manager.
 
@@ -158,16 +155,15 @@
             cluster.leadership for cluster in self._clusters
         )
         claims = {
-            cluster.group.name: self._make_claim(cluster, now)
-            for cluster in self._clusters
+            cluster.group.name: make_claim(cluster, now) for cluster in self._clusters
         }
         urgent = {
             group: claim
             for group, claim in claims.items()
             if self._is_silence_recent(group, claim, now)
         }
-        own_samples = self._due_samples(claims, self._sampled_at, now)
-        relayed_samples = self._due_samples(claims, self._relayed_at, now)
+        own_samples = due_samples(claims, self._sampled_at, now)
+        relayed_samples = due_samples(claims, self._relayed_at, now)
         voters = self._roster.live_voters(now, LIVENESS_TIMEOUT)
         silent = self._silent_names(now)
         for peer in peers:
@@ -191,8 +187,8 @@
                 silent if informs else None,
             )
         if to_all:
-            self._sampled_at |= self._sample_times(own_samples, now)
-            self._relayed_at |= self._sample_times(relayed_samples, now)
+            self._sampled_at |= sample_times(own_samples, now)
+            self._relayed_at |= sample_times(relayed_samples, now)
 
     def _silent_names(self, now):
         """Return the daemons that this voter has not heard lately."""
@@ -214,33 +210,6 @@
         self._members_sent_at[peer.name] = now
         return True
 
-    @staticmethod
-    def _due_samples(claims, sent_at, now):
-        """Return the claims with a sample SAMPLE_INTERVAL newer than the last one.
-
-        Parameters
-        ----------
-        claims : dict of str to GroupClaim
-        sent_at : dict of str to float
-            When the last sample began, by group.
-        now : float
-        """
-        return {
-            group: claim
-            for group, claim in claims.items()
-            if claim.position is not None
-            and now - seconds(claim.position_age_ms)
-            >= sent_at.get(group, -math.inf) + SAMPLE_INTERVAL
-        }
-
-    @staticmethod
-    def _sample_times(claims, now):
-        """Return when the samples in some claims began, by group."""
-        return {
-            group: now - seconds(claim.position_age_ms)
-            for group, claim in claims.items()
-        }
-
     def _is_silence_recent(self, group, claim, now):
         """Whether a daemon reported a silent primary within SILENCE_REPORT_TIME.
 
@@ -278,12 +247,12 @@
             promised_epoch=self._roster.promised_epoch,
             confirmed_age_ms=None
             if confirmed_at is None
-            else _milliseconds(now - confirmed_at),
+            else milliseconds(now - confirmed_at),
             listed=peer.name in self._control.registered_names,
             store_reachable=self._control.reachable,
             version=self._configuration.version,
             list_changed=self._instances.changed,
-            list_age_ms=min(_milliseconds(self._instances.age()), LIST_AGE_LIMIT_MS),
+            list_age_ms=min(milliseconds(self._instances.age()), LIST_AGE_LIMIT_MS),
             stopping=self._roster.stopping,
             leaving=self.leaving,
             leaderships_digest=leaderships_digest,
@@ -292,29 +261,6 @@
         )
         self._port.send(peer.address, heartbeat)
 
-    @staticmethod
-    def _make_claim(cluster, now):
-        leadership = cluster.leadership
-        sample = cluster.newest_sample()
-        runtime = cluster.instances.get(leadership.primary)
-        loop_now = cluster.clock()
-        contact_age = silence = None
-        if runtime is not None:
-            silence = runtime.silence.unanswered(loop_now)
-            if runtime.answered_at is not None:
-                contact_age = loop_now - runtime.answered_at
-        return GroupClaim(
-            generation=leadership.generation,
-            settled=leadership.settled,
-            term=leadership.term,
-            primary=leadership.primary,
-            released=leadership.released,
-            position=(sample.floor.term, sample.floor.sequence) if sample else None,
-            position_age_ms=_milliseconds(now - sample.begun_at) if sample else 0,
-            contact_age_ms=None if contact_age is None else _milliseconds(contact_age),
-            silence_ms=_milliseconds(silence or 0.0),
-        )
-
     # Receiving
 
     def receive(self, heartbeat, source):
