A diverged instance takes over a whole copy of its source's log in one step

Ruled out: a decision of the product that could tell (a log that is half copied looks like any older log). MySQL's clone into a directory of its own has no such state.

A mutant and a test of the schedule show that the old behaviour is caught.

--- a/cardamomdrift/standins/instance.py
+++ b/cardamomdrift/standins/instance.py
@@ -423,11 +423,7 @@
         if not source.leads or source._led_term < self._fence_term or self.leads:
             return
         if not self._log_is_prefix_of(source):
-            # The logs differ, so the replica copies its source.  This restarts the
-            # server, as MySQL's clone does.
-            self._server.abort_connections()
-            self._engine.reset()
-            self._log.clear()
+            self._clone(source)
         committed_before = asyncio.get_running_loop().time() - self._options.lag
         for entry in source._log[len(self._log) :]:
             if entry.committed_at > committed_before:
@@ -435,6 +431,18 @@
             self._engine.apply(entry.statements)
             self._log.append(entry)
 
+    def _clone(self, source):
+        """Take over the whole log of the source, since the logs differ.
+
+        This restarts the server, as MySQL's clone does.  No status is answered in
+        between: an instance with a part of the log could count in a majority.
+        """
+        self._server.abort_connections()
+        self._engine.reset()
+        self._log = list(source._log)
+        for entry in self._log:
+            self._engine.apply(entry.statements)
+
     def _log_is_prefix_of(self, source):
         """Return whether the source's log continues the log of this instance."""
         length = len(self._log)
--- a/tests/test_promotion_model.py
+++ b/tests/test_promotion_model.py
@@ -16,6 +16,7 @@
     run_state_machine_as_test,
 )
 
+from cardamomdrift.bundle.model import RecordOrder
 from cardamomdrift.failover.promotion import Promotion
 from cardamomdrift.position import Position
 from cardamomdrift.routing.floor import sample_floor
@@ -210,6 +211,7 @@
     "serves by sequence only": Decisions(reaches_floor=_reaches_by_sequence),
     "promotes without a majority": Decisions(promotion_majority=1),
     "lets two owners share a term": Decisions(one_owner=False),
+    "empties a diverged log first": Decisions(whole_copy=False),
 }
 
 
@@ -254,7 +256,7 @@
         instance_a, instance_b, instance_c = (world.instances[name] for name in NAMES)
         decisions = world.decisions
         for replica in (instance_b, instance_c):
-            replica.pull(instance_a)
+            replica.pull(instance_a, True)
         instance_a.append(7)  # term 1, not acknowledged
         instance_c.fence(2, "p", True)
         instance_b.fence(2, "p", True)
@@ -265,7 +267,7 @@
         instance_a.promote(3, "q", decisions)
         instance_b.follow(3, "a")
         while instance_b.position != instance_a.position:
-            instance_b.pull(instance_a)
+            instance_b.pull(instance_a, True)
         world.next_write = 9
         world.repeat("a")
         for name in ("a", "b"):
@@ -278,6 +280,28 @@
         most_advanced.promote(4, "r", decisions)
         world._check_invariants()
 
+    def test_a_diverged_log_is_replaced_by_a_whole_copy(self):
+        """An instance that empties its log first may be half of the next majority."""
+        for whole_copy in (True, False):
+            with self.subTest(whole_copy=whole_copy):
+                world = World(Decisions(whole_copy=whole_copy))
+                if whole_copy:
+                    self._replace_diverged_log(world)
+                else:
+                    with self.assertRaises(InvariantViolation):
+                        self._replace_diverged_log(world)
+
+    @staticmethod
+    def _replace_diverged_log(world):
+        """Let an instance with an acknowledged write follow a diverged primary."""
+        for _ in range(3):
+            world.pull("a")
+        world.acknowledge("a", "c")
+        for pair in (["a", "b"], ["b", "c"], ["a", "c"]):
+            world.promote(pair, RecordOrder.AFTER)
+        world.pull("a")
+        world.promote(["a", "b"], RecordOrder.AFTER)
+
     def test_positions_order_by_term(self):
         self.assertLess(Position(1, 9), Position(2, 3))
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -52,6 +52,9 @@
         Whether a new primary first appends a marker entry in its term.
     one_owner : bool
         Whether an instance accepts only one owner of a term.
+    whole_copy : bool
+        Whether an instance whose log has diverged keeps it until it has copied the
+        whole log of its source.
     reaches_floor : callable
         Tells whether an instance at a position may serve a read with a floor.
     """
@@ -62,6 +65,7 @@
     promotion_majority: int = MAJORITY
     marker: bool = True
     one_owner: bool = True
+    whole_copy: bool = True
     reaches_floor: object = staticmethod(lambda position, floor: position >= floor)
 
 
@@ -131,13 +135,13 @@
             self.fence_term, self.fence_owner = term, ""
         self.source = source
 
-    def pull(self, source):
-        """Copy one entry from the source; discard the log if it has diverged."""
+    def pull(self, source, whole_copy):
+        """Copy one entry from the source; replace the log if it has diverged."""
         if self.leads or not source.leads or source.leads_term < self.fence_term:
             return
         length = len(self.log)
         if source.log[:length] != self.log:
-            self.log = []
+            self.log = list(source.log) if whole_copy else []
         elif length < len(source.log):
             self.log.append(source.log[length])
 
@@ -394,7 +398,7 @@
     def pull(self, name):
         replica = self.instances[name]
         if replica.source in self.instances:
-            replica.pull(self.instances[replica.source])
+            replica.pull(self.instances[replica.source], self.decisions.whole_copy)
 
     # Checks
 
