--- a/cardamomdrift/membership/control.py
+++ b/cardamomdrift/membership/control.py
@@ -433,6 +433,7 @@
             if row is None or own_row is None:
                 continue
             expected = {row.key: row.version, own_row.key: own_row.version}
-            await self._store.commit(TABLE, expected, {}, [row.key])
-            self._log.warning("daemon removed", member=name)
+            result = await self._store.commit(TABLE, expected, {}, [row.key])
+            taken = isinstance(result, Committed)
+            self._log.warning("daemon removed", member=name, taken=taken)
             await self.refresh()
--- a/cardamomdrift/platform/connection.py
+++ b/cardamomdrift/platform/connection.py
@@ -149,7 +149,8 @@
         start = f"START {record.group} {vm or MISSING_FIELD} {record.name}\r\n"
         stream.write(start.encode())
         word, _, rest = (await stream.read_line()).partition(" ")
-    except UpstreamLost as error:
+    except (UpstreamLost, PacketTooLarge) as error:
+        stream.abort()
         raise UpstreamUnreachable(str(error)) from error
     except BaseException:
         stream.abort()
--- a/cardamomdrift/platform/line_protocol.py
+++ b/cardamomdrift/platform/line_protocol.py
@@ -20,6 +20,7 @@
     RefusedByInstance,
     UnknownDatabase,
     UnknownStatement,
+    UpstreamLost,
 )
 from cardamomdrift.ports import InstanceStatus, Refusal, TransactionState
 from cardamomdrift.position import parse_position
@@ -39,11 +40,15 @@
 )
 
 LINE_END = b"\r\n"
+# A line with one of these inside may be read by another program as several lines.
+LINE_BREAKS = frozenset("\r\n\0")
 MAX_LINE_BYTES = 1024 * 1024  # of one message
 MISSING_FIELD = "-"  # in place of a missing request id or VM name
 NO_POSITION = "-"
 POSITION_SEPARATOR = "."
 STATUS = "STATUS"
+PRIMARY_ROLE = "primary"
+INSTANCE_ROLES = frozenset((PRIMARY_ROLE, "replica"))
 
 STATE_CODES = {
     TransactionState.IDLE: "I",
@@ -101,6 +106,8 @@
 
 def parse_message(line):
     """Parse a caller's line into a Start, Query, Terminate or Malformed."""
+    if not LINE_BREAKS.isdisjoint(line):
+        return Malformed("a line break inside a message")
     word, _, rest = line.partition(" ")
     match word:
         case "QUERY":
@@ -216,10 +223,17 @@
 
     The second field is the term that the instance follows.  The fourth, the term held,
     is not used.
+
+    Raises
+    ------
+    UpstreamLost
+        The row is not a status.
     """
-    fields = row.split(" ")
-    received = parse_position(fields[2], POSITION_SEPARATOR)
-    return InstanceStatus(fields[0] == "primary", int(fields[1]), received)
+    role, term, position, *_ = *row.split(" "), "", "", ""
+    received = parse_position(position, POSITION_SEPARATOR)
+    if role not in INSTANCE_ROLES or not term.isdecimal() or received is None:
+        raise UpstreamLost(f"status not understood: {row[:80]!r}")
+    return InstanceStatus(role == PRIMARY_ROLE, int(term), received)
 
 
 def _render_position(position):
@@ -228,12 +242,17 @@
     return f"{position.term}{POSITION_SEPARATOR}{position.sequence}"
 
 
+def _encode(text):
+    """Return the bytes of a message; bytes that are not valid text are unchanged."""
+    return text.encode("utf-8", "surrogateescape")
+
+
 def render_answer(rows, signature, state, position):
     """Return the lines of a successful answer to a caller."""
     lines = [f"ROW {row}\r\n" for row in rows]
     lines.append(f"COMPLETE {signature or '-'}\r\n")
     lines.append(f"READY {STATE_CODES[state]} {_render_position(position)}\r\n")
-    return "".join(lines).encode()
+    return _encode("".join(lines))
 
 
 def error_code(error):
@@ -247,7 +266,7 @@
 
 def render_error(error):
     """Return the ERROR line of an error, whose text includes any retry delay."""
-    return f"ERROR {error_code(error)} {error}\r\n".encode()
+    return _encode(f"ERROR {error_code(error)} {error}\r\n")
 
 
 def render_failure(error, state, position):
--- a/cardamomdrift/platform/store.py
+++ b/cardamomdrift/platform/store.py
@@ -8,7 +8,7 @@
 """
 
 import base64
-import binascii
+from contextlib import contextmanager
 from urllib.parse import urlencode
 
 import msgspec
@@ -27,6 +27,10 @@
 CALL_TIMEOUT = 0.7  # seconds; an answer takes 4 to 8 ms, or 60 times as long if slow
 WATCH_MARGIN = 0.5  # seconds, after the end of the wait, for the answer to arrive
 ROW_PART = ""  # partition with all rows, the daemons' and the platform's
+READ_PATH, FEED_PATH, COMMIT_PATH = "/v1/rows-get", "/v1/rows-feed", "/v1/rows-tx"
+# Statuses of answers; GONE is the one of a watched table whose history is lost.
+OK, GONE, CONDITION_FAILED = 200, 410, 412
+UNAVAILABLE_STATUSES = frozenset((429, 503))
 PAGE_ROWS = 500  # maximum number of rows in one answer
 
 _encode = msgspec.json.encode
@@ -36,12 +40,25 @@
 def _make_row(row):
     try:
         value = base64.b64decode(row.get("value", ""), validate=True)
-    except (binascii.Error, TypeError):
+    except (ValueError, TypeError):
         # Another program wrote this row.  Decoding the empty value reports the fault.
         value = b""
     return Row(row["key"], value, row["rowVersion"])
 
 
+@contextmanager
+def _check_shape(path):
+    """Raise PlatformUnavailable if an answer lacks a field or has one of another type.
+
+    Of a commit, the answer then tells no more than a lost one.
+    """
+    try:
+        yield
+    except (KeyError, TypeError, AttributeError) as error:
+        reason = f"{type(error).__name__} {error}"
+        raise PlatformUnavailable(f"{path}: answer not understood: {reason}") from error
+
+
 class HttpStore:
     """Client of the table store; an async context manager.
 
@@ -69,20 +86,26 @@
             query = {"table": table, "part": ROW_PART, "limit": str(PAGE_ROWS)}
             if start is not None:
                 query["from"] = start
-            answer = await self._call("GET", "/v1/rows-get", query)
-            rows.update((row["key"], _make_row(row)) for row in answer["rows"])
-            if not answer.get("hasMore"):
-                return Snapshot(rows, answer["rowVersion"])
-            # "from" is inclusive, so the next page begins just after the last key.
-            start = answer["rows"][-1]["key"] + "\0"
+            _, answer = await self._call("GET", READ_PATH, query)
+            with _check_shape(READ_PATH):
+                rows.update((row["key"], _make_row(row)) for row in answer["rows"])
+                if not answer.get("hasMore"):
+                    return Snapshot(rows, answer["rowVersion"])
+                # "from" is inclusive, so the next page begins just after the last key.
+                start = answer["rows"][-1]["key"] + "\0"
 
     async def watch(self, table, after, wait):
         """Wait for changes after a version; return Changes or HistoryGone."""
         query = {"table": table, "after": str(after), "waitMs": str(int(wait * 1000))}
         timeout = wait + WATCH_MARGIN
-        answer = await self._call("GET", "/v1/rows-feed", query, timeout=timeout)
-        if answer is None:
+        status, answer = await self._call("GET", FEED_PATH, query, timeout=timeout)
+        if status == GONE:
             return HistoryGone()
+        with _check_shape(FEED_PATH):
+            return self._make_changes(answer)
+
+    @staticmethod
+    def _make_changes(answer):
         changed, removed, newest = {}, set(), 0
         for row in answer["rows"]:
             if row.get("part", ROW_PART) != ROW_PART:
@@ -114,35 +137,37 @@
             ],
             "remove": [row_id(key) for key in removes],
         }
-        answer = await self._call("POST", "/v1/rows-tx", body=_encode(body))
-        if "rows" in answer:
+        status, answer = await self._call("POST", COMMIT_PATH, body=_encode(body))
+        with _check_shape(COMMIT_PATH):
+            if status == OK:
+                return Committed(answer["rowVersion"])
             rows = (_make_row(row) for row in answer["rows"] if row.get("rowVersion"))
             return Conflict({row.key: row for row in rows})
-        return Committed(answer["rowVersion"])
 
     async def _call(self, method, path, query=None, body=b"", timeout=CALL_TIMEOUT):
-        """Make a call and return its decoded answer; None if the history is gone."""
+        """Make a call and return the status and the decoded answer, a dict."""
         target = path if query is None else f"{path}?{urlencode(query)}"
         try:
             response = await self._client.call(method, target, timeout, body)
         except CallFailed as error:
             self.counts["unavailable"] += 1
             raise PlatformUnavailable(f"{path}: {error}") from error
-        return self._decode_answer(path, response.status, response.body)
+        answer = self._decode_answer(path, response.status, response.body)
+        return response.status, answer
 
     def _decode_answer(self, path, status, body):
-        if status in (429, 503):
+        if status in UNAVAILABLE_STATUSES:
             self.counts["unavailable"] += 1
             raise PlatformUnavailable(f"{path}: status {status}")
-        if status == 410:
-            return None
-        if status not in (200, 412):
+        if status == GONE and path == FEED_PATH:
+            return {}
+        if status not in (OK, CONDITION_FAILED):
             self.counts["refused"] += 1
             raise PlatformRefused(f"{path}: status {status} {body[:100]!r}")
         try:
-            answer = _decode(body)
+            answer = _decode(body, type=dict)
         except msgspec.DecodeError as error:
             self.counts["unavailable"] += 1
-            raise PlatformUnavailable(f"{path}: answer is not valid JSON") from error
+            raise PlatformUnavailable(f"{path}: answer is not a JSON object") from error
         self.counts["ok"] += 1
         return answer
--- a/cardamomdrift/routing/attempt.py
+++ b/cardamomdrift/routing/attempt.py
@@ -184,7 +184,6 @@
                 request.deadline_at, make_session_filter(request), pinned
             )
         except UpstreamBusy as error:
-            cluster.counts.refusals += 1
             raise TryElsewhere(placement.name, f"no connection: {error}") from error
         except UpstreamUnreachable as error:
             if not runtime.uses_detour:
--- a/cardamomdrift/routing/cluster.py
+++ b/cardamomdrift/routing/cluster.py
@@ -48,15 +48,12 @@
     retries : int
     behind : int
         Statements that a replica refused because it was below their floor.
-    refusals : int
-        Attempts that got no connection because the instance had too many already.
     """
 
     reads: dict = field(default_factory=lambda: {"primary": 0, "replica": 0})
     hedges: int = 0
     retries: int = 0
     behind: int = 0
-    refusals: int = 0
 
 
 class Cluster:
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -10,7 +10,10 @@
 import json
 import tempfile
 import unittest
+from contextlib import suppress
 from pathlib import Path
+from types import SimpleNamespace
+from unittest import mock
 
 from returns.result import Failure, Success
 
@@ -39,6 +42,7 @@
 from cardamomdrift.platform.catalog import decode_deployment, decode_instance
 from cardamomdrift.platform.connection import make_connector
 from cardamomdrift.platform.line_protocol import (
+    MAX_LINE_BYTES,
     Query,
     Start,
     Terminate,
@@ -101,7 +105,16 @@
         ("QUERY 5c EXECUTE s1 1a4 x y", Query("5c", Execute("s1", "1a4 x y"))),
         ("QUERY 5c CLOSE s1", Query("5c", Discard("s1"))),
     )
-    MALFORMED = ("", "START", "QUERY", "QUERY 5c", "NONSENSE x")
+    MALFORMED = (
+        "",
+        "START",
+        "QUERY",
+        "QUERY 5c",
+        "NONSENSE x",
+        "QUERY 5c READ a\nQUERY - WRITE b c",
+        "QUERY 5c READ a\rb",
+        "START d\0 u",
+    )
     BAD_COMMANDS = ("BEGIN WRITE", "PARSE s1", "PARSE s1 READS q", "JUMP", "SET")
 
     def test_messages(self):
@@ -147,6 +160,21 @@
         self.assertFalse(status.primary)
         self.assertEqual((status.term, status.received), (3, Position(3, 1209)))
 
+    MALFORMED_STATUSES = ("", "replica", "replica x 3.1", "queen 3 3.1", "primary 3 -")
+
+    def test_malformed_statuses(self):
+        for row in self.MALFORMED_STATUSES:
+            with self.subTest(row), self.assertRaises(UpstreamLost):
+                parse_status(row)
+
+    def test_bytes_that_are_not_valid_text_are_passed_on(self):
+        row = b"a\xffb".decode("utf-8", "surrogateescape")
+        data = render_answer([row], "7.1f", TransactionState.IDLE, None)
+        self.assertEqual(data, b"ROW a\xffb\r\nCOMPLETE 7.1f\r\nREADY I -\r\n")
+        error = RefusedByInstance("EXECFAIL", row)
+        data = render_failure(error, TransactionState.IDLE, None)
+        self.assertIn(b"a\xffb", data)
+
     def test_answers(self):
         data = render_answer(["a b"], "7.1f", TransactionState.OPEN, Position(2, 9))
         self.assertEqual(data, b"ROW a b\r\nCOMPLETE 7.1f\r\nREADY T 2.9\r\n")
@@ -316,6 +344,38 @@
             await self.store.commit("t", {"k": 0}, {"k": b"1"})
         self.assertEqual(self.rows.get("t", "k"), b"1")
 
+    MISSHAPEN_ANSWERS = (b"[]", b"null", b"7", b'{"rows": 3}', b'{"rows": [{}]}')
+
+    async def test_answers_of_another_shape(self):
+        calls = (
+            lambda: self.store.read("t"),
+            lambda: self.store.watch("t", 0, 0.1),
+            lambda: self.store.commit("t", {}, {"k": b"1"}),
+        )
+        for body in self.MISSHAPEN_ANSWERS:
+            answer = SimpleNamespace(status=200, body=body)
+            for call in calls:
+                with (
+                    self.subTest(body),
+                    mock.patch.object(self.store._client, "call", return_value=answer),
+                    self.assertRaises(PlatformUnavailable),
+                ):
+                    await call()
+
+    async def test_only_a_watched_table_has_a_history(self):
+        gone = SimpleNamespace(status=410, body=b"")
+        with mock.patch.object(self.store._client, "call", return_value=gone):
+            for call in (self.store.read("t"), self.store.commit("t", {}, {})):
+                with self.assertRaises(PlatformRefused):
+                    await call
+
+    async def test_a_row_that_is_not_base64_is_empty(self):
+        body = b'{"rowVersion": 3, "rows": [{"key": "k", "value": "\xc3\xa9", '
+        answer = SimpleNamespace(status=200, body=body + b'"rowVersion": 2}]}')
+        with mock.patch.object(self.store._client, "call", return_value=answer):
+            snapshot = await self.store.read("t")
+        self.assertEqual(snapshot.rows["k"].value, b"")
+
     async def test_an_unknown_call(self):
         with self.assertRaises(PlatformRefused):
             await self.store._call("GET", "/v1/nothing")
@@ -396,6 +456,19 @@
         with self.assertRaises(UpstreamMismatch):
             await make_connector(record, "vm-1")(1.0)
 
+    async def test_an_endless_greeting(self):
+        async def greet(_reader, writer):
+            writer.write(b"x" * (MAX_LINE_BYTES + 100))
+            with suppress(OSError):
+                await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(greet, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        with self.assertRaises(UpstreamUnreachable):
+            await self.connector(address=f"127.0.0.1:{port}")(2.0)
+
     async def test_too_many_connections(self):
         held = [await self.connector()(1.0) for _ in range(2)]
         with self.assertRaises(UpstreamBusy):
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -431,10 +431,14 @@
             control_plane = site.daemons["vm-1"].control
             await control_plane.refresh()
             site.store.remove("cardamomdrift", "member/vm-1")
-            with mock.patch.object(
-                control_plane, "_removable_daemons", return_value=["vm-2"]
+            with (
+                mock.patch.object(
+                    control_plane, "_removable_daemons", return_value=["vm-2"]
+                ),
+                mock.patch.object(control_plane._log, "warning") as warning,
             ):
                 await control_plane._remove_daemons(0.0)
+            warning.assert_any_call("daemon removed", member="vm-2", taken=False)
             self.assertIsNotNone(site.store.get("cardamomdrift", "member/vm-2"))
 
 
