No statement runs between the expiry of a transaction and its rollback

Cause (found by reading): expiry marked the transaction in the background task that rolls it back. A statement that came before that task ran was sent; the rollback then took its connection away, and the statement ended with AttributeError: the caller's session was closed without an answer.

Change: the handler marks the transaction at once, so the statement is refused as not run.

--- a/cardamomdrift/routing/pinned.py
+++ b/cardamomdrift/routing/pinned.py
@@ -251,10 +251,12 @@
         if self._wrote and not self._cluster.is_primary(placement.name, placement.term):
             raise OutcomeUnknown(f"{placement.name} was replaced meanwhile")
 
-    async def expire(self):
-        """Roll back a transaction that was idle for too long."""
+    def mark_expired(self):
+        """Let no further statement run, since the transaction was idle for too long.
+
+        It must be rolled back afterwards.
+        """
         self._lost_error = TransactionLost("the transaction was idle for too long")
-        await self.rollback()
 
     async def rollback(self):
         """Roll back and release the connection; close it if it does not answer."""
--- a/cardamomdrift/sessions/handler.py
+++ b/cardamomdrift/sessions/handler.py
@@ -284,7 +284,9 @@
             return False
         if now - transaction.idle_since < limit:
             return False
-        self._clusters.run_in_background(transaction.expire())
+        # A statement may come before the rollback begins; it must not run.
+        transaction.mark_expired()
+        self._clusters.run_in_background(transaction.rollback())
         return True
 
     async def close(self):
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -9,9 +9,10 @@
 import unittest
 from unittest import mock
 
+from cardamomdrift.errors import NotRun
 from cardamomdrift.membership import control
 from cardamomdrift.membership.instance_list import MAX_CURRENT_AGE
-from cardamomdrift.sessions.commands import Read, SetValue
+from cardamomdrift.sessions.commands import Commit, Read, SetValue, Write
 from cardamomdrift.sessions.handler import SessionHandler
 from tests.site import LineClient, Site, leadership_row
 
@@ -142,6 +143,21 @@
             await client.ask("ROLLBACK")
             self.assertEqual(client.state, "I")
 
+    async def test_no_statement_runs_between_expiry_and_rollback(self):
+        async with Site(daemons=1) as site:
+            client = await site.caller("vm-1", "crew")
+            await client.ask("BEGIN")
+            await client.ask("WRITE a 1")
+            clusters = site.daemons["vm-1"].clusters
+            [handler] = clusters._handlers_in_transaction
+            self.assertTrue(handler.expire(clusters.clock() + 10.0, 1.0))
+            for command in (Write("WRITE a 2"), Commit()):
+                with self.assertRaises(NotRun):
+                    await handler.handle("5c", command)
+            client.close()
+            other = await site.caller("vm-1", "book")
+            self.assertEqual((await other.ask("READ a"))[0], "ROW a=")
+
     async def test_a_failed_transaction_refuses_statements_until_its_end(self):
         async with Site(daemons=1) as site:
             client = await site.caller("vm-1", "crew")
