A partial partition replaces a primary only if it cuts off most daemons

Ruled out: instances (they answered the other daemons within 50 ms); a partition.

Change: PrimaryEvidence counts the daemons that are cut off and those that reach the primary; the former must be more. Daemons that are cut off use the primary through the others.

--- a/cardamomdrift/failover/replacement.py
+++ b/cardamomdrift/failover/replacement.py
@@ -60,6 +60,10 @@
         Time since it last answered another daemon.
     peer_silence : float
         Longest time for which it has answered none of another daemon's requests.
+    cut_off : int
+        Daemons that it does not answer, this one included.
+    reaching : int
+        Daemons that it has answered lately, this one included.
     settled_for : float
         Time since it became the primary.
     """
@@ -72,6 +76,8 @@
     replica_age: float | None
     peer_contact_age: float | None
     peer_silence: float
+    cut_off: int
+    reaching: int
     settled_for: float
 
 
@@ -92,14 +98,16 @@
 def is_unreachable(evidence):
     """Whether a primary has left requests unanswered for too long.
 
-    If it answered another daemon lately, the partition is partial and the longer limit
-    applies.
+    If it answered another daemon lately, the partition is partial: the longer limit
+    applies, and more daemons must be cut off from it than reach it.  A few that are cut
+    off use it through the others (see `routing.detour`); a replacement would stop the
+    writes of all, and might lose commits, because the network of one daemon is slow.
     """
     age = evidence.peer_contact_age
     if age is not None and age <= CONTACT_AGE_LIMIT:
-        return (
-            max(evidence.unanswered, evidence.peer_silence) >= PARTIAL_PARTITION_TIMEOUT
-        )
+        longest = max(evidence.unanswered, evidence.peer_silence)
+        mostly_cut_off = evidence.cut_off > evidence.reaching
+        return mostly_cut_off and longest >= PARTIAL_PARTITION_TIMEOUT
     if evidence.refused:
         return evidence.unanswered >= REFUSED_TIMEOUT
     return evidence.unanswered >= UNANSWERED_TIMEOUT
--- a/cardamomdrift/failover/replacer.py
+++ b/cardamomdrift/failover/replacer.py
@@ -27,7 +27,12 @@
 )
 from cardamomdrift.loops import repeat
 from cardamomdrift.membership.rendezvous import rank
-from cardamomdrift.peers.contacts import LIVENESS_TIMEOUT, primary_contacts
+from cardamomdrift.peers.contacts import (
+    CONTACT_AGE_LIMIT,
+    CUT_OFF_SILENCE,
+    LIVENESS_TIMEOUT,
+    primary_contacts,
+)
 from cardamomdrift.util import cancel_all
 
 CHECK_INTERVAL = 0.05  # seconds
@@ -173,18 +178,28 @@
         contacts = primary_contacts(
             self._roster, cluster.group.name, leadership.generation, now
         )
+        unanswered = runtime.silence.unanswered(loop_now) if runtime else 0.0
         return PrimaryEvidence(
             listed=runtime is not None,
             missing_for=self._missing_for(cluster, now),
             draining=runtime is not None and runtime.spec.draining,
-            unanswered=runtime.silence.unanswered(loop_now) if runtime else 0.0,
+            unanswered=unanswered,
             refused=runtime is not None and runtime.silence.refused,
             replica_age=min(ages, default=None),
             peer_contact_age=contacts.newest_age,
             peer_silence=contacts.silence,
+            cut_off=len(contacts.cut_off_daemons) + (unanswered >= CUT_OFF_SILENCE),
+            reaching=len(contacts.reaching_daemons) + self._reaches(runtime, loop_now),
             settled_for=now - leadership.changed_at,
         )
 
+    @staticmethod
+    def _reaches(runtime, now):
+        """Whether an instance has answered this daemon lately."""
+        if runtime is None or runtime.answered_at is None:
+            return False
+        return now - runtime.answered_at <= CONTACT_AGE_LIMIT
+
     def _missing_for(self, cluster, now):
         """Return for how many seconds the list has lacked the primary or named none."""
         leadership = cluster.leadership
--- a/cardamomdrift/peers/contacts.py
+++ b/cardamomdrift/peers/contacts.py
@@ -14,6 +14,8 @@
 # Seconds since a primary answered a daemon for which the daemon counts as reaching it;
 # longer than the heartbeat interval.
 CONTACT_AGE_LIMIT = 0.4
+# Seconds without an answer after which a primary counts as not reaching a daemon.
+CUT_OFF_SILENCE = 0.5
 
 
 @dataclass(slots=True)
@@ -24,12 +26,26 @@
     ----------
     ages : dict of str to float
         Time since the primary last answered, by daemon.
-    silence : float
-        Longest time for which the primary has left a daemon without an answer.
+    silences : dict of str to float
+        Time for which the primary has left a daemon without an answer, by daemon.
     """
 
     ages: dict = field(default_factory=dict)
-    silence: float = 0.0
+    silences: dict = field(default_factory=dict)
+
+    @property
+    def silence(self):
+        """Longest time for which the primary has left a daemon without an answer."""
+        return max(self.silences.values(), default=0.0)
+
+    @property
+    def cut_off_daemons(self):
+        """Names of the daemons that the primary does not answer."""
+        return {
+            name
+            for name, silence in self.silences.items()
+            if silence >= CUT_OFF_SILENCE
+        }
 
     @property
     def newest_age(self):
@@ -65,7 +81,7 @@
         if claim is None or claim.generation != generation:
             continue
         if now - heard_at <= LIVENESS_TIMEOUT:
-            contacts.silence = max(contacts.silence, seconds(claim.silence_ms))
+            contacts.silences[name] = seconds(claim.silence_ms)
         if claim.contact_age_ms is not None:
             contacts.ages[name] = seconds(claim.contact_age_ms) + now - heard_at
     return contacts
