Large bodies over slow links; sessions wait for the first configuration

A daemon without a configuration answered NOSUCHDB; a call of the store was ended after 0.7 s although data kept coming; each daemon fetched a configuration from the store and from a peer at the same time, over links of 5 Mbit/s. By reading: an error while a query was answered ended the query server for good. On the large site most calls of the platform were retries of 31 daemons that the store turned away, four a second each for two tables.

Ruled out: retries alone (the second try of a read began anew and took as long).

--- a/cardamomdrift/http/client.py
+++ b/cardamomdrift/http/client.py
@@ -2,20 +2,27 @@
 HTTP client
 ===========
 
-Calls to one server, each with a time limit.  A connection whose response did not arrive
-in time is reset, so that a delayed request is not delivered later.
+Calls to one server, each with a time limit.  The limit applies to the time without any
+progress, since a long response takes seconds over a slow link.  A connection whose
+response did not arrive in time is reset, so that a delayed request is not delivered
+later.
 """
 
 import asyncio
 import socket
 import struct
 from dataclasses import dataclass
+from functools import partial
 
 import h11
 
 READ_CHUNK_BYTES = 64 * 1024
 MAX_BODY_BYTES = 16 * 1024 * 1024  # of a response; a page of the store has 1 MB
 MAX_IDLE_CONNECTIONS = 4  # kept open for later calls
+# Seconds without further data after which a response that has begun is given up, and
+# seconds after which a call is given up in any case, beyond its time limit.
+PROGRESS_TIMEOUT = 0.7
+MAX_TRANSFER_TIME = 10.0
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a timeout of 0
 
 
@@ -46,26 +53,35 @@
             return False
         return self._protocol.our_state is h11.IDLE
 
-    async def call(self, request, body):
-        """Send a request and return its Response."""
+    async def call(self, request, body, on_data):
+        """Send a request and return its Response.
+
+        Parameters
+        ----------
+        request : h11.Request
+        body : bytes
+        on_data : callable
+            Called after each part of the response.
+        """
         outgoing = self._protocol.send(request)
         if body:
             outgoing += self._protocol.send(h11.Data(data=body))
         outgoing += self._protocol.send(h11.EndOfMessage())
         self._writer.write(outgoing)
-        response = await self._receive()
+        response = await self._receive(on_data)
         if self._protocol.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
             self._protocol.start_next_cycle()
         else:
             self.reset()
         return response
 
-    async def _receive(self):
+    async def _receive(self, on_data):
         status, chunks, size = 0, [], 0
         while True:
             event = self._protocol.next_event()
             if event is h11.NEED_DATA:
                 self._protocol.receive_data(await self._reader.read(READ_CHUNK_BYTES))
+                on_data()
             elif isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
@@ -86,6 +102,19 @@
         self._writer.transport.abort()
 
 
+def _extend(limit, first_until):
+    """Extend the time limit of a call whose response makes progress.
+
+    Parameters
+    ----------
+    limit : asyncio.Timeout
+    first_until : float
+        Its first end, in seconds of the loop's clock.
+    """
+    progress_until = asyncio.get_running_loop().time() + PROGRESS_TIMEOUT
+    limit.reschedule(min(progress_until, first_until + MAX_TRANSFER_TIME))
+
+
 class HttpClient:
     """Client of one server; an async context manager.
 
@@ -118,7 +147,7 @@
         target : str
             Path and query.
         timeout : float
-            Seconds for the call, connecting included.
+            Seconds until the response begins, connecting included.
         body : bytes
         headers : sequence of (str, str)
 
@@ -133,9 +162,11 @@
         request = h11.Request(method=method, target=target, headers=header_fields)
         connection = None
         try:
-            async with asyncio.timeout(timeout):
+            async with asyncio.timeout(timeout) as limit:
                 connection = self._pop_idle_connection() or await self._connect()
-                response = await connection.call(request, body)
+                response = await connection.call(
+                    request, body, partial(_extend, limit, limit.when())
+                )
         except (OSError, h11.RemoteProtocolError) as error:
             self._reset(connection)
             reason = f"{type(error).__name__} {error}".rstrip()
--- a/cardamomdrift/membership/feed.py
+++ b/cardamomdrift/membership/feed.py
@@ -21,8 +21,9 @@
 CHANGE_INTERVAL_PER_DAEMON = 0.01  # seconds between two changes, for each daemon
 MAX_CHANGE_INTERVAL = 1.0  # seconds
 HINT_GRACE = 0.5  # seconds to wait for a change that a peer has received already
-# Seconds.  Five daemons make 20 calls a second during an outage of the store.
-RETRY_INTERVAL = 0.25
+# Seconds between failed calls, for each daemon: the calls of all stay the same.
+RETRY_INTERVAL_PER_DAEMON = 0.05
+MIN_RETRY_INTERVAL, MAX_RETRY_INTERVAL = 0.25, 2.0  # seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +60,22 @@
     return min(CHANGE_INTERVAL_PER_DAEMON * daemons, MAX_CHANGE_INTERVAL)
 
 
+def retry_interval(daemons):
+    """Return how many seconds to wait after a failed call.
+
+    Load pattern: the store refuses all calls of many daemons for seconds, and each of
+    them tries again.  Daemons that are no voters learn of newer tables from the voters
+    meanwhile.
+
+    Parameters
+    ----------
+    daemons : int
+        Daemons that follow the table.
+    """
+    interval = RETRY_INTERVAL_PER_DAEMON * daemons
+    return min(max(interval, MIN_RETRY_INTERVAL), MAX_RETRY_INTERVAL)
+
+
 class TableFeed:
     """Follows one table; an async context manager.
 
@@ -103,7 +120,7 @@
             await self._step()
         except (PlatformUnavailable, PlatformRefused) as error:
             self._set_reachable(False, error)
-            await asyncio.sleep(RETRY_INTERVAL)
+            await asyncio.sleep(retry_interval(self._count_daemons()))
 
     async def _step(self):
         if self._state is None:
@@ -172,6 +189,11 @@
         """Whether the store answered the last call."""
         return bool(self._reachable)
 
+    @property
+    def failing(self):
+        """Whether the last call failed."""
+        return self._reachable is False
+
     @property
     def rows(self):
         """Last known rows of the table, by key."""
--- a/cardamomdrift/peers/link.py
+++ b/cardamomdrift/peers/link.py
@@ -11,6 +11,7 @@
 import msgspec
 from pynng import NNGException, Pub0, Rep0, Req0, Sub0
 
+from cardamomdrift.loops import repeat
 from cardamomdrift.membership.rendezvous import home_set
 from cardamomdrift.peers.messages import (
     decode_query,
@@ -63,7 +64,7 @@
             listen=f"tcp://{query_address(self._address)}",
             recv_max_size=MESSAGE_SIZE_LIMIT,
         )
-        self._task = asyncio.create_task(self._reply())
+        self._task = asyncio.create_task(repeat("queries", self._reply, self._log))
         return self
 
     async def __aexit__(self, *exc_info):
@@ -71,14 +72,14 @@
         self._replier.close()
 
     async def _reply(self):
-        while True:
-            data = await self._replier.arecv()
-            try:
-                reply = await self._on_query(decode_query(data))
-            except msgspec.DecodeError:
-                self._log.warning("query not understood", size=len(data))
-                continue
-            await self._replier.asend(encode(reply))
+        """Answer one query.  A requester that gets no answer asks again."""
+        data = await self._replier.arecv()
+        try:
+            query = decode_query(data)
+        except msgspec.DecodeError:
+            self._log.warning("query not understood", size=len(data))
+            return
+        await self._replier.asend(encode(await self._on_query(query)))
 
 
 class PeerLink:
--- a/cardamomdrift/platform/callers.py
+++ b/cardamomdrift/platform/callers.py
@@ -11,6 +11,7 @@
 from cardamomdrift.errors import (
     BadRequest,
     CallerError,
+    Overloaded,
     PacketTooLarge,
     UnknownDatabase,
     UpstreamLost,
@@ -29,9 +30,12 @@
 from cardamomdrift.ports import TransactionState
 from cardamomdrift.sessions.commands import Malformed
 from cardamomdrift.sessions.handler import SessionHandler
-from cardamomdrift.util import cancel_all
+from cardamomdrift.util import MILLISECONDS, cancel_all
 
 START_TIMEOUT = 2.0  # seconds; callers give up if opening a session takes longer
+# Seconds for which a session that opens before the first configuration waits for it.
+FIRST_CONFIGURATION_TIMEOUT = 1.8
+UNCONFIGURED_RETRY_AFTER = 0.5  # seconds, sent to a caller that waited in vain
 LISTEN_BACKLOG = 1024  # connections that wait to be accepted
 
 
@@ -128,6 +132,8 @@
             case _:
                 stream.write(render_error(BadRequest("START comes first")))
                 return False
+        if self._clusters.deployment is None and not await self._wait_deployed(session):
+            return False
         if self._clusters.route_of(database) is None:
             error = UnknownDatabase(f"no route for database {database}")
             self._log.info("session refused", database=database, reason=str(error))
@@ -138,6 +144,20 @@
         stream.write(render_ready(TransactionState.IDLE, None))
         return True
 
+    async def _wait_deployed(self, session):
+        """Wait for the first configuration; return whether the session can open.
+
+        A daemon that has just started cannot tell which databases exist.
+        """
+        started = self._clusters.clock()
+        if await self._clusters.wait_deployed(FIRST_CONFIGURATION_TIMEOUT):
+            return True
+        error = Overloaded("no configuration is known yet", UNCONFIGURED_RETRY_AFTER)
+        waited_ms = round((self._clusters.clock() - started) * MILLISECONDS)
+        self._log.info("session refused", reason=str(error), waited_ms=waited_ms)
+        session.stream.write(render_error(error))
+        return False
+
     async def _serve_queries(self, session):
         stream = session.stream
         while True:
--- a/cardamomdrift/platform/daemon.py
+++ b/cardamomdrift/platform/daemon.py
@@ -99,7 +99,8 @@
         self.permission = Permission(self.roster)
         self.instances = InstanceList(clock)
         self._exposition = None
-        self._instance_feed = None
+        self._config_feed = self._make_feed(CONFIG_TABLE, self._on_config_rows)
+        self._instance_feed = self._make_feed(INSTANCE_TABLE, self._on_instance_rows)
         self._list_fetch = None
         self._recorder = RequestRecorder(self.log, self.permission)
         self.borrower = Borrower(
@@ -109,7 +110,10 @@
             self._make_context(clock), self.instances, self._recorder
         )
         self.configuration = Configuration(
-            decode_deployment, self._on_deployment, self.log
+            decode_deployment,
+            self._on_deployment,
+            self.log,
+            lambda: not self._config_feed.failing,
         )
         self.control = ControlPlane(
             self.store,
@@ -230,8 +234,7 @@
             )
         )
         await self._serve_metrics()
-        await enter(self._make_feed(CONFIG_TABLE, self._on_config_rows))
-        self._instance_feed = self._make_feed(INSTANCE_TABLE, self._on_instance_rows)
+        await enter(self._config_feed)
         self.instances.set_feed_callbacks(
             self._on_newer_list, self._instance_feed.request_read
         )
--- a/cardamomdrift/routing/clusters.py
+++ b/cardamomdrift/routing/clusters.py
@@ -32,6 +32,7 @@
         self._instances = instances
         self._recorder = recorder
         self._deployment = None
+        self._deployed = asyncio.Event()
         self._clusters = {}
         self._runners = {}
         self._background_tasks = set()
@@ -92,6 +93,22 @@
             elif cluster.group != group:
                 await cluster.set_group(group)
         self._deployment = deployment
+        self._deployed.set()
+
+    async def wait_deployed(self, timeout):
+        """Wait for the first deployment; return whether there is one.
+
+        Parameters
+        ----------
+        timeout : float
+            Seconds.
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                await self._deployed.wait()
+        except TimeoutError:
+            return False
+        return True
 
     async def set_instances(self):
         """Apply a change of the instance list."""
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,64 @@
+"""
+Tests of the table feed
+=======================
+
+How often a fleet calls the store while it refuses all calls, and after changes.
+"""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from cardamomdrift.errors import PlatformUnavailable
+from cardamomdrift.membership.feed import (
+    MAX_CHANGE_INTERVAL,
+    MAX_RETRY_INTERVAL,
+    MIN_RETRY_INTERVAL,
+    TableFeed,
+    change_interval,
+    retry_interval,
+)
+
+FLEETS = (5, 20, 79, 300, 680)  # daemons
+OUTAGE_CALLS = 400  # calls a second of all daemons for one table, at most
+
+
+class IntervalTest(unittest.TestCase):
+    """Load pattern: the store refuses all calls, or all instances register at once."""
+
+    def test_a_fleet_does_not_call_more_often_than_five_daemons(self):
+        for daemons in FLEETS:
+            calls = daemons / retry_interval(daemons)
+            self.assertLessEqual(calls, OUTAGE_CALLS)
+        self.assertEqual(5 / retry_interval(5), 40 / retry_interval(40))
+
+    def test_the_bounds(self):
+        self.assertEqual(retry_interval(1), MIN_RETRY_INTERVAL)
+        self.assertEqual(retry_interval(680), MAX_RETRY_INTERVAL)
+        self.assertEqual(change_interval(680), MAX_CHANGE_INTERVAL)
+
+
+class OutageTest(unittest.IsolatedAsyncioTestCase):
+    async def count_calls(self, daemons, seconds):
+        """Return how often a feed calls a store that refuses, and then answers."""
+        store = mock.Mock()
+        store.read = mock.AsyncMock(side_effect=PlatformUnavailable("down"))
+        log = mock.Mock()
+        feed = TableFeed(
+            store, "t", mock.AsyncMock(), mock.Mock(), lambda: daemons, log
+        )
+        async with feed:
+            await asyncio.sleep(seconds)
+        log.error.assert_not_called()
+        return store.read.call_count
+
+    async def test_a_daemon_of_a_large_fleet_retries_less_often(self):
+        small, large = await asyncio.gather(
+            self.count_calls(5, 1.1), self.count_calls(680, 1.1)
+        )
+        self.assertGreaterEqual(small, 4)
+        self.assertEqual(large, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -412,6 +412,37 @@
             self.assertEqual(await asyncio.wait_for(close_kind, 2), "reset")
         server.close()
 
+    async def call_slow_server(self, pause):
+        """Return the body of a response that comes in parts, with pauses."""
+
+        async def serve(reader, writer):
+            await reader.read(1000)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n")
+            for _ in range(6):
+                await asyncio.sleep(pause)
+                writer.write(b"x")
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        async with HttpClient(f"127.0.0.1:{port}") as client:
+            return (await client.call("GET", "/x", 0.3)).body
+
+    async def test_a_long_response_over_a_slow_link_is_read_to_its_end(self):
+        with mock.patch("cardamomdrift.http.client.PROGRESS_TIMEOUT", 0.3):
+            self.assertEqual(await self.call_slow_server(0.1), b"xxxxxx")
+
+    async def test_a_response_that_stops_is_given_up(self):
+        with mock.patch("cardamomdrift.http.client.PROGRESS_TIMEOUT", 0.1):
+            with self.assertRaises(CallFailed):
+                await self.call_slow_server(0.2)
+
+    async def test_an_endless_response_is_given_up(self):
+        with mock.patch("cardamomdrift.http.client.MAX_TRANSFER_TIME", 0.1):
+            with self.assertRaises(CallFailed):
+                await self.call_slow_server(0.1)
+
     async def test_refused_connection(self):
         async with HttpClient("127.0.0.1:1") as client:
             with self.assertRaises(CallFailed):
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -9,9 +9,13 @@
 import unittest
 from unittest import mock
 
+from cardamomdrift.bundle import configuration as configuration_module
 from cardamomdrift.errors import NotRun
 from cardamomdrift.membership import control
 from cardamomdrift.membership.instance_list import MAX_CURRENT_AGE
+from cardamomdrift.peers.link import send_query
+from cardamomdrift.peers.messages import JsonReply, StatusQuery
+from cardamomdrift.platform.daemon import PlatformDaemon
 from cardamomdrift.sessions.commands import Commit, Read, SetValue, Write
 from cardamomdrift.sessions.handler import SessionHandler
 from tests.site import LineClient, Site, leadership_row
@@ -475,6 +479,62 @@
             answer = await book.ask("WRITE a 1")
             self.assertTrue(answer[0].startswith("COMPLETE"), answer)
 
+    async def test_a_version_that_the_store_delivers_is_not_fetched_from_a_peer(self):
+        """Load pattern: all daemons need a large configuration at the same time."""
+        async with Site(daemons=2) as site:
+            configuration = site.daemons["vm-1"].configuration
+            with mock.patch.object(configuration_module, "send_query") as send_query:
+                configuration.on_peer_version(5, "127.0.0.1:1")
+                await asyncio.sleep(0.2)
+                site.configure(5)
+                await site.until(lambda: site.daemons["vm-1"].version == 5)
+                await asyncio.sleep(2 * configuration_module.STORE_POLL_INTERVAL)
+                send_query.assert_not_called()
+
+    async def test_a_version_heard_before_the_feeds_run_is_fetched(self):
+        """A heartbeat may come as soon as the port for heartbeats is open."""
+        async with Site(daemons=1) as site:
+            settings = site.daemons["vm-1"]._settings
+            configuration = PlatformDaemon(settings, site.log).configuration
+            with (
+                mock.patch.object(configuration_module, "STORE_GRACE", 0.1),
+                mock.patch.object(configuration_module, "send_query") as send_query,
+            ):
+                configuration.on_peer_version(5, "127.0.0.1:1")
+                await site.until(lambda: send_query.called)
+
+    async def test_an_error_while_a_query_is_answered_does_not_end_its_server(self):
+        async with Site(daemons=2) as site:
+            daemon = site.daemons["vm-1"]
+            address = f"{site.host('vm-1')}:{daemon._settings.peer_port}"
+            with mock.patch.object(daemon, "_status", side_effect=KeyError("x")):
+                self.assertIsNone(await send_query(address, StatusQuery(), 0.3))
+            reply = await send_query(address, StatusQuery())
+            self.assertIsInstance(reply, JsonReply)
+
+    async def test_a_session_waits_for_the_first_configuration(self):
+        """Load pattern: all daemons restart, and their callers return at once."""
+        async with Site(daemons=1) as site:
+            await site.kill("vm-1")
+            site.make_store_unavailable("vm-1")
+            await site.start("vm-1")
+            opening = asyncio.create_task(LineClient.open(site.front("vm-1"), "book"))
+            await asyncio.sleep(0.3)
+            self.assertFalse(opening.done())
+            site.endpoints["vm-1"].faults.down = False
+            client, first = await opening
+            self.assertTrue(first.startswith("READY"), first)
+            client.close()
+
+    async def test_without_a_configuration_a_caller_is_told_to_come_back(self):
+        async with Site(daemons=1) as site:
+            await site.kill("vm-1")
+            site.make_store_unavailable("vm-1")
+            await site.start("vm-1")
+            client, first = await LineClient.open(site.front("vm-1"), "book")
+            self.assertTrue(first.startswith("ERROR BUSY"), first)
+            client.close()
+
     async def test_invalid_and_older_versions_are_ignored(self):
         async with Site(daemons=1) as site:
             site.store.put("op", "config", b'{"version": 9}')
