Overload: timely requests first, measured departures, outages estimated

Change: such a refusal is free only while the primary has room; limits.admission puts requests that meet their target latency before late ones and refuses on arrival what would be late behind others; limits.departures measures the rate at which the queue empties; limits.outage learns how long outages last, and refuses at once what the primary comes back too late for, with that time as Retry-After. The pause between rounds grows.

--- a/cardamomdrift/limits/admission.py
+++ b/cardamomdrift/limits/admission.py
@@ -2,16 +2,23 @@
 Admission
 =========
 
-A bounded queue of requests that wait for an instance.  Requests with a higher priority
-go first.  Within a priority, the callers take turns.  Among the requests of one caller,
-the policy decides.  A request that cannot finish before its deadline is refused
-immediately.
+A bounded queue of requests that wait for an instance.  Requests that can still be
+answered within their target latency go before those that are late already.  Then
+requests with a higher priority go first.  Within a priority, the callers take turns.
+Among the requests of one caller, the policy decides.  A request that cannot finish
+before its deadline is refused immediately.
+
+Load pattern: a burst of more requests than the instances serve.  In the order of
+arrival, all would be answered shortly before their deadlines, and none within its
+target latency.
 """
 
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 from itertools import islice
 
+from cardamomdrift.limits.departures import DepartureMeter
+
 MAX_SCANNED_TURNS = 16  # turns tried for each request taken
 MAX_SCANNED_REQUESTS = 3  # requests tried in each turn
 # When a request starts, this many times its expected service time must be left before
@@ -64,6 +71,10 @@
         Whether the expected service time is long.
     payload : object
         Object with which the dispatcher starts or evicts the request.
+    aim_at : float or None
+        When it should be answered; None if at any time before the deadline.
+    late : bool
+        Whether it waits among those that are not expected to be answered by then.
     """
 
     caller: str
@@ -73,6 +84,12 @@
     cost: float
     long: bool = False
     payload: object = None
+    aim_at: float | None = None
+    late: bool = False
+
+    def meets_aim(self, start_at):
+        """Whether it is answered in time if it starts at a time."""
+        return self.aim_at is None or start_at + self.cost <= self.aim_at
 
     @property
     def turn(self):
@@ -84,15 +101,17 @@
         return self.caller, self.long
 
 
-def make_ticket(request, cost, long=False):
+def make_ticket(request, cost, long=False, aim_at=None):
     """Return a ticket for a request.
 
     Parameters
     ----------
-    request : ReadRequest or WriteRequest or TransactionRequest
+    request : ReadRequest or WriteRequest or TransactionRequest or StatementRequest
     cost : float
         Expected service time in seconds.
     long : bool
+    aim_at : float, optional
+        When it should be answered.
     """
     return Ticket(
         caller=request.caller,
@@ -101,6 +120,7 @@
         deadline_at=request.deadline_at,
         cost=cost,
         long=long,
+        aim_at=aim_at,
     )
 
 
@@ -131,6 +151,22 @@
     turns: OrderedDict = field(default_factory=OrderedDict)
     size: int = 0
 
+    def add(self, ticket):
+        """Add a ticket at the end of its turn."""
+        self.turns.setdefault(ticket.turn, deque()).append(ticket)
+        self.size += 1
+
+    def remove(self, ticket):
+        """Remove a ticket; return whether it was there."""
+        waiting = self.turns.get(ticket.turn, ())
+        if ticket not in waiting:
+            return False
+        waiting.remove(ticket)
+        if not waiting:
+            del self.turns[ticket.turn]
+        self.size -= 1
+        return True
+
 
 class AdmissionQueue:
     """Queue of the requests of one group that wait for an instance.
@@ -145,7 +181,9 @@
     def __init__(self, limit, policy):
         self._limit = limit
         self._policy = policy
-        self._levels = {}
+        self._timely = {}
+        self._late = {}
+        self._departures = DepartureMeter()
         self._size = 0
         self._work = 0.0
         self._shortest_wait = None
@@ -179,46 +217,73 @@
         -------
         Queued or Refused
         """
-        wait = self._expected_wait(ticket, concurrency)
+        wait = self._expected_wait(ticket, now, concurrency)
+        ticket.late = not ticket.meets_aim(now + wait)
+        if ticket.late and wait and self._has_timely():
+            # The caller may still be answered in time by another daemon.
+            return Refused("the request would be answered late", wait)
+        if ticket.late:
+            wait = self._expected_wait(ticket, now, concurrency)
         if self._size >= self._limit and not self._evict_below(ticket.priority):
             return Refused("the queue is full", wait)
         if now + wait + COST_SAFETY_FACTOR * ticket.cost > ticket.deadline_at:
             return Refused("the request cannot finish before its deadline", wait)
-        level = self._levels.setdefault(ticket.priority, _Level())
-        level.turns.setdefault(ticket.turn, deque()).append(ticket)
-        level.size += 1
+        self._level_of(ticket).add(ticket)
         self._size += 1
         self._work += ticket.cost
         return Queued()
 
-    def _expected_wait(self, ticket, concurrency):
+    def _has_timely(self):
+        return any(level.size for level in self._timely.values())
+
+    def _level_of(self, ticket):
+        levels = self._late if ticket.late else self._timely
+        return levels.setdefault(ticket.priority, _Level())
+
+    def _expected_wait(self, ticket, now, concurrency):
+        """Return the seconds until a ticket is expected to start.
+
+        The measured departures count, if there are some; otherwise the expected service
+        times of the requests ahead.
+        """
         if self._is_newest_first():
             return 0.0
-        ahead = sum(
+        ahead = self._count_ahead(self._timely, ticket)
+        if ticket.late:
+            ahead = sum(level.size for level in self._timely.values())
+            ahead += self._count_ahead(self._late, ticket)
+        interval = self._departures.interval(now)
+        if interval is None:
+            average = self._work / self._size if self._size else 0.0
+            interval = average / max(concurrency, 1.0)
+        return ahead * interval
+
+    @staticmethod
+    def _count_ahead(levels, ticket):
+        """Return the number of tickets of the same priority or of a higher one."""
+        return sum(
             level.size
-            for priority, level in self._levels.items()
+            for priority, level in levels.items()
             if priority >= ticket.priority
         )
-        average = self._work / self._size if self._size else 0.0
-        return ahead * average / max(concurrency, 1.0)
 
     def _evict_below(self, priority):
         """Evict a request with the lowest priority, if it is below the given one.
 
-        The newest request of the longest turn is evicted.  Return whether there was
-        one.
+        A late one is evicted first, the newest request of the longest turn.  Return
+        whether there was one.
         """
-        lowest = min(
-            (
-                level_priority
-                for level_priority, level in self._levels.items()
-                if level.size
-            ),
-            default=priority,
+        candidates = [
+            (level_priority, rank, level)
+            for rank, levels in enumerate((self._late, self._timely))
+            for level_priority, level in levels.items()
+            if level.size
+        ]
+        lowest, _, level = min(
+            candidates, key=lambda entry: entry[:2], default=(priority, 0, None)
         )
         if lowest >= priority:
             return False
-        level = self._levels[lowest]
         turn = max(level.turns, key=lambda key: len(level.turns[key]))
         ticket = level.turns[turn][-1]
         self.remove(ticket)
@@ -228,14 +293,8 @@
 
     def remove(self, ticket):
         """Remove a request from the queue; return whether it was there."""
-        level = self._levels.get(ticket.priority)
-        waiting = level.turns.get(ticket.turn) if level else None
-        if waiting is None or ticket not in waiting:
+        if not self._level_of(ticket).remove(ticket):
             return False
-        waiting.remove(ticket)
-        if not waiting:
-            del level.turns[ticket.turn]
-        level.size -= 1
         self._size -= 1
         self._work = max(0.0, self._work - ticket.cost) if self._size else 0.0
         return True
@@ -249,9 +308,9 @@
         admissible : callable
             Takes a ticket.  Returns whether it can start now.
         """
+        self._demote_late(now)
         turns_tried = 0
-        for priority in sorted(self._levels, reverse=True):
-            level = self._levels[priority]
+        for level in self._levels_in_order():
             for turn in list(level.turns):
                 if turns_tried >= MAX_SCANNED_TURNS:
                     return None
@@ -260,10 +319,32 @@
                 if ticket is not None:
                     level.turns.move_to_end(turn)
                     self.remove(ticket)
+                    self._departures.record(self._size > 0, now)
                     self._update_overload(now - ticket.arrived_at, now)
                     return ticket
         return None
 
+    def _levels_in_order(self):
+        """Return all levels; the one whose requests go first comes first."""
+        return [
+            levels[priority]
+            for levels in (self._timely, self._late)
+            for priority in sorted(levels, reverse=True)
+        ]
+
+    def _demote_late(self, now):
+        """Move requests that cannot be answered in time any more to the late ones.
+
+        Only the next turns are looked at, which have waited longest.
+        """
+        for level in self._timely.values():
+            for turn in list(islice(level.turns, MAX_SCANNED_TURNS)):
+                for ticket in list(level.turns[turn]):
+                    if not ticket.meets_aim(now):
+                        level.remove(ticket)
+                        ticket.late = True
+                        self._level_of(ticket).add(ticket)
+
     def _first_admissible(self, waiting, admissible):
         """Return the first ticket of a turn that can start, or None."""
         ordered = reversed(waiting) if self._is_newest_first() else waiting
@@ -297,14 +378,24 @@
         self._shortest_wait = None
         self._interval_end = now + self._policy.interval
 
-    def remove_expired(self, now):
-        """Remove and return the requests that cannot finish before their deadline."""
+    def remove_expired(self, now, start_delay=None):
+        """Remove and return the requests that cannot finish before their deadline.
+
+        Parameters
+        ----------
+        now : float
+        start_delay : callable, optional
+            Takes a ticket.  Returns for how many seconds it cannot start in any case.
+        """
         late = [
             ticket
-            for level in self._levels.values()
+            for level in self._levels_in_order()
             for waiting in level.turns.values()
             for ticket in waiting
-            if now + COST_SAFETY_FACTOR * ticket.cost > ticket.deadline_at
+            if now
+            + (start_delay(ticket) if start_delay else 0.0)
+            + COST_SAFETY_FACTOR * ticket.cost
+            > ticket.deadline_at
         ]
         for ticket in late:
             self.remove(ticket)
--- a/cardamomdrift/routing/attempt.py
+++ b/cardamomdrift/routing/attempt.py
@@ -24,6 +24,9 @@
 from cardamomdrift.sessions.state import plan_setup, record_setup, upstream_name
 
 RETRY_PAUSE = 0.02  # seconds; about one statement's time, after which a slot is free
+# Seconds.  The pause doubles up to this limit each time that all instances have refused
+# a request, so that many waiting requests do not ask lagging replicas all the time.
+RETRY_PAUSE_LIMIT = 0.16
 RETRY_AFTER = 0.2  # seconds, sent to callers; a replacement takes about twice as long
 
 
@@ -44,6 +47,51 @@
         self.reason = reason
         self.reply = reply
 
+    @property
+    def behind(self):
+        """Whether the instance was below the floor.
+
+        It then refuses immediately and uses no slot.
+        """
+        return self.reply is not None and self.reply.refusal is Refusal.BEHIND
+
+
+def take_retry(cluster, failure):
+    """Take a retry from the budget, unless it costs nothing; return whether it may run.
+
+    After the refusal of a replica that was below the floor, a retry is free if the
+    primary has room.  Load pattern: all replicas lag, so all reads go to the primary,
+    which cannot serve them; the budget then limits them.
+
+    Parameters
+    ----------
+    cluster : Cluster
+    failure : TryElsewhere
+    """
+    if failure.behind:
+        primary = cluster.instances.get(cluster.view.primary)
+        if primary is not None and primary.in_flight < primary.limit:
+            return True
+    return cluster.budget.spend()
+
+
+def all_tried(cluster, tried):
+    """Whether no usable instance is left that has not been tried."""
+    return all(
+        name in tried for name, runtime in cluster.instances.items() if runtime.usable
+    )
+
+
+def retry_pause(rounds):
+    """Return the seconds to wait after all instances have refused a request.
+
+    Parameters
+    ----------
+    rounds : int
+        Number of times that they had refused it before.
+    """
+    return min(RETRY_PAUSE * 2**rounds, RETRY_PAUSE_LIMIT)
+
 
 def find_read_floor(cluster, request):
     """Return the floor of a read, or None if only the primary may serve it.
@@ -169,7 +217,8 @@
         No connection could be acquired; nothing was sent.
     CallerError
     """
-    ticket = make_ticket(request, cluster.costs.expected(request.route.database))
+    cost = cluster.costs.expected(request.route.database)
+    ticket = make_ticket(request, cost, aim_at=request.aim_at)
     async with dispatcher.acquire(need, ticket) as placement:
         trace = request.trace
         trace.attempts += 1
--- a/cardamomdrift/routing/cluster.py
+++ b/cardamomdrift/routing/cluster.py
@@ -17,6 +17,7 @@
 from cardamomdrift.failover.leadership import Leadership
 from cardamomdrift.limits.admission import AdmissionQueue, Fifo
 from cardamomdrift.limits.budget import RetryBudget
+from cardamomdrift.limits.outage import OutageEstimator
 from cardamomdrift.position import Position
 from cardamomdrift.routing.connections import GroupConnections
 from cardamomdrift.routing.cost import CostEstimator
@@ -28,7 +29,7 @@
 from cardamomdrift.routing.samples import FloorHistory, FloorRule, Sample
 from cardamomdrift.upstreams.pinger import Pinger
 from cardamomdrift.upstreams.pool import InstancePool
-from cardamomdrift.util import cancel_all, keep_task
+from cardamomdrift.util import MILLISECONDS, cancel_all, keep_task
 
 QUEUE_LIMIT = 500  # requests; at 10 KB each this bounds each queue of a group to 5 MB
 RELEASE_TIMEOUT = 0.15  # seconds to wait for running writes on a draining primary
@@ -74,6 +75,7 @@
         self._floors = FloorHistory()
         self._costs = CostEstimator()
         self._budget = RetryBudget()
+        self._outage = OutageEstimator()
         self.last_read_at = -math.inf
         self.reachability = ReachabilityMonitor(self, context.announce)
         self._detour = Detour(self)
@@ -105,6 +107,7 @@
             self._context.members,
             self._clock,
             on_release,
+            self._outage,
         )
 
     @property
@@ -358,9 +361,11 @@
             self._floors.add(Sample(begun_boot, position))
 
     def run_checks(self, now):
-        """Ping instances whose answer is overdue, and update the detour."""
+        """Ping overdue instances, and update the detour and the outage."""
         self.reachability.run_checks(now)
         self._detour.run_checks(now)
+        runtime = self._instances.get(self._view.primary)
+        self._outage.update(runtime is not None and runtime.usable, now)
 
     def reaching_daemons(self):
         """Return the daemons that the primary has answered recently."""
@@ -410,6 +415,9 @@
             "settled": leadership.settled,
             "primary": leadership.primary,
             "usable_primary": self._view.primary,
+            "outage_expected_ms": round(
+                self._outage.expected_remaining(self._clock()) * MILLISECONDS
+            ),
             "waiting": len(self._primary_dispatcher.queue)
             + len(self._any_dispatcher.queue),
             "instances": {
--- a/cardamomdrift/routing/dispatch.py
+++ b/cardamomdrift/routing/dispatch.py
@@ -13,6 +13,7 @@
 
 from cardamomdrift.errors import DeadlinePassed, NoPrimary, Overloaded
 from cardamomdrift.limits.admission import Refused
+from cardamomdrift.limits.outage import OutageEstimator
 from cardamomdrift.position import Position
 from cardamomdrift.routing.choice import (
     NoneAvailable,
@@ -25,6 +26,8 @@
 from cardamomdrift.util import cancel_all
 
 EXPIRY_INTERVAL = 0.05  # seconds between two removals of expired requests
+# Seconds that callers are told to wait for a primary at least.
+MIN_PRIMARY_RETRY_AFTER = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +103,8 @@
     on_release : callable, optional
         Called when a placement was released, so that other dispatchers of the same
         instances can use the room.
+    outage : OutageEstimator, optional
+        Outages of the primary.
     """
 
     def __init__(
@@ -113,6 +118,7 @@
         members,
         clock,
         on_release=None,
+        outage=None,
     ):
         self._group = group
         self._instances = instances
@@ -123,6 +129,7 @@
         self._members = members
         self._clock = clock
         self._on_release = on_release
+        self._outage = outage or OutageEstimator()
         self._expiry_task = None
         self._has_waiting = asyncio.Event()
         self._long_cache = (None, (None, frozenset()))
@@ -173,6 +180,7 @@
         if placement is not None:
             self._occupy(placement, need, ticket.long)
             return placement
+        self._check_outage(need, ticket, now)
         waiting = WaitingRequest(need, asyncio.get_running_loop().create_future())
         ticket.payload = waiting
         match self._queue.offer(ticket, now, self._concurrency()):
@@ -326,17 +334,41 @@
                 self._has_waiting.clear()
                 continue
             await asyncio.sleep(EXPIRY_INTERVAL)
-            for ticket in self._queue.remove_expired(self._clock()):
+            for ticket in self._queue.remove_expired(self._clock(), self._start_delay):
                 waiting = ticket.payload
                 if not waiting.future.done():
                     waiting.future.set_exception(self._expiry_error(waiting.need))
             self.dispatch_waiting()
 
+    def _check_outage(self, need, ticket, now):
+        """Refuse a request for which the primary probably comes back too late."""
+        if isinstance(need, ForRead):
+            return
+        remaining = self._outage.expected_remaining(now)
+        if remaining and now + remaining + ticket.cost > ticket.deadline_at:
+            raise self._make_no_primary(now)
+
+    def _start_delay(self, ticket):
+        """Return for how many seconds a waiting request cannot start in any case."""
+        if isinstance(ticket.payload.need, ForRead):
+            return 0.0
+        return self._outage.least_remaining(self._clock())
+
     def _expiry_error(self, need):
-        if not isinstance(need, ForRead) and self._view.primary is None:
-            return NoPrimary(f"group {self._group.name} has no primary", 1.0)
+        now = self._clock()
+        outage = self._view.primary is None or self._outage.expected_remaining(now)
+        if outage and not isinstance(need, ForRead):
+            return self._make_no_primary(now)
         return DeadlinePassed("no instance became free", 0.1)
 
+    def _make_no_primary(self, now):
+        outage = self._outage
+        remaining = outage.expected_remaining(now) or outage.usual_duration
+        return NoPrimary(
+            f"group {self._group.name} has no usable primary",
+            max(remaining, MIN_PRIMARY_RETRY_AFTER),
+        )
+
 
 class _HeldPlacement:
     """Context manager that holds the placement of one request."""
--- a/cardamomdrift/routing/pinned.py
+++ b/cardamomdrift/routing/pinned.py
@@ -25,11 +25,14 @@
     RETRY_PAUSE,
     TryElsewhere,
     acquire_connection,
+    all_tried,
     count_primary_write,
     find_read_floor,
     record_unanswered,
+    retry_pause,
     run_command,
     send_with_setup,
+    take_retry,
 )
 from cardamomdrift.routing.dispatch import ForRead, ForTransaction
 from cardamomdrift.sessions.commands import Begin, Commit, Execute, Rollback, Write
@@ -101,32 +104,44 @@
     async def _open(self, request):
         cluster = self._cluster
         cluster.budget.earn()
+        behind = set()
+        rounds = 0
         while True:
             try:
-                await self._try_open(request)
+                await self._try_open(request, frozenset(behind))
                 return
             except TryElsewhere as failure:
                 await self._stack.aclose()
                 request.trace.events.append(str(failure))
                 cluster.counts.retries += 1
-                if cluster.clock() + RETRY_PAUSE > request.deadline_at:
-                    raise DeadlinePassed(str(failure), RETRY_AFTER) from failure
-                if not cluster.budget.spend():
-                    raise Overloaded(
-                        f"too many retries; {failure}", RETRY_AFTER
-                    ) from failure
-                await asyncio.sleep(RETRY_PAUSE)
+                if failure.behind:
+                    behind.add(failure.instance)
+                    if not all_tried(cluster, behind):
+                        continue
+                await self._back_off(request, failure, rounds)
+                rounds += 1
+                behind.clear()
             except BaseException:
                 await self._stack.aclose()
                 raise
 
-    async def _try_open(self, request):
+    async def _back_off(self, request, failure, rounds):
+        """Wait before the next attempt, if there is time and budget for one."""
+        pause = retry_pause(rounds)
+        if self._cluster.clock() + pause > request.deadline_at:
+            raise DeadlinePassed(str(failure), RETRY_AFTER) from failure
+        if not take_retry(self._cluster, failure):
+            raise Overloaded(f"too many retries; {failure}", RETRY_AFTER) from failure
+        await asyncio.sleep(pause)
+
+    async def _try_open(self, request, excluded):
+        """Open the transaction on an instance that is not excluded."""
         cluster = self._cluster
         floor = find_read_floor(cluster, request) if self._read_only else None
         if floor is None:
             dispatcher, need = cluster.primary_dispatcher, ForTransaction()
         else:
-            dispatcher, need = cluster.any_dispatcher, ForRead(floor)
+            dispatcher, need = cluster.any_dispatcher, ForRead(floor, excluded)
         context = acquire_connection(cluster, dispatcher, need, request, pinned=True)
         placement, runtime, connection = await self._stack.enter_async_context(context)
         reply = await self._begin(request, placement, runtime, connection, floor)
--- a/cardamomdrift/routing/request.py
+++ b/cardamomdrift/routing/request.py
@@ -54,6 +54,11 @@
         """Priority of the route; requests with a higher value go first."""
         return self.route.priority
 
+    @property
+    def aim_at(self):
+        """When it should be answered, in seconds of the loop's clock."""
+        return self.arrived_at + self.route.target_latency
+
 
 @dataclass(slots=True)
 class Trace:
--- a/cardamomdrift/routing/statements.py
+++ b/cardamomdrift/routing/statements.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+from dataclasses import dataclass, field
 
 from cardamomdrift.deployment import RouteKind
 from cardamomdrift.errors import (
@@ -23,14 +24,16 @@
 from cardamomdrift.ports import Refusal, Reply
 from cardamomdrift.routing.attempt import (
     RETRY_AFTER,
-    RETRY_PAUSE,
     TryElsewhere,
     acquire_connection,
+    all_tried,
     check_reply,
     count_primary_write,
     find_read_floor,
     record_unanswered,
+    retry_pause,
     run_command,
+    take_retry,
     with_floor,
 )
 from cardamomdrift.routing.dispatch import ForRead, ForWrite
@@ -68,11 +71,13 @@
         """
         cluster = self._cluster
         cluster.budget.earn()
+        rounds = 0
         while True:
             try:
                 return await self._attempt_write(request)
             except TryElsewhere as failure:
-                await self._back_off(request, failure)
+                await self._back_off(request, failure, rounds)
+                rounds += 1
 
     async def _attempt_write(self, request):
         cluster = self._cluster
@@ -110,20 +115,30 @@
         cluster = self._cluster
         cluster.costs.learn(request.route.database, cluster.clock() - started)
 
-    async def _back_off(self, request, failure):
-        """Wait before the next attempt, if there is time and budget for one."""
+    async def _back_off(self, request, failure, rounds):
+        """Wait before the next attempt, if there is time and budget for one.
+
+        Parameters
+        ----------
+        request : StatementRequest
+        failure : TryElsewhere
+        rounds : int
+            See `retry_pause`.
+        """
         cluster = self._cluster
         request.trace.events.append(str(failure))
         cluster.counts.retries += 1
         expected = cluster.costs.expected(request.route.database)
-        if cluster.clock() + RETRY_PAUSE + expected > request.deadline_at:
+        pause = retry_pause(rounds)
+        if cluster.clock() + pause + expected > request.deadline_at:
             raise DeadlinePassed(str(failure), RETRY_AFTER)
-        behind = failure.reply is not None and failure.reply.refusal is Refusal.BEHIND
-        # A replica below the floor refuses immediately and uses no slot, so the next
-        # attempt takes nothing from the budget.
-        if not behind and not cluster.budget.spend():
+        self._take_retry(failure)
+        await asyncio.sleep(pause)
+
+    def _take_retry(self, failure):
+        """Take a retry from the budget; raise Overloaded if it has none."""
+        if not take_retry(self._cluster, failure):
             raise Overloaded(f"too many retries; {failure}", RETRY_AFTER)
-        await asyncio.sleep(RETRY_PAUSE)
 
     # Reads
 
@@ -135,14 +150,12 @@
         CallerError
         """
         self._cluster.budget.earn()
-        floor = find_read_floor(self._cluster, request)
-        tried = set()
-        running = {}
+        progress = _ReadProgress(find_read_floor(self._cluster, request))
         try:
             async with asyncio.timeout_at(request.deadline_at):
                 while True:
-                    self._start_attempt(request, floor, tried, running)
-                    reply = await self._first_reply(request, floor, tried, running)
+                    self._start_attempt(request, progress)
+                    reply = await self._first_reply(request, progress)
                     if reply is not None:
                         return reply
         except TimeoutError as error:
@@ -150,17 +163,18 @@
                 raise DeadlinePassed("no instance became free", RETRY_AFTER) from error
             raise ReadFailed("no answer in time") from error
         finally:
-            for task, attempt in running.items():
+            for task, attempt in progress.running.items():
                 if not attempt.sent:
                     # The caller may send its next statement now, so an unsent attempt
                     # must not run any more.
                     task.cancel()
 
-    def _start_attempt(self, request, floor, tried, running):
+    def _start_attempt(self, request, progress):
         attempt = _Attempt()
-        work = self._attempt_read(request, floor, frozenset(tried), attempt)
+        excluded = frozenset(progress.tried)
+        work = self._attempt_read(request, progress.floor, excluded, attempt)
         task = asyncio.create_task(work)
-        running[task] = attempt
+        progress.running[task] = attempt
         # An attempt that was sent runs on after another has answered, because its
         # cancellation would close the connection.
         self._tasks.add(task)
@@ -172,16 +186,17 @@
             # If the attempt is still awaited, its failure is logged with the request.
             self._cluster.log.debug("attempt failed", error=str(task.exception()))
 
-    async def _first_reply(self, request, floor, tried, running):
+    async def _first_reply(self, request, progress):
         """Return the first Reply, or None if another attempt must be started."""
+        running = progress.running
         while True:
             hedge_delay = self._hedge_delay(request, running)
             done, _ = await asyncio.wait(
                 running, timeout=hedge_delay, return_when=asyncio.FIRST_COMPLETED
             )
             # Without a floor only the primary may answer, so hedging is impossible.
-            hedge_possible = not done and floor is not None
-            if hedge_possible and self._reserve_hedge(request, tried, running):
+            hedge_possible = not done and progress.floor is not None
+            if hedge_possible and self._reserve_hedge(request, progress):
                 return None
             for task in done:
                 attempt = running.pop(task)
@@ -191,32 +206,32 @@
                     if running:
                         # The other attempts may still succeed, and no further one is
                         # started now.
-                        tried.add(failure.instance)
+                        progress.tried.add(failure.instance)
                         request.trace.events.append(str(failure))
                         continue
-                    await self._handle_failure(request, failure, tried, attempt)
+                    await self._handle_failure(request, failure, progress, attempt)
             if not running:
                 return None
 
-    async def _handle_failure(self, request, failure, tried, attempt):
+    async def _handle_failure(self, request, failure, progress, attempt):
         """Return if another attempt may follow a failed one; otherwise raise.
 
-        A reply of RETRYABLE_REFUSALS is passed on to the caller if its instance is
-        already in ``tried``, unless that is only because the attempt was hedged.
+        A reply of RETRYABLE_REFUSALS is passed on to the caller if its instance has
+        been tried already, unless that is only because the attempt was hedged.
         """
         cluster = self._cluster
+        tried = progress.tried
         reply = failure.reply
         retryable = reply is not None and reply.refusal in RETRYABLE_REFUSALS
         if retryable and failure.instance in tried and not attempt.hedged:
             raise RefusedByInstance(reply.code, reply.detail)
         tried.add(failure.instance)
-        usable = {name for name, runtime in cluster.instances.items() if runtime.usable}
-        if usable <= tried or attempt.name is None:
-            await self._back_off(request, failure)
+        if all_tried(cluster, tried) or attempt.name is None:
+            await self._back_off(request, failure, progress.rounds)
+            progress.rounds += 1
             tried.clear()
-        elif not cluster.budget.spend():
-            raise Overloaded(f"too many retries; {failure}", RETRY_AFTER)
         else:
+            self._take_retry(failure)
             cluster.counts.retries += 1
             request.trace.events.append(str(failure))
 
@@ -228,23 +243,24 @@
         delay = max(HEDGE_MINIMUM, HEDGE_FACTOR * expected)
         return min(delay, HEDGE_TARGET_SHARE * request.route.target_latency)
 
-    def _reserve_hedge(self, request, tried, running):
+    def _reserve_hedge(self, request, progress):
         """Take a hedge from the budget if an instance is free; return whether it did.
 
-        The instances of the running attempts are added to ``tried``.
+        The instances of the running attempts then count as tried.
         """
         cluster = self._cluster
+        running = progress.running
         awaited = {attempt.name for attempt in running.values()}
         if request.route.kind is RouteKind.PRIMARY or None in awaited:
             return False
-        asked = awaited | tried
+        asked = awaited | progress.tried
         free = any(
             name not in asked and runtime.usable and runtime.in_flight < runtime.limit
             for name, runtime in cluster.instances.items()
         )
         if not free or not cluster.budget.spend():
             return False
-        tried |= awaited
+        progress.tried |= awaited
         for attempt in running.values():
             attempt.hedged = True
         cluster.counts.hedges += 1
@@ -298,6 +314,27 @@
         self._cluster.counts.reads[role] += 1
 
 
+@dataclass(slots=True)
+class _ReadProgress:
+    """Attempts of one read.
+
+    Attributes
+    ----------
+    floor : Position or None
+        None if only the primary may serve it.
+    tried : set of str
+        Instances that the next attempt leaves out.
+    running : dict of asyncio.Task to _Attempt
+    rounds : int
+        Number of times that all instances had been tried.
+    """
+
+    floor: object
+    tried: set = field(default_factory=set)
+    running: dict = field(default_factory=dict)
+    rounds: int = 0
+
+
 class _Attempt:
     """One attempt of a read.
 
