--- a/cardamomdrift/limits/outage.py
+++ b/cardamomdrift/limits/outage.py
@@ -10,6 +10,8 @@
 caller of the group waits.
 """
 
+from cardamomdrift.util import hash_number
+
 INITIAL_DURATION = 1.2  # seconds; a crash is noticed in 0.5 s, then another is promoted
 DURATION_WEIGHT = 0.3  # weight of the last outage in the usual duration
 # Seconds.  Shorter gaps end by a ping or a detour; they do not count as outages.
@@ -19,6 +21,24 @@
 # An outage that lasts longer than usual is expected to last for this share of its
 # present duration more.
 OVERDUE_SHARE = 0.25
+# Callers are told to come back within this share of the time after its end.
+RETRY_SPREAD = 0.5
+SPREAD_STEPS = 1024
+
+
+def spread_retry_after(remaining, caller):
+    """Return after how many seconds a caller is told to come back.
+
+    Load pattern: all callers that an outage has refused come back at its end.
+
+    Parameters
+    ----------
+    remaining : float
+        Expected seconds until the end of the outage.
+    caller : str
+    """
+    part = hash_number("retry", caller) % SPREAD_STEPS / SPREAD_STEPS
+    return remaining * (1.0 + RETRY_SPREAD * part)
 
 
 class OutageEstimator:
--- a/cardamomdrift/routing/dispatch.py
+++ b/cardamomdrift/routing/dispatch.py
@@ -13,7 +13,7 @@
 
 from cardamomdrift.errors import DeadlinePassed, NoPrimary, Overloaded
 from cardamomdrift.limits.admission import Refused
-from cardamomdrift.limits.outage import OutageEstimator
+from cardamomdrift.limits.outage import OutageEstimator, spread_retry_after
 from cardamomdrift.position import Position
 from cardamomdrift.routing.choice import (
     NoneAvailable,
@@ -337,7 +337,7 @@
             for ticket in self._queue.remove_expired(self._clock(), self._start_delay):
                 waiting = ticket.payload
                 if not waiting.future.done():
-                    waiting.future.set_exception(self._expiry_error(waiting.need))
+                    waiting.future.set_exception(self._expiry_error(ticket))
             self.dispatch_waiting()
 
     def _check_outage(self, need, ticket, now):
@@ -346,7 +346,7 @@
             return
         remaining = self._outage.expected_remaining(now)
         if remaining and now + remaining + ticket.cost > ticket.deadline_at:
-            raise self._make_no_primary(now)
+            raise self._make_no_primary(ticket, now)
 
     def _start_delay(self, ticket):
         """Return for how many seconds a waiting request cannot start in any case."""
@@ -354,19 +354,20 @@
             return 0.0
         return self._outage.least_remaining(self._clock())
 
-    def _expiry_error(self, need):
+    def _expiry_error(self, ticket):
         now = self._clock()
         outage = self._view.primary is None or self._outage.expected_remaining(now)
-        if outage and not isinstance(need, ForRead):
-            return self._make_no_primary(now)
+        if outage and not isinstance(ticket.payload.need, ForRead):
+            return self._make_no_primary(ticket, now)
         return DeadlinePassed("no instance became free", 0.1)
 
-    def _make_no_primary(self, now):
+    def _make_no_primary(self, ticket, now):
         outage = self._outage
         remaining = outage.expected_remaining(now) or outage.usual_duration
+        remaining = max(remaining, MIN_PRIMARY_RETRY_AFTER)
         return NoPrimary(
             f"group {self._group.name} has no usable primary",
-            max(remaining, MIN_PRIMARY_RETRY_AFTER),
+            spread_retry_after(remaining, ticket.caller),
         )
 
 
