--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -20,16 +20,20 @@
 )
 
 FLEETS = (5, 20, 79, 300, 680)  # daemons
-OUTAGE_CALLS = 400  # calls a second of all daemons for one table, at most
+# Calls a second of all daemons for one table, at most: a fifth of the reads that the
+# platform serves at the target.
+OUTAGE_CALLS = 400
 
 
 class IntervalTest(unittest.TestCase):
     """Load pattern: the store refuses all calls, or all instances register at once."""
 
-    def test_a_fleet_does_not_call_more_often_than_five_daemons(self):
+    def test_the_calls_of_a_fleet_stay_bounded(self):
         for daemons in FLEETS:
             calls = daemons / retry_interval(daemons)
             self.assertLessEqual(calls, OUTAGE_CALLS)
+
+    def test_forty_daemons_call_no_more_often_than_five(self):
         self.assertEqual(5 / retry_interval(5), 40 / retry_interval(40))
 
     def test_the_bounds(self):
