Each retry after a lagging replica takes from the budget again

Its replicas lag, so all reads go on to one primary; a retry was free while the daemon's own connection to it was not in use, but 33 daemons have one each before five slots.

Change: take_retry is gone; the budget limits all retries.

--- a/cardamomdrift/routing/attempt.py
+++ b/cardamomdrift/routing/attempt.py
@@ -49,32 +49,10 @@
 
     @property
     def behind(self):
-        """Whether the instance was below the floor.
-
-        It then refuses immediately and uses no slot.
-        """
+        """Whether the instance was below the floor."""
         return self.reply is not None and self.reply.refusal is Refusal.BEHIND
 
 
-def take_retry(cluster, failure):
-    """Take a retry from the budget, unless it costs nothing; return whether it may run.
-
-    After the refusal of a replica that was below the floor, a retry is free if the
-    primary has room.  Load pattern: all replicas lag, so all reads go to the primary,
-    which cannot serve them; the budget then limits them.
-
-    Parameters
-    ----------
-    cluster : Cluster
-    failure : TryElsewhere
-    """
-    if failure.behind:
-        primary = cluster.instances.get(cluster.view.primary)
-        if primary is not None and primary.in_flight < primary.limit:
-            return True
-    return cluster.budget.spend()
-
-
 def all_tried(cluster, tried):
     """Whether no usable instance is left that has not been tried."""
     return all(
--- a/cardamomdrift/routing/pinned.py
+++ b/cardamomdrift/routing/pinned.py
@@ -32,7 +32,6 @@
     retry_pause,
     run_command,
     send_with_setup,
-    take_retry,
 )
 from cardamomdrift.routing.dispatch import ForRead, ForTransaction
 from cardamomdrift.sessions.commands import Begin, Commit, Execute, Rollback, Write
@@ -130,7 +129,7 @@
         pause = retry_pause(rounds)
         if self._cluster.clock() + pause > request.deadline_at:
             raise DeadlinePassed(str(failure), RETRY_AFTER) from failure
-        if not take_retry(self._cluster, failure):
+        if not self._cluster.budget.spend():
             raise Overloaded(f"too many retries; {failure}", RETRY_AFTER) from failure
         await asyncio.sleep(pause)
 
--- a/cardamomdrift/routing/statements.py
+++ b/cardamomdrift/routing/statements.py
@@ -33,7 +33,6 @@
     record_unanswered,
     retry_pause,
     run_command,
-    take_retry,
     with_floor,
 )
 from cardamomdrift.routing.dispatch import ForRead, ForWrite
@@ -136,8 +135,13 @@
         await asyncio.sleep(pause)
 
     def _take_retry(self, failure):
-        """Take a retry from the budget; raise Overloaded if it has none."""
-        if not take_retry(self._cluster, failure):
+        """Take a retry from the budget; raise Overloaded if it has none.
+
+        Load pattern: all replicas lag and refuse at once, so all reads go to the
+        primary, which cannot serve them.  The budget limits these, too; without it the
+        primary is flooded, since no daemon sees the load of the others.
+        """
+        if not self._cluster.budget.spend():
             raise Overloaded(f"too many retries; {failure}", RETRY_AFTER)
 
     # Reads
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -20,7 +20,6 @@
 
 FAILED = Reply([], "", code="EXECFAIL", refusal=Refusal.FAILED)
 BEHIND = Reply([], "", code="LAGGING", refusal=Refusal.BEHIND)
-BUSY = Reply([], "", code="BUSY", refusal=Refusal.BUSY)
 SERVED = Reply(["a"], "sig")
 
 
@@ -61,7 +60,6 @@
         instances={
             name: SimpleNamespace(usable=True, in_flight=0, limit=2) for name in "abc"
         },
-        view=SimpleNamespace(primary="c"),
         log=SimpleNamespace(debug=lambda *_args, **_fields: None),
     )
 
@@ -104,35 +102,28 @@
 
 
 class LaggingReplicasTest(unittest.IsolatedAsyncioTestCase):
-    """Load pattern: replicas lag or follow a new primary; the budget is empty."""
+    """Load pattern: replicas lag or follow a new primary, so all reads go to that."""
 
-    def make_cluster(self):
+    SCRIPT = (("a", 0.0, BEHIND), ("b", 0.0, BEHIND), ("c", 0.01, SERVED))
+
+    def make_cluster(self, retries):
         cluster = make_cluster()
-        cluster.budget.tokens = 0.0
+        cluster.budget = RetryBudget(limit=1000.0, tokens=retries)
         return cluster
 
-    SCRIPT = (("a", 0.0, BEHIND), ("b", 0.0, BEHIND), ("c", 0.01, SERVED))
-
-    async def test_refusals_of_lagging_replicas_take_no_retry(self):
-        runner = ScriptedRunner(self.make_cluster(), self.SCRIPT)
+    async def test_the_primary_serves_what_the_replicas_refuse(self):
+        runner = ScriptedRunner(self.make_cluster(2.0), self.SCRIPT)
         self.assertIs(await runner.read(make_request()), SERVED)
 
-    async def test_they_take_one_if_the_primary_has_no_room(self):
-        cluster = self.make_cluster()
-        cluster.instances["c"].in_flight = cluster.instances["c"].limit
-        runner = ScriptedRunner(cluster, self.SCRIPT)
-        with self.assertRaises(Overloaded):
-            await runner.read(make_request())
-
-    async def test_a_busy_instance_takes_one(self):
-        script = [("a", 0.0, BEHIND), ("c", 0.0, BUSY), ("b", 0.0, SERVED)]
-        runner = ScriptedRunner(self.make_cluster(), script)
+    async def test_the_budget_limits_the_reads_that_go_on_to_the_primary(self):
+        runner = ScriptedRunner(self.make_cluster(0.0), self.SCRIPT)
         with self.assertRaises(Overloaded):
             await runner.read(make_request())
+        self.assertEqual(runner.started, ["a"])
 
     async def test_instances_are_not_asked_all_the_time(self):
         script = [(name, 0.0, BEHIND) for name in "abc"] * 100
-        runner = ScriptedRunner(self.make_cluster(), script)
+        runner = ScriptedRunner(self.make_cluster(1000.0), script)
         with self.assertRaises(DeadlinePassed):
             await runner.read(make_request())
         self.assertLessEqual(len(runner.started), 36)
