Failed calls of the store say how long they took and on what connection

The log wrote "store lost" once and nothing of the calls that failed afterwards, so a second silent connection could not be told from a store that is away. Each further failure is logged as "store still lost"; the error ends with the time taken and how long the connection had been unused. feed.age shows for how long the store has not answered for a table. No decision changes.

--- a/cardamomdrift/http/client.py
+++ b/cardamomdrift/http/client.py
@@ -11,6 +11,7 @@
 import asyncio
 import socket
 import struct
+import time
 from dataclasses import dataclass
 from functools import partial
 
@@ -39,12 +40,19 @@
 
 
 class _Connection:
-    """Connection to the server, for one call at a time."""
+    """Connection to the server, for one call at a time.
+
+    Attributes
+    ----------
+    answered_at : float or None
+        When its last whole response had arrived, by the monotonic clock.
+    """
 
     def __init__(self, reader, writer):
         self._reader = reader
         self._writer = writer
         self._protocol = h11.Connection(h11.CLIENT)
+        self.answered_at = None
 
     @property
     def reusable(self):
@@ -69,6 +77,7 @@
         outgoing += self._protocol.send(h11.EndOfMessage())
         self._writer.write(outgoing)
         response = await self._receive(on_data)
+        self.answered_at = time.monotonic()
         if self._protocol.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
             self._protocol.start_next_cycle()
         else:
@@ -102,6 +111,24 @@
         self._writer.transport.abort()
 
 
+def _describe_attempt(connection, begun_at):
+    """Return how long a failed call took, and on what connection.
+
+    Parameters
+    ----------
+    connection : _Connection or None
+    begun_at : float
+        When the call began, by the monotonic clock.
+    """
+    took = f"after {time.monotonic() - begun_at:.2f} s"
+    if connection is None:
+        return f"{took} while connecting"
+    if connection.answered_at is None:
+        return f"{took} on a new connection"
+    unused = max(begun_at - connection.answered_at, 0.0)
+    return f"{took} on a connection unused for {unused:.2f} s"
+
+
 def _extend(limit, first_until):
     """Extend the time limit of a call whose response makes progress.
 
@@ -161,6 +188,7 @@
             header_fields.append(("Content-Length", str(len(body))))
         request = h11.Request(method=method, target=target, headers=header_fields)
         connection = None
+        begun_at = time.monotonic()
         try:
             async with asyncio.timeout(timeout) as limit:
                 connection = self._pop_idle_connection() or await self._connect()
@@ -170,7 +198,8 @@
         except (OSError, h11.RemoteProtocolError) as error:
             self._reset(connection)
             reason = f"{type(error).__name__} {error}".rstrip()
-            raise CallFailed(reason) from error
+            how = _describe_attempt(connection, begun_at)
+            raise CallFailed(f"{reason} {how}") from error
         except BaseException:
             self._reset(connection)
             raise
--- a/cardamomdrift/membership/feed.py
+++ b/cardamomdrift/membership/feed.py
@@ -105,6 +105,7 @@
         self._log = log
         self._state = None
         self._reachable = None
+        self._answered_at = None
         self._task = None
 
     async def __aenter__(self):
@@ -184,6 +185,16 @@
         """Version of the last known change of the table; 0 before the first read."""
         return 0 if self._state is None else self._state.changed
 
+    def answer_age(self, now):
+        """Return the seconds since the store last answered; None if it never did.
+
+        Parameters
+        ----------
+        now : float
+            Seconds of the loop's clock.
+        """
+        return None if self._answered_at is None else now - self._answered_at
+
     @property
     def reachable(self):
         """Whether the store answered the last call."""
@@ -228,9 +239,13 @@
         await self._on_rows(state)
 
     def _set_reachable(self, reachable, error=None):
+        if reachable:
+            self._answered_at = asyncio.get_running_loop().time()
         if reachable != self._reachable:
             self._reachable = reachable
             event = "store answers" if reachable else "store lost"
             emit = self._log.info if reachable else self._log.warning
             emit(event, table=self._table, error=str(error) if error else None)
+        elif not reachable:
+            self._log.info("store still lost", table=self._table, error=str(error))
         self._on_reachable(self._table, reachable)
--- a/cardamomdrift/platform/daemon.py
+++ b/cardamomdrift/platform/daemon.py
@@ -188,6 +188,13 @@
         """Version of the configuration in force; 0 before the first."""
         return self.configuration.version
 
+    def feed_ages(self):
+        """Return the seconds since the store last answered each feed, by table."""
+        now = asyncio.get_running_loop().time()
+        feeds = {CONFIG_TABLE: self._config_feed, INSTANCE_TABLE: self._instance_feed}
+        ages = {table: feed.answer_age(now) for table, feed in feeds.items()}
+        return {table: age for table, age in ages.items() if age is not None}
+
     @property
     def ready(self):
         """Whether the load balancer may send callers."""
--- a/cardamomdrift/telemetry/exposition.py
+++ b/cardamomdrift/telemetry/exposition.py
@@ -125,6 +125,11 @@
         yield count, {"outcome": outcome}
 
 
+def _feed_ages(daemon):
+    for table, age in daemon.feed_ages().items():
+        yield age, {"table": table}
+
+
 def _replacements(daemon):
     for outcome, count in daemon.replacer.counts.items():
         yield count, {"outcome": outcome}
@@ -164,6 +169,7 @@
         "Callers connected",
         _sessions,
     ),
+    ("feed.age", "s", "Time since the store last answered", _feed_ages),
     ("version", "1", "Configuration in force", lambda daemon: [(daemon.version, {})]),
     (
         "members",
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -338,6 +338,13 @@
         self.endpoint.faults.silent = False
         self.assertEqual((await self.store.read("t")).rows, {})
 
+    async def test_a_failed_call_names_its_connection(self):
+        await self.store.read("t")
+        self.endpoint.faults.silent = True
+        for how in ("on a connection unused for 0", "on a new connection"):
+            with self.assertRaisesRegex(PlatformUnavailable, how):
+                await self.store.read("t")
+
     async def test_commit_with_a_lost_answer_takes_effect(self):
         self.endpoint.faults.lose_answers = 1
         with self.assertRaises(PlatformUnavailable):
