A call that gets no answer ends all idle connections to its server

Callers saw databases refused (NOSUCHDB) that a confirmed configuration had added: 6.5 s after its acknowledgement on 5 and on 34 daemons. Cause: when all open connections go silent, a waiting call ends after 3.5 s, and the next one took an idle connection that had gone silent at the same moment, and waited 3.5 s more; each daemon did the same, since changes start the calls of all of them together. Ruled out: a store that is away (new connections worked), a refused configuration (no "not usable"). Now the failure of one connection ends the idle ones, so that the next call opens a new one.

The tests failed before: test_one_failed_call_ends_all_silent_connections with "TimeoutError after 0.70 s on a connection unused for 0.70 s", test_a_change_is_not_missed_when_all_connections_go_silent with the old configuration 4 s after the silence.

--- a/cardamomdrift/http/client.py
+++ b/cardamomdrift/http/client.py
@@ -5,7 +5,8 @@
 Calls to one server, each with a time limit.  The limit applies to the time without any
 progress, since a long response takes seconds over a slow link.  A connection whose
 response did not arrive in time is reset, so that a delayed request is not delivered
-later.
+later.  The idle connections are reset with it: what ended one of them, such as a
+restarted middlebox, has probably ended all that were open at the time.
 """
 
 import asyncio
@@ -162,8 +163,7 @@
         return self
 
     async def __aexit__(self, *exc_info):
-        while self._idle:
-            self._idle.pop().reset()
+        self._reset_idle_connections()
 
     async def call(self, method, target, timeout, body=b"", headers=()):
         """Make a call and return its Response.
@@ -197,6 +197,7 @@
                 )
         except (OSError, h11.RemoteProtocolError) as error:
             self._reset(connection)
+            self._reset_idle_connections()
             reason = f"{type(error).__name__} {error}".rstrip()
             how = _describe_attempt(connection, begun_at)
             raise CallFailed(f"{reason} {how}") from error
@@ -212,6 +213,10 @@
         if connection is not None:
             connection.reset()
 
+    def _reset_idle_connections(self):
+        while self._idle:
+            self._idle.pop().reset()
+
     def _pop_idle_connection(self):
         while self._idle:
             connection = self._idle.pop()
--- a/cardamomdrift/standins/rows.py
+++ b/cardamomdrift/standins/rows.py
@@ -3,12 +3,13 @@
 ====================
 
 The platform's table store and promotion call over HTTP, in memory.  Faults:
-unavailable, slow, silent, answers lost after the change took effect, and change history
-dropped.
+unavailable, slow, silent, open connections gone silent, answers lost after the change
+took effect, and change history dropped.
 """
 
 import asyncio
 import base64
+import weakref
 from dataclasses import dataclass
 
 from aiohttp import web
@@ -59,6 +60,8 @@
         self._store = store
         self._host = host
         self._runner = None
+        self._transports = weakref.WeakSet()
+        self._silenced = weakref.WeakSet()
         self.faults = StoreFaults()
         self.address = ""
         self.calls = 0
@@ -77,9 +80,14 @@
     async def __aexit__(self, *exc_info):
         await self._runner.cleanup()
 
+    def silence_connections(self):
+        """Give no further answer on the present connections; new ones work."""
+        self._silenced.update(self._transports)
+
     @web.middleware
     async def _apply_faults(self, request, handler):
         self.calls += 1
+        self._transports.add(request.transport)
         faults = self.faults
         if faults.silent:
             await asyncio.sleep(3600)
@@ -88,6 +96,8 @@
         if faults.delay:
             await asyncio.sleep(faults.delay)
         response = await handler(request)
+        if request.transport in self._silenced:
+            await asyncio.sleep(3600)
         if request.method == "POST" and faults.lose_answers > 0:
             faults.lose_answers -= 1
             request.transport.abort()
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -18,11 +18,16 @@
     change_interval,
     retry_interval,
 )
+from cardamomdrift.platform.store import HttpStore
+from cardamomdrift.standins.rows import RowStore, StoreEndpoint
 
 FLEETS = (5, 20, 79, 300, 680)  # daemons
 # Calls a second of all daemons for one table, at most: a fifth of the reads that the
 # platform serves at the target.
 OUTAGE_CALLS = 400
+# Seconds after the loss of all connections until a daemon of a small site counts as in
+# touch again; it must know the configuration by then.
+CONTACT_TIME = 4.0
 
 
 class IntervalTest(unittest.TestCase):
@@ -64,5 +69,29 @@
         self.assertEqual(large, 1)
 
 
+class SilentConnectionsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_change_is_not_missed_when_all_connections_go_silent(self):
+        rows, log = RowStore(), mock.Mock()
+        rows.put("op", "config", b"1")
+        known = {}
+
+        async def on_rows(state):
+            known.update({key: row.value for key, row in state.rows.items()})
+
+        async with (
+            StoreEndpoint(rows) as endpoint,
+            HttpStore(endpoint.address) as store,
+        ):
+            feed = TableFeed(store, "op", on_rows, mock.Mock(), lambda: 5, log)
+            # Further calls at the start leave idle connections behind.
+            await asyncio.gather(*(store.read("op") for _ in range(4)))
+            async with feed:
+                await asyncio.sleep(0.3)
+                endpoint.silence_connections()
+                rows.put("op", "config", b"2")
+                await asyncio.sleep(CONTACT_TIME)
+        self.assertEqual(known, {"config": b"2"})
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -345,6 +345,13 @@
             with self.assertRaisesRegex(PlatformUnavailable, how):
                 await self.store.read("t")
 
+    async def test_one_failed_call_ends_all_silent_connections(self):
+        await asyncio.gather(*(self.store.read("t") for _ in range(4)))
+        self.endpoint.silence_connections()
+        with self.assertRaises(PlatformUnavailable):
+            await self.store.read("t")
+        self.assertEqual((await self.store.read("t")).rows, {})
+
     async def test_commit_with_a_lost_answer_takes_effect(self):
         self.endpoint.faults.lose_answers = 1
         with self.assertRaises(PlatformUnavailable):
