Silent connections to the store are noticed within 3 s by every daemon

Callers of the daemons that are no voters saw an old configuration up to 1.46 s longer than those of the voters. Cause: their calls wait up to 18 s for a change, so they noticed a silent connection (or an opening packet that was lost, as the time to connect counted as waiting) only then, and depended on the voters' announcement and 1 s of waiting. Now the kernel probes idle connections (ended after 3 s without an answer), and connecting has a limit of its own, 0.7 s.

test_a_lost_opening_packet_does_not_last_as_long_as_a_watch failed before (18.0 s), test_a_silent_connection_ends_before_a_long_watch too (no probes).

--- a/cardamomdrift/http/client.py
+++ b/cardamomdrift/http/client.py
@@ -25,6 +25,11 @@
 # seconds after which a call is given up in any case, beyond its time limit.
 PROGRESS_TIMEOUT = 0.7
 MAX_TRANSFER_TIME = 10.0
+CONNECT_TIMEOUT = 0.7  # seconds, also of a call that may wait for its response longer
+# Probes of a connection without traffic, which a call that waits for long depends on.
+# The connection ends after KEEPALIVE_PROBES of them without an answer.
+KEEPALIVE_IDLE, KEEPALIVE_INTERVAL = 1, 1  # seconds
+KEEPALIVE_PROBES = 2
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a timeout of 0
 
 
@@ -112,6 +117,17 @@
         self._writer.transport.abort()
 
 
+def _probe_when_idle(tcp_socket):
+    """Have the kernel end a connection whose other end has gone silent."""
+    tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    ):
+        tcp_socket.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 def _describe_attempt(connection, begun_at):
     """Return how long a failed call took, and on what connection.
 
@@ -226,4 +242,7 @@
         return None
 
     async def _connect(self):
-        return _Connection(*await asyncio.open_connection(self._host, self._port))
+        async with asyncio.timeout(CONNECT_TIMEOUT):
+            reader, writer = await asyncio.open_connection(self._host, self._port)
+        _probe_when_idle(writer.get_extra_info("socket"))
+        return _Connection(reader, writer)
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import socket
 import tempfile
 import unittest
 from contextlib import suppress
@@ -89,6 +90,9 @@
 
 FLOOR = Position(3, 1207)  # position that an instance must have reached for a read
 
+# Seconds after the loss of all connections until a daemon must know of changes again.
+SMALLEST_CONTACT_TIME = 4.0
+
 
 class LineProtocolTest(unittest.TestCase):
     MESSAGES = (
@@ -426,6 +430,40 @@
             self.assertEqual(await asyncio.wait_for(close_kind, 2), "reset")
         server.close()
 
+    async def test_a_lost_opening_packet_does_not_last_as_long_as_a_watch(self):
+        async def never(*_args):
+            await asyncio.sleep(3600)
+
+        started = asyncio.get_running_loop().time()
+        async with HttpClient("127.0.0.1:1") as client:
+            with (
+                mock.patch.object(asyncio, "open_connection", never),
+                self.assertRaisesRegex(CallFailed, "while connecting"),
+            ):
+                await client.call("GET", "/x", 18.0)
+        self.assertLess(asyncio.get_running_loop().time() - started, 2.0)
+
+    async def test_a_silent_connection_ends_before_a_long_watch(self):
+        server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        async with HttpClient(f"127.0.0.1:{port}") as client:
+            connection = await client._connect()
+            options = connection._writer.get_extra_info("socket")
+            probes = [
+                options.getsockopt(socket.IPPROTO_TCP, option)
+                for option in (
+                    socket.TCP_KEEPIDLE,
+                    socket.TCP_KEEPINTVL,
+                    socket.TCP_KEEPCNT,
+                )
+            ]
+            enabled = options.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+            connection.reset()
+        idle, interval, count = probes
+        self.assertTrue(enabled)
+        self.assertLessEqual(idle + interval * count, SMALLEST_CONTACT_TIME - 1.0)
+
     async def call_slow_server(self, pause):
         """Return the body of a response that comes in parts, with pauses."""
 
