A configuration is fetched from another peer if the first one stops

A daemon that the store turns away gets a newer configuration from the peer that reported it first. If that peer is killed, freezes or is cut off, the query took up to 5 s, and the reports of the other peers were passed over meanwhile: longer than the 3 s (small sites) and 5 s in which a configuration must be in force. Now another peer is asked after 0.7 s without an answer, at most three at a time, the one heard last first.

--- a/cardamomdrift/bundle/configuration.py
+++ b/cardamomdrift/bundle/configuration.py
@@ -5,7 +5,7 @@
 Holds the configuration that a daemon on the users' platform applies; a daemon for MySQL
 callers has a `BundleFollower` instead.  A configuration is applied only if it can be
 decoded and its version is higher than the current one.  A newer version that a peer
-reports is fetched from that peer if the store does not deliver it.
+reports is fetched from a peer that has it if the store does not deliver it.
 """
 
 import asyncio
@@ -15,12 +15,14 @@
 
 from cardamomdrift.peers.link import send_query
 from cardamomdrift.peers.messages import BundleQuery, BundleReply
-from cardamomdrift.util import hash_text
+from cardamomdrift.util import cancel_all, hash_text
 
 # Seconds that the store has to deliver a configuration that a peer already has, and
 # seconds between two looks.
 STORE_GRACE, STORE_POLL_INTERVAL = 1.0, 0.05
 FETCH_TIMEOUT = 5.0  # seconds; a configuration of 1 MB over a link of 5 Mbit/s takes 2
+HEDGE_DELAY = 0.7  # seconds without an answer until another peer is asked, too
+MAX_PEER_QUERIES = 3  # at a time
 
 
 class Configuration:
@@ -46,6 +48,7 @@
         self._body = b""
         self._lock = asyncio.Lock()
         self._fetch_task = None
+        self._announced = {}
 
     @property
     def deployment(self):
@@ -117,15 +120,55 @@
         """
         if version <= self.version:
             return
+        # The peer heard last comes last, and is asked first.
+        self._announced.pop(address, None)
+        self._announced[address] = version
         if self._fetch_task is None or self._fetch_task.done():
-            self._fetch_task = asyncio.create_task(self._fetch(version, address))
+            self._fetch_task = asyncio.create_task(self._fetch(version))
 
-    async def _fetch(self, version, address):
+    async def _fetch(self, version):
         give_up_at = time.monotonic() + STORE_GRACE
         while self._store_answers() and time.monotonic() < give_up_at:
             await asyncio.sleep(STORE_POLL_INTERVAL)
             if version <= self.version:
+                break
+        await self._fetch_from_peers()
+        self._announced.clear()
+
+    async def _fetch_from_peers(self):
+        """Ask peers until one delivers a newer configuration.
+
+        A peer may stop after it reported its version, so the next one is asked if the
+        answer takes long.
+        """
+        asked, queries = set(), set()
+        while True:
+            address = self._next_peer(asked)
+            if address is not None and len(queries) < MAX_PEER_QUERIES:
+                asked.add(address)
+                queries.add(asyncio.create_task(self._fetch_from(address)))
+            if not queries:
+                return
+            done, queries = await asyncio.wait(
+                queries, timeout=HEDGE_DELAY, return_when=asyncio.FIRST_COMPLETED
+            )
+            if any(query.result() for query in done):
+                await cancel_all(queries)
                 return
+
+    def _next_peer(self, asked):
+        """Return the peer to ask next for a newer configuration, or None."""
+        candidates = (
+            address
+            for address, version in reversed(self._announced.items())
+            if version > self.version and address not in asked
+        )
+        return next(candidates, None)
+
+    async def _fetch_from(self, address):
+        """Fetch a peer's configuration; return whether it was newer."""
         reply = await send_query(address, BundleQuery(), FETCH_TIMEOUT)
-        if isinstance(reply, BundleReply) and reply.version > self.version:
-            await self.update(reply.body, f"peer {address}")
+        if not isinstance(reply, BundleReply) or reply.version <= self.version:
+            return False
+        await asyncio.shield(self.update(reply.body, f"peer {address}"))
+        return True
