Versions of the store rise across a restore from an older copy

A store that comes back from an older copy gives out versions again. A daemon that asked for changes later than the store took to reach its last version got no 410, kept its tables as they were and missed what had changed in between, such as an instance that drains; lists of two daemons with an equal version counted as equal; a conditional write could match another row of the same version.

Failed before: test_a_change_is_not_missed_when_versions_are_given_out_again (empty changes instead of a gap) and test_a_condition_on_a_lost_version_does_not_hold_for_another_row (it was committed).

--- a/cardamomdrift/http/client.py
+++ b/cardamomdrift/http/client.py
@@ -13,7 +13,7 @@
 import socket
 import struct
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 
 import h11
@@ -39,10 +39,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Response:
-    """Response of a server, with its whole body."""
+    """Response of a server, with its whole body; header names are in lower case."""
 
     status: int
     body: bytes
+    headers: dict = field(default_factory=dict)
 
 
 class _Connection:
@@ -91,7 +92,7 @@
         return response
 
     async def _receive(self, on_data):
-        status, chunks, size = 0, [], 0
+        status, headers, chunks, size = 0, {}, [], 0
         while True:
             event = self._protocol.next_event()
             if event is h11.NEED_DATA:
@@ -99,13 +100,17 @@
                 on_data()
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                headers = {
+                    name.decode("latin-1"): value.decode("latin-1")
+                    for name, value in event.headers
+                }
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > MAX_BODY_BYTES:
                     raise CallFailed("the response is too long")
                 chunks.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return Response(status, b"".join(chunks))
+                return Response(status, b"".join(chunks), headers)
             else:
                 raise CallFailed("the connection ended before the whole response")
 
--- a/cardamomdrift/ports.py
+++ b/cardamomdrift/ports.py
@@ -165,10 +165,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """Rows of a table at one version of the store, by key."""
+    """Rows of a table at one version of the store, by key.
+
+    Attributes
+    ----------
+    rows : dict of str to Row
+    version : int
+    era : int
+        Rises each time the store comes back from an older copy, without what was
+        written since.
+    """
 
     rows: dict
     version: int
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,7 +229,17 @@
 
 
 class MetadataStore(Protocol):
-    """The platform's store; every method may raise PlatformUnavailable."""
+    """The platform's store; every method may raise PlatformUnavailable.
+
+    Versions rise, also when the store comes back from an older copy.
+
+    Attributes
+    ----------
+    era : int
+        Highest era that an answer has shown; see `Snapshot`.
+    """
+
+    era: int
 
     async def read(self, table):
         """Return the Snapshot of a table."""
--- a/cardamomdrift/standins/rows.py
+++ b/cardamomdrift/standins/rows.py
@@ -4,7 +4,7 @@
 
 The platform's table store and promotion call over HTTP, in memory.  Faults:
 unavailable, slow, silent, open connections gone silent, answers lost after the change
-took effect, and change history dropped.
+took effect, change history dropped, and a return from an older copy.
 """
 
 import asyncio
@@ -96,6 +96,7 @@
         if faults.delay:
             await asyncio.sleep(faults.delay)
         response = await handler(request)
+        response.headers["Store-Era"] = str(self._store.era)
         if request.transport in self._silenced:
             await asyncio.sleep(3600)
         if request.method == "POST" and faults.lose_answers > 0:
@@ -115,6 +116,8 @@
 
     Attributes
     ----------
+    era : int
+        Rises with each restore.
     promotions : list of tuple
         Promotion calls as (group, instance, duty holder, fencing token).
     """
@@ -125,6 +128,7 @@
         self._history = []
         self._version = 0
         self._history_from = 0
+        self.era = 1
         self.promotions = []
 
     def add_routes(self, router, endpoint):
@@ -160,6 +164,17 @@
         self._history_from = self._version
         self._history.clear()
 
+    def copy(self):
+        """Return a copy of the rows for `restore`."""
+        return dict(self._rows), self._version
+
+    def restore(self, copy):
+        """Return to an older copy; what was written since is lost."""
+        rows, version = copy
+        self._rows, self._version = dict(rows), version
+        self._history = [change for change in self._history if change[0] <= version]
+        self.era += 1
+
     # Calls
 
     def _encode_row(self, table, key):
@@ -190,7 +205,7 @@
             asyncio.get_running_loop().time() + int(request.query["waitMs"]) / 1e3
         )
         while True:
-            if after < self._history_from:
+            if not self._history_from <= after <= self._version:
                 return web.Response(status=410)
             keys = [
                 key
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -331,6 +331,46 @@
         gone = await self.store.watch("t", 0, 0.1)
         self.assertIsInstance(gone, HistoryGone)
 
+    async def test_a_change_is_not_missed_when_versions_are_given_out_again(self):
+        copy = self.rows.copy()
+        for value in (b"1", b"2", b"3"):
+            self.rows.put("t", "k", value)
+        known = await self.store.read("t")
+        self.rows.restore(copy)
+        for value in (b"new", b"newer"):
+            self.rows.put("t", "k", value)
+        for _ in range(3):
+            self.rows.put("other", "k", b"")
+        # The store has reached the version that the client asks for again.
+        gone = await self.store.watch("t", known.version, 0.1)
+        self.assertIsInstance(gone, HistoryGone)
+        snapshot = await self.store.read("t")
+        self.assertEqual(snapshot.rows["k"].value, b"newer")
+        self.assertGreater(snapshot.version, known.version)
+        self.assertGreater(snapshot.rows["k"].version, known.rows["k"].version)
+        self.assertEqual(snapshot.era, known.era + 1)
+
+    async def test_a_condition_on_a_lost_version_does_not_hold_for_another_row(self):
+        copy = self.rows.copy()
+        self.rows.put("t", "k", b"lost")
+        known = await self.store.read("t")
+        self.rows.restore(copy)
+        self.rows.put("t", "k", b"new")
+        expected = {"k": known.rows["k"].version}
+        # The store matches the version; the client learns of the era by the answer.
+        with self.assertRaises(PlatformUnavailable):
+            await self.store.commit("t", expected, {"k": b"mine"})
+        self.rows.put("t", "k", b"new")
+        with self.assertRaises(PlatformUnavailable):
+            await self.store.commit("t", expected, {"k": b"mine"})
+        self.assertEqual(self.rows.get("t", "k"), b"new")
+
+    async def test_a_malformed_era_is_no_answer(self):
+        for era in ("x", "-1", "9" * 30, "²"):
+            self.rows.era = era
+            with self.subTest(era), self.assertRaises(PlatformUnavailable):
+                await self.store.read("t")
+
     async def test_unavailable_and_silent_store(self):
         self.endpoint.faults.down = True
         with self.assertRaises(PlatformUnavailable):
@@ -371,7 +411,7 @@
             lambda: self.store.commit("t", {}, {"k": b"1"}),
         )
         for body in self.MISSHAPEN_ANSWERS:
-            answer = SimpleNamespace(status=200, body=body)
+            answer = SimpleNamespace(status=200, body=body, headers={})
             for call in calls:
                 with (
                     self.subTest(body),
@@ -381,7 +421,7 @@
                     await call()
 
     async def test_only_a_watched_table_has_a_history(self):
-        gone = SimpleNamespace(status=410, body=b"")
+        gone = SimpleNamespace(status=410, body=b"", headers={})
         with mock.patch.object(self.store._client, "call", return_value=gone):
             for call in (self.store.read("t"), self.store.commit("t", {}, {})):
                 with self.assertRaises(PlatformRefused):
@@ -389,7 +429,9 @@
 
     async def test_a_row_that_is_not_base64_is_empty(self):
         body = b'{"rowVersion": 3, "rows": [{"key": "k", "value": "\xc3\xa9", '
-        answer = SimpleNamespace(status=200, body=body + b'"rowVersion": 2}]}')
+        answer = SimpleNamespace(
+            status=200, body=body + b'"rowVersion": 2}]}', headers={}
+        )
         with mock.patch.object(self.store._client, "call", return_value=answer):
             snapshot = await self.store.read("t")
         self.assertEqual(snapshot.rows["k"].value, b"")
