Replacements, epochs and tokens are never drawn twice after a restore of the store

Cause: the token, the number of a replacement and the epoch of the voters are drawn as one above the number in a row, and the row went back. The same way two sets of voters could get one epoch, voters no longer promised (their epoch was above the one that they read), and a restarted daemon took a read of an earlier primary for proof.

Now each era of the store has a range of numbers of its own. A row of the voters with an epoch of an earlier era shows that rows may be missing: a read of that table then proves nothing and nobody begins a replacement; voters write again what they remember, the row of the voters last, once replacements begun before the restore have ended (3.3 s). A voter that remembers nothing writes it only if most voters have forgotten or if their promises have expired.

Failed before: test_no_fencing_token_is_used_twice_after_a_restore_of_the_store (the lost row was never written again). The scenario run_with_restored_store of the permission model fails with either new rule left out.

--- a/cardamomdrift/failover/execution.py
+++ b/cardamomdrift/failover/execution.py
@@ -16,6 +16,7 @@
     PlatformUnavailable,
     UpstreamError,
 )
+from cardamomdrift.failover.numbers import first_number, next_number
 from cardamomdrift.failover.peer_reports import PeerReports
 from cardamomdrift.failover.permission import dropped_permission_until
 from cardamomdrift.failover.records import (
@@ -130,11 +131,13 @@
         own_key = member_key(self._roster.vm)
         if own_key not in rows:
             raise ReplacementFailed("this daemon is not registered")
+        if self._control.is_outdated:
+            raise ReplacementFailed("the store was restored and lacks rows")
         self._check_quorum_reachable()
         duty, duty_puts = self._claim_duty(rows)
         self._check_no_other_replacement(duty.token)
         record = LeadershipRecord(
-            leadership.generation + 1,
+            next_number(self._control.era, leadership.generation),
             False,
             leadership.term,
             leadership.primary,
@@ -184,16 +187,19 @@
         """Return the DutyRecord of this daemon and the rows to write for it.
 
         No rows are written if this incarnation holds the duty already.  Otherwise the
-        token is one above that of the previous holder.
+        token is above that of the previous holder, and above those of all holders whose
+        rows were lost when the store was restored.
         """
         vm, incarnation = self._roster.vm, self._roster.incarnation
+        era = self._control.era
         token = 0
         if DUTY_KEY in rows:
             held = decode_record(rows[DUTY_KEY], DutyRecord)
-            if (held.holder, held.incarnation) == (vm, incarnation):
+            is_own = (held.holder, held.incarnation) == (vm, incarnation)
+            if is_own and held.token >= first_number(era):
                 return held, {}
             token = held.token
-        duty = DutyRecord(vm, incarnation, token + 1)
+        duty = DutyRecord(vm, incarnation, next_number(era, token))
         return duty, {DUTY_KEY: encode_record(duty)}
 
     async def _commit_intent(self, expected, puts, key, record):
@@ -438,4 +444,4 @@
         group = cluster.group.name
         row = self._control.rows.get(leadership_key(group))
         if row is not None:
-            self._control.unsettled_rows[group] = row.version
+            self._control.outdated_rows[group] = row.version
--- a/cardamomdrift/failover/leadership.py
+++ b/cardamomdrift/failover/leadership.py
@@ -10,6 +10,8 @@
 
 from dataclasses import dataclass
 
+from cardamomdrift.failover.numbers import is_next_number
+
 
 @dataclass(slots=True)
 class Leadership:
@@ -73,7 +75,8 @@
             return False
         if self.settled:
             return generation == self.generation
-        draining = generation + 1 == self.generation and self.released <= generation
+        is_next = is_next_number(self.generation, generation)
+        draining = is_next and self.released <= generation
         return draining and now < self.drain_until
 
     def adopt_listed_primary(self, primary):
--- a/cardamomdrift/membership/control.py
+++ b/cardamomdrift/membership/control.py
@@ -76,8 +76,9 @@
     ----------
     reachable : bool
         Whether the last call of the store was answered.
-    unsettled_rows : dict of str to int
-        Versions of rows that show a settled replacement as in progress, by group.
+    outdated_rows : dict of str to int
+        Versions of rows that lack the last known state of a replacement, by group; 0
+        for a row that is missing.
     """
 
     def __init__(self, store, roster, permission, address, clusters, on_change, log):
@@ -99,9 +100,11 @@
         self._registered_names = frozenset()
         self._lock = asyncio.Lock()
         self._task = None
+        self._era = None
+        self._restore_seen_at = None
         self._voter_keeper = VoterKeeper(roster, log, self._resumed_at)
         self.reachable = False
-        self.unsettled_rows = {}
+        self.outdated_rows = {}
 
     @property
     def rows(self):
@@ -123,6 +126,16 @@
         """When this daemon's newest read of the store began; None before the first."""
         return self._confirmed_at
 
+    @property
+    def era(self):
+        """Era of the store at the last read; 0 before the first."""
+        return self._era or 0
+
+    @property
+    def is_outdated(self):
+        """Whether the store lacks rows since a restore, as of the last read."""
+        return self._voter_keeper.is_outdated
+
     @property
     def voter_sets(self):
         """Sets of voters of each of which a replacement needs a quorum."""
@@ -160,11 +173,11 @@
             await self.refresh()
         elif self._voter_keeper.is_due(self._registered_names, now, self._resumed_at):
             await self._change_voters(now)
-        elif self._is_store_read_due(now):
+        elif self._is_store_read_due(now) or self._is_restore_read_due(now):
             self._read_at = now
             await self.refresh()
-        elif self.unsettled_rows:
-            await self._write_settled_row()
+        elif self.outdated_rows:
+            await self._write_leadership_row()
         elif self._is_removal_read_due(now):
             self._retry_at = now + RETRY_INTERVAL
             await self.refresh()
@@ -222,6 +235,21 @@
         )
         return now >= self._permission.store_read_at + STORE_READ_INTERVAL + delay
 
+    def _is_restore_read_due(self, now):
+        """Whether a read is due since the store was restored after the last one.
+
+        Load pattern: all daemons of a large fleet notice a restore at the same time.
+        """
+        if self._era is None or self._store.era == self._era:
+            self._restore_seen_at = None
+            return False
+        if self._restore_seen_at is None:
+            self._restore_seen_at = now
+        delay = self._read_delay(
+            "restore", now, 0.0, STORE_READ_DELAY, STORE_READ_SPREAD
+        )
+        return now >= self._restore_seen_at + delay
+
     def _read_delay(self, key, now, rank_delay, other_delay, spread):
         """Return for how many seconds this daemon leaves a read of the store to others.
 
@@ -255,30 +283,50 @@
             self._set_reachable(True)
             self._confirmation_due_since = None
             self._read_at = begun_at
+            self._record_era(snapshot.era)
             self._rows = snapshot.rows
             self._apply_leadership_rows(snapshot.rows)
-            self._voter_keeper.apply_row(snapshot.rows.get(VOTERS_KEY), boot_clock())
+            self._voter_keeper.apply_row(
+                snapshot.rows.get(VOTERS_KEY), boot_clock(), snapshot.era
+            )
             self._apply_member_rows(snapshot.rows)
-            self._confirmed_at = begun_at
-            if self._roster.vm in self._registered_names:
-                self._permission.record_store_read(begun_at)
-            elif self._registered:
+            is_registered = self._roster.vm in self._registered_names
+            if not self.is_outdated:
+                self._confirmed_at = begun_at
+                if is_registered:
+                    self._permission.record_store_read(begun_at)
+            if self._registered and not is_registered:
                 self._begin_new_registration()
             self._permission.extend_by_promises(boot_clock())
         self._on_change()
 
+    def _record_era(self, era):
+        if self._era is not None and era != self._era:
+            self._log.warning("store restored from an older copy", era=era)
+        self._era = era
+
     def _begin_new_registration(self):
-        """Prepare a new registration, since another daemon removed this one's row."""
+        """Prepare a new registration, since this daemon's row is gone.
+
+        Another daemon has removed it, or the store was restored from an older copy.
+        """
         self._registered = False
         self._roster.set_incarnation(secrets.token_hex(4), boot_clock())
-        self._log.warning(
-            "registration was removed by another daemon", vm=self._roster.vm
-        )
+        self._log.warning("registration is gone from the store", era=self._era)
 
     def _apply_leadership_rows(self, rows):
         for key, row in rows.items():
             if key.startswith(LEADERSHIP_PREFIX):
                 self.apply_leadership_row(key.removeprefix(LEADERSHIP_PREFIX), row)
+        for cluster in self._clusters:
+            group = cluster.group.name
+            if cluster.leadership.generation and leadership_key(group) not in rows:
+                self._note_outdated_row(group, 0)
+
+    def _note_outdated_row(self, group, version):
+        """Note a row that the store lost; only voters write it again."""
+        if self._roster.is_voter:
+            self.outdated_rows.setdefault(group, version)
 
     def apply_leadership_row(self, group, row):
         """Apply a group's row; return whether it was newer than the known state."""
@@ -301,7 +349,9 @@
             and not record.settled
         ):
             # The daemon that settled it stopped before it wrote the row.
-            self.unsettled_rows.setdefault(group, row.version)
+            self.outdated_rows.setdefault(group, row.version)
+        elif record.generation < leadership.generation:
+            self._note_outdated_row(group, row.version)
         return False
 
     def _apply_member_rows(self, rows):
@@ -329,31 +379,35 @@
 
     # Writing
 
-    async def _write_settled_row(self):
-        """Correct one row that shows a settled replacement as in progress."""
-        group, version = next(iter(self.unsettled_rows.items()))
-        del self.unsettled_rows[group]
+    async def _write_leadership_row(self):
+        """Write one row that lacks the last known state of a replacement."""
+        group, version = next(iter(self.outdated_rows.items()))
+        del self.outdated_rows[group]
         cluster = self._clusters.get(group)
-        if cluster is None or not cluster.leadership.settled:
+        if cluster is None:
             return
         key = leadership_key(group)
         row = self._rows.get(key)
-        if row is None or row.version != version:
+        if version != (0 if row is None else row.version):
             return
-        record = decode_record(row, LeadershipRecord)
         leadership = cluster.leadership
-        settled = LeadershipRecord(
-            record.generation,
-            True,
+        generation, token = 0, 0
+        if row is not None:
+            record = decode_record(row, LeadershipRecord)
+            generation, token = record.generation, record.token
+            stored = (record.generation, record.settled)
+            if stored >= (leadership.generation, leadership.settled):
+                return
+        known = LeadershipRecord(
+            leadership.generation,
+            leadership.settled,
             leadership.term,
             leadership.primary,
-            record.token,
+            token if generation == leadership.generation else 0,
             "",
         )
-        if record.generation != leadership.generation:
-            return
         result = await self._store.commit(
-            TABLE, {key: version}, {key: encode_record(settled)}
+            TABLE, {key: version}, {key: encode_record(known)}
         )
         self._log.info(
             "replacement written",
@@ -373,6 +427,10 @@
         if record is None or own_row is None:
             keeper.postpone(now)
             return
+        if keeper.is_outdated:
+            # A read that shows the epoch must show all replacements before it, too.
+            while self.outdated_rows:
+                await self._write_leadership_row()
         expected = {VOTERS_KEY: keeper.version, own_row.key: own_row.version}
         puts = {VOTERS_KEY: encode_record(record)}
         result = await self._store.commit(TABLE, expected, puts)
--- a/cardamomdrift/membership/voter_keeper.py
+++ b/cardamomdrift/membership/voter_keeper.py
@@ -5,14 +5,23 @@
 Decides when this daemon changes the set of voters, and which row it then writes to the
 store.  The quorums and the choice of the voters are in `failover.voters`; the control
 plane reads and writes the store.
+
+If the store was restored from an older copy, the rows of the last replacements and of
+the last change of the voters may be missing.  The row of the voters shows it, as its
+epoch is of an earlier era.  A voter then writes the state that it remembers with an
+epoch of the new era.  Until then, a read of the store proves nothing.  A voter that
+has restarted since remembers nothing; it writes the row only if most voters have, or if
+the promises of the others have expired.
 """
 
 from cardamomdrift.errors import ControlRecordError
+from cardamomdrift.failover.numbers import first_number, next_number
 from cardamomdrift.failover.permission import (
     PERMISSION_VALIDITY,
     STORE_READ_VALIDITY,
 )
 from cardamomdrift.failover.records import VotersRecord, decode_record
+from cardamomdrift.failover.replacement import takeover_at
 from cardamomdrift.failover.voters import (
     VOTER_KEY,
     first_voters,
@@ -30,6 +39,8 @@
 NO_VOTER_TIMEOUT = 24.0
 RANK_DELAY = 0.2  # seconds for each live voter ranked higher
 RETRY_DELAY = 2.0  # seconds after a read that showed no need of a change
+# Seconds longer for which a voter waits that does not remember the lost rows.
+FORGETFUL_DELAY = 1.0
 RELEASE_MARGIN = 0.05  # seconds to wait after permissions have expired
 # Seconds after which the promises of an earlier epoch have ended in any case.
 FORMER_TIMEOUT = STORE_READ_VALIDITY + PERMISSION_VALIDITY + 1.0
@@ -51,6 +62,8 @@
         self._log = log
         self._record = None
         self._version = 0
+        self._era = 0
+        self._is_outdated = False
         self._seen_at = now
         self._voter_heard_at = now
         self._acknowledged_at = None
@@ -69,22 +82,48 @@
         """Version of the row as last read; 0 if there was none."""
         return self._version
 
-    def apply_row(self, row, now):
-        """Apply the row of the voters, or None, as this daemon has read it."""
-        if row is None:
-            self._roster.confirmed_epoch = self._roster.confirmed_epoch or 0
-            return
-        try:
-            record = decode_record(row, VotersRecord)
-        except ControlRecordError as error:
-            self._log.error("row not usable", error=str(error))
+    @property
+    def is_outdated(self):
+        """Whether the store lacks rows since a restore, as of the last read."""
+        return self._is_outdated
+
+    def apply_row(self, row, now, era=0):
+        """Apply the row of the voters, or None, as this daemon has read it.
+
+        Parameters
+        ----------
+        row : Row or None
+        now : float
+        era : int
+            Era of the store at the read.
+        """
+        roster = self._roster
+        if row is None and not roster.voters.epoch:
+            roster.confirmed_epoch = roster.confirmed_epoch or 0
             return
-        if row.version != self._version:
-            self._record, self._version = record, row.version
+        known = VotersRecord(roster.voters.epoch, roster.voters.names, ())
+        record = known
+        if row is not None:
+            try:
+                record = decode_record(row, VotersRecord)
+            except ControlRecordError as error:
+                self._log.error("row not usable", error=str(error))
+                return
+        version = 0 if row is None else row.version
+        if version != self._version or self._record is None:
+            self._version = version
             self._seen_at = now
             self._acknowledged_at = None
-        self._roster.adopt_voters(record.epoch, record.names, now)
-        self._roster.confirmed_epoch = record.epoch
+        self._era = era
+        self._is_outdated = row is None or record.epoch < first_number(era)
+        if record.epoch < known.epoch:
+            # Either the store lost the epoch, or this read began before it.
+            self._is_outdated = True
+            record = VotersRecord(known.epoch, known.names, record.names)
+        self._record = record
+        roster.adopt_voters(record.epoch, record.names, now)
+        if not self._is_outdated:
+            roster.confirmed_epoch = record.epoch
 
     # Decision
 
@@ -140,10 +179,40 @@
             return VotersRecord(1, names, ()) if names else None
         if not self._may_change(now, resumed_at):
             return None
+        if self._is_outdated:
+            return self._renewed_record(now)
         if self._record.former:
             return self._complete_record(now)
         return self._changed_record(registered, now, resumed_at)
 
+    def _renewed_record(self, now):
+        """Return the record of the known voters with an epoch of the present era.
+
+        Replacements whose rows were lost have ended by then.
+        """
+        record = self._record
+        renew_at = takeover_at(self._seen_at)
+        if self._roster.confirmed_epoch is None:
+            renew_at += FORGETFUL_DELAY
+            if not self._have_most_forgotten(record.names, now):
+                renew_at = self._seen_at + FORMER_TIMEOUT
+        if now < renew_at:
+            return None
+        epoch = next_number(self._era, record.epoch)
+        return VotersRecord(epoch, record.names, record.former or record.names)
+
+    def _have_most_forgotten(self, names, now):
+        """Whether too few voters remember the lost rows to give a permission."""
+        roster = self._roster
+        forgetful = {
+            name
+            for name in names
+            if name == roster.vm
+            or roster.is_fresh(name, now, LIVENESS_TIMEOUT)
+            and roster.peers[name].heartbeat.confirmed_age_ms is None
+        }
+        return has_quorum(forgetful, (names,))
+
     def _may_change(self, now, resumed_at):
         """Whether this daemon is a voter, or has heard no voter for long."""
         roster = self._roster
@@ -192,7 +261,8 @@
             names = first_voters({*registered, self._roster.vm} - set(record.names))
         if not names or names == record.names:
             return None
-        return VotersRecord(record.epoch + 1, names, record.names)
+        epoch = next_number(self._era, record.epoch)
+        return VotersRecord(epoch, names, record.names)
 
     def _is_stopping(self, name):
         if name == self._roster.vm:
--- a/tests/test_permission_model.py
+++ b/tests/test_permission_model.py
@@ -18,6 +18,7 @@
 from cardamomdrift.failover import execution as execution_module
 from cardamomdrift.failover.execution import ReplacementExecutor, ReplacementFailed
 from cardamomdrift.failover.leadership import Leadership
+from cardamomdrift.failover.numbers import next_number
 from cardamomdrift.failover.peer_reports import PeerReports
 from cardamomdrift.failover.permission import (
     PERMISSION_VALIDITY,
@@ -28,6 +29,7 @@
 from cardamomdrift.failover.records import (
     LeadershipRecord,
     MemberRecord,
+    decode_record,
     encode_record,
     leadership_key,
     member_key,
@@ -36,6 +38,7 @@
 from cardamomdrift.failover.voters import has_quorum
 from cardamomdrift.membership.control import ControlPlane
 from cardamomdrift.membership.instance_list import InstanceList
+from cardamomdrift.membership.voter_keeper import VoterKeeper
 from cardamomdrift.peers.announcer import Announcer
 from cardamomdrift.peers.roster import Roster
 from cardamomdrift.ports import Committed, Conflict, Row, Snapshot
@@ -70,6 +73,7 @@
         self.pauses = self.random.choice(PAUSES)
         self.rows = {}
         self.version = 0
+        self.era = 1
         self.in_transit = []
         self.promoted_generation = 0
         self.daemons = {}
@@ -80,6 +84,21 @@
         self.version += 1
         self.rows[key] = Row(key, value, self.version)
 
+    def intent_version(self, generation):
+        """Return the version of the group's row if it has a generation, or None."""
+        row = self.rows.get(leadership_key(GROUP))
+        if row is None or decode_record(row, LeadershipRecord).generation != generation:
+            return None
+        return row.version
+
+    def restore(self, rows):
+        """Return to the rows of an older copy, in a new era of the store."""
+        self.era += 1
+        self.version += 1
+        self.rows = {
+            key: Row(key, row.value, self.version) for key, row in rows.items()
+        }
+
 
 class ModelStore:
     """The shared store as one daemon sees it; unavailable while it is cut off."""
@@ -88,10 +107,14 @@
         self._sim = sim
         self._name = name
 
+    @property
+    def era(self):
+        return self._sim.era
+
     async def read(self, _table):
         if self._name in self._sim.cut_off_from_store:
             raise PlatformUnavailable("cut off")
-        return Snapshot(dict(self._sim.rows), self._sim.version)
+        return Snapshot(dict(self._sim.rows), self._sim.version, self._sim.era)
 
     async def commit(self, _table, expected, puts, removes=()):
         sim = self._sim
@@ -256,7 +279,9 @@
             self.executor._check_quorum_reachable()
         except ReplacementFailed:
             return
-        generation = leadership.generation + 1
+        if self.control.is_outdated:
+            return
+        generation = next_number(self.sim.era, leadership.generation)
         record = LeadershipRecord(generation, False, 1, "a", 1, self.incarnation)
         self.sim.put(leadership_key(GROUP), encode_record(record))
         self.cluster.adopt(generation, False, 1, "a", "own")
@@ -297,7 +322,8 @@
             )
             self.cluster.adopt(intent.generation, True, 1, "a", "own")
             record = LeadershipRecord(intent.generation, True, 1, "a", 1, "")
-            self.sim.put(leadership_key(GROUP), encode_record(record))
+            if self.sim.intent_version(intent.generation):
+                self.sim.put(leadership_key(GROUP), encode_record(record))
             self.intent = None
 
     def uses_replaced_primary(self):
@@ -541,6 +567,56 @@
     return violated, sim.promoted_generation
 
 
+def run_with_restored_store_alone(seed):
+    """As `run_with_restored_store`; only the restarted voter reaches the store."""
+    return run_with_restored_store(seed, alone=True)
+
+
+def run_with_restored_store(seed, alone=False):
+    """Lose the rows of a replacement, and restart a voter that hears no other.
+
+    Parameters
+    ----------
+    seed : int
+    alone : bool
+        Whether the others, which remember the replacement, do not reach the store.
+
+    Returns
+    -------
+    violated, replacements
+        As `run_with_new_daemons` returns them.
+    """
+    sim = Simulation(seed)
+    names = ("a", "b", "c")
+    with patch_clocks(sim):
+        add_daemons(sim, names)
+        violated = exchange_heartbeats(sim, 5.0)
+        copy = dict(sim.rows)
+        sim.daemons["a"].begin_replacement()
+        violated = exchange_heartbeats(sim, 4.0) or violated
+        sim.restore(copy)
+        separate(sim, ("b",), ("a", "c"))
+        sim.daemons["b"].start()
+        sim.daemons["b"].inbox.clear()
+        sim.daemons["b"].register()
+        if alone:
+            sim.cut_off_from_store |= {"a", "c"}
+        until = sim.now + sim.random.uniform(5.0, 15.0)
+        while sim.now < until:
+            for name in names:
+                sim.daemons[name].keep_voters()
+                sim.daemons[name].read_store()
+            violated = exchange_heartbeats(sim, 0.5) or violated
+        sim.blocked_links.clear()
+        sim.cut_off_from_store.clear()
+        violated = exchange_heartbeats(sim, 2.0) or violated
+        for name in names:
+            sim.daemons[name].keep_voters()
+        sim.daemons["c"].begin_replacement()
+        violated = exchange_heartbeats(sim, 5.0) or violated
+    return violated, sim.promoted_generation
+
+
 def exchange_heartbeats(sim, length):
     """Let all daemons send heartbeats; return whether one used a replaced primary.
 
@@ -635,6 +711,8 @@
             run_with_lost_voters,
             run_with_forgetful_voter,
             run_with_removed_daemon,
+            run_with_restored_store,
+            run_with_restored_store_alone,
         ):
             promoted = 0
             for seed in range(SCENARIO_SEEDS):
@@ -675,6 +753,17 @@
         with mock.patch.object(PeerReports, "all_count_the_same", lambda *_: True):
             self._assert_scenario_violated(run_with_removed_daemon)
 
+    def test_a_read_of_a_restored_store_without_the_lost_rows_is_caught(self):
+        """It shows a primary that was replaced in the time that the store lost."""
+        never = property(lambda keeper: False)
+        with mock.patch.object(VoterKeeper, "is_outdated", never):
+            self._assert_scenario_violated(run_with_restored_store)
+
+    def test_a_restarted_voter_that_renews_the_rows_alone_is_caught(self):
+        """The others may remember a replacement that the store lost."""
+        with mock.patch.object(VoterKeeper, "_have_most_forgotten", lambda *_: True):
+            self._assert_scenario_violated(run_with_restored_store_alone)
+
     def _assert_scenario_violated(self, scenario):
         """Check that a faulty rule lets some seed use a replaced primary."""
         results = [scenario(seed) for seed in range(SCENARIO_SEEDS)]
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -327,6 +327,41 @@
             )
             self.assertGreater(len(acknowledged), 50)
 
+    async def hand_over(self, site):
+        """Have the primary leave, and wait until the store names the next one."""
+        generation = (leadership_row(site) or {"generation": 0})["generation"]
+        site.group.primary.draining = True
+        site.update_entry(site.group.primary)
+
+        def is_replaced():
+            row = leadership_row(site)
+            return row and row["settled"] and row["generation"] > generation
+
+        await site.until(is_replaced, 12)
+        return site.store.promotions[-1]
+
+    async def test_no_fencing_token_is_used_twice_after_a_restore_of_the_store(self):
+        async with Site() as site:
+            copy = site.store.copy()
+            _, _, first_holder, first_token = await self.hand_over(site)
+            await site.kill(first_holder)
+            site.store.restore(copy)
+            site.list_instances()
+            await site.start(first_holder)
+            await site.until(lambda: leadership_row(site), 8)
+            self.assertEqual(leadership_row(site)["generation"], 1)
+            _, _, _, second_token = await self.hand_over(site)
+            self.assertGreater(second_token, first_token)
+
+    async def test_a_lost_registration_is_noticed_soon_after_a_restore(self):
+        async with Site(daemons=2) as site:
+            copy = site.store.copy()
+            await site.start("vm-3")
+            key = "member/vm-3"
+            await site.until(lambda: site.store.get("cardamomdrift", key))
+            site.store.restore(copy)
+            await site.until(lambda: site.store.get("cardamomdrift", key), 8)
+
     async def test_a_replaced_primary_that_still_claims_the_role_is_not_used(self):
         async with Site() as site:
             first = site.group.primary
--- a/tests/test_voters.py
+++ b/tests/test_voters.py
@@ -10,8 +10,10 @@
 
 import structlog
 
+from cardamomdrift.failover.numbers import first_number
 from cardamomdrift.failover.permission import PERMISSION_VALIDITY
 from cardamomdrift.failover.records import VotersRecord, encode_record
+from cardamomdrift.failover.replacement import takeover_at
 from cardamomdrift.failover.voters import (
     VOTER_COUNT,
     acknowledgements_needed,
@@ -148,6 +150,32 @@
         self.assertIn("a", names)
         self.assertFalse({"b", "c", "d"} & set(names))
 
+    def test_no_epoch_is_drawn_twice_after_a_restore_of_the_store(self):
+        self.apply(1.0, 2, ("a", "b", "c"), ())
+        self.hear(5.0, ("b", "c"), epoch=2, confirmed_age_ms=0)
+        lost = Row(
+            "epoch", encode_record(VotersRecord(1, ("a", "b", "d"), ())), 1 << 40
+        )
+        self.keeper.apply_row(lost, 5.0, era=2)
+        self.assertTrue(self.keeper.is_outdated)
+        self.assertEqual(self.roster.promised_epoch, 2)
+        self.assertIsNone(self.next_names(takeover_at(5.0) - 0.1))
+        renewed = self.keeper.next_record(set(NAMES), takeover_at(5.0), 0.0)
+        self.assertEqual(
+            renewed, VotersRecord(first_number(2), ("a", "b", "c"), ("a", "b", "d"))
+        )
+        self.keeper.apply_row(Row("epoch", encode_record(renewed), 2 << 40), 9.0, era=2)
+        self.assertFalse(self.keeper.is_outdated)
+        self.assertEqual(self.roster.promised_epoch, renewed.epoch)
+
+    def test_a_row_of_the_voters_that_a_restore_lost_is_written_again(self):
+        self.apply(1.0, 2, ("a", "b", "c"), ())
+        self.hear(5.0, ("b", "c"), epoch=2, confirmed_age_ms=0)
+        self.keeper.apply_row(None, 5.0, era=2)
+        self.assertEqual(self.keeper.version, 0)
+        renewed = self.keeper.next_record(set(NAMES), takeover_at(5.0), 0.0)
+        self.assertEqual(renewed.names, ("a", "b", "c"))
+
     def test_a_malformed_row_changes_nothing(self):
         self.apply(1.0, 1, NAMES[:5], ())
         self.keeper.apply_row(Row("epoch", b"{", 99), 2.0)
