An odd entry among those of the instances does not stop the list

It could happen here: msgspec recurses also into fields that it passes over and raises RecursionError, which is no DecodeError, and a port of 5,000 digits raises ValueError; the feed then failed at each change of the list ("loop step failed"), so daemons kept the instances that they knew. An entry with a port out of range or a host that is no address was listed as an instance.

RecursionError now counts as input that cannot be decoded wherever msgspec decodes what others wrote (rows, answers, settings, heartbeats, queries, loans), and entries are checked: IPv4 address, port, whole numbers of 63 bits, types of all fields, a name without blanks. Failed before: test_an_odd_instance_entry_does_not_stop_the_list (the next change of the list was not seen).

--- a/cardamomdrift/failover/records.py
+++ b/cardamomdrift/failover/records.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from cardamomdrift.errors import ControlRecordError
+from cardamomdrift.util import DECODE_ERRORS
 
 TABLE = "cardamomdrift"
 DUTY_KEY = "duty"
@@ -105,5 +106,5 @@
     """
     try:
         return msgspec.json.decode(row.value, type=record_type)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise ControlRecordError(f"{TABLE}/{row.key}: {error}") from error
--- a/cardamomdrift/peers/heartbeat.py
+++ b/cardamomdrift/peers/heartbeat.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from cardamomdrift.util import hash_number
+from cardamomdrift.util import DECODE_ERRORS, hash_number
 
 DATAGRAM_SIZE_LIMIT = 60_000  # bytes
 HEARTBEAT_FORMAT = 2  # raised with each change of the fields below
@@ -217,7 +217,7 @@
     def _receive(self, data, source):
         try:
             heartbeat = self._decode(data)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             self._log.warning("heartbeat not understood", size=len(data))
             return
         if heartbeat.format != HEARTBEAT_FORMAT:
--- a/cardamomdrift/peers/link.py
+++ b/cardamomdrift/peers/link.py
@@ -8,7 +8,6 @@
 
 import asyncio
 
-import msgspec
 from pynng import NNGException, Pub0, Rep0, Req0, Sub0
 
 from cardamomdrift.loops import repeat
@@ -19,7 +18,7 @@
     decode_update,
     encode,
 )
-from cardamomdrift.util import cancel_all
+from cardamomdrift.util import DECODE_ERRORS, cancel_all
 
 NEIGHBOUR_COUNT = 8  # daemons to whose state updates one daemon subscribes
 QUERY_TIMEOUT = 1.0  # seconds
@@ -76,7 +75,7 @@
         data = await self._replier.arecv()
         try:
             query = decode_query(data)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             self._log.warning("query not understood", size=len(data))
             return
         await self._replier.asend(encode(await self._on_query(query)))
@@ -171,7 +170,7 @@
             self._received_bytes += len(data)
             try:
                 self._on_update(decode_update(data))
-            except msgspec.DecodeError:
+            except DECODE_ERRORS:
                 self._log.warning("state update not understood", size=len(data))
 
 
@@ -196,5 +195,5 @@
             socket.dial(f"tcp://{query_address(address)}", block=False)
             await socket.asend(encode(query))
             return decode_reply(await socket.arecv())
-        except (NNGException, msgspec.DecodeError):
+        except (NNGException, *DECODE_ERRORS):
             return None
--- a/cardamomdrift/peers/loans.py
+++ b/cardamomdrift/peers/loans.py
@@ -26,6 +26,7 @@
     SetValue,
     Write,
 )
+from cardamomdrift.util import DECODE_ERRORS
 
 LENGTH_PREFIX_SIZE = 4  # bytes of the length before a message
 MESSAGE_SIZE_LIMIT = 8 * 1024 * 1024  # bytes; room for a few of the largest statements
@@ -37,7 +38,7 @@
     OSError,
     TimeoutError,
     asyncio.IncompleteReadError,
-    msgspec.DecodeError,
+    *DECODE_ERRORS,
     PacketTooLarge,
     UnicodeEncodeError,
 )
@@ -197,7 +198,7 @@
         ------
         OSError or asyncio.IncompleteReadError
             The stream has ended.
-        msgspec.DecodeError or PacketTooLarge
+        msgspec.DecodeError or RecursionError or PacketTooLarge
             The message is not valid.
         """
         size = int.from_bytes(await self._reader.readexactly(LENGTH_PREFIX_SIZE), "big")
--- a/cardamomdrift/peers/messages.py
+++ b/cardamomdrift/peers/messages.py
@@ -128,7 +128,7 @@
 
     Raises
     ------
-    msgspec.DecodeError
+    msgspec.DecodeError or RecursionError
     """
     return _UPDATE_DECODER.decode(data)
 
@@ -138,7 +138,7 @@
 
     Raises
     ------
-    msgspec.DecodeError
+    msgspec.DecodeError or RecursionError
     """
     return _QUERY_DECODER.decode(data)
 
@@ -148,6 +148,6 @@
 
     Raises
     ------
-    msgspec.DecodeError
+    msgspec.DecodeError or RecursionError
     """
     return _REPLY_DECODER.decode(data)
--- a/cardamomdrift/platform/catalog.py
+++ b/cardamomdrift/platform/catalog.py
@@ -6,6 +6,7 @@
 platform's store.  An instance whose entry cannot be decoded is not listed.
 """
 
+import socket
 from typing import Annotated, Literal
 
 import msgspec
@@ -20,11 +21,13 @@
 )
 from cardamomdrift.errors import BundleError
 from cardamomdrift.platform.settings import Address, Name, Positive, split_address
-from cardamomdrift.util import seconds
+from cardamomdrift.util import DECODE_ERRORS, seconds
 
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
 INSTANCE_TABLE = "servers"
+MAX_PORT = 65535
+MAX_INTEGER = (1 << 63) - 1  # of a whole number in an instance's entry
 
 ROUTE_KINDS = {
     "primary": RouteKind.PRIMARY,
@@ -33,6 +36,9 @@
 }
 
 
+Whole = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+
+
 class _Route(msgspec.Struct, rename="camel"):
     # "host" is the database that callers name in START, "backend" is the group.
     host: Name
@@ -68,7 +74,12 @@
     state: Literal["ready", "draining"]
     db_role: Literal["primary", "replica"]
     # Start of the instance in Unix milliseconds.
-    born: int = 0
+    born: Whole = 0
+    # Not used; an entry in which they have another type is not an instance's.
+    version: str = ""
+    slots: Whole = 0
+    sequence: Whole = 0
+    cold_left_ms: float = 0.0
 
 
 _decode_config = msgspec.json.Decoder(_Config).decode
@@ -98,7 +109,7 @@
     """
     try:
         model = _decode_config(value)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         return Failure(BundleError([f"{CONFIG_TABLE}/{CONFIG_KEY}: {error}"]))
     return Success(
         Deployment(
@@ -115,6 +126,31 @@
     )
 
 
+def _check_name(name):
+    """Check that a name can be a field of a message.
+
+    Raises
+    ------
+    ValueError
+    """
+    if not name.isprintable() or " " in name or not name:
+        raise ValueError("the name has blanks or control characters")
+
+
+def _parse_address(text):
+    """Return host and port of an instance's IPv4 address.
+
+    Raises
+    ------
+    ValueError or OSError
+    """
+    host, port = split_address(text)
+    socket.inet_pton(socket.AF_INET, host)
+    if not 0 < port <= MAX_PORT:
+        raise ValueError(f"port {port} out of range")
+    return host, port
+
+
 def decode_instance(name, value):
     """Decode the entry of an instance.
 
@@ -130,10 +166,11 @@
         Success of InstanceRecord, or Failure of BundleError.
     """
     try:
+        _check_name(name)
         model = _decode_instance_entry(value)
-    except msgspec.DecodeError as error:
-        return Failure(BundleError([f"{INSTANCE_TABLE}/{name}: {error}"]))
-    host, port = split_address(model.address)
+        host, port = _parse_address(model.address)
+    except (*DECODE_ERRORS, ValueError, OSError) as error:
+        return Failure(BundleError([f"{INSTANCE_TABLE}/{name!r}: {error}"]))
     return Success(
         InstanceRecord(
             name=name,
--- a/cardamomdrift/platform/settings.py
+++ b/cardamomdrift/platform/settings.py
@@ -135,6 +135,6 @@
     try:
         model = msgspec.json.decode(Path(path).read_bytes(), type=_SettingsModel)
         return Success(make_platform_settings(model))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         # The error's text names the key by its path in the file.
         return Failure(SettingsError([f"{path or SETTINGS_VARIABLE}: {error}"]))
--- a/cardamomdrift/platform/store.py
+++ b/cardamomdrift/platform/store.py
@@ -27,6 +27,7 @@
     Row,
     Snapshot,
 )
+from cardamomdrift.util import DECODE_ERRORS
 
 CALL_TIMEOUT = 0.7  # seconds; an answer takes 4 to 8 ms, or 60 times as long if slow
 WATCH_MARGIN = 0.5  # seconds, after the end of the wait, for the answer to arrive
@@ -237,7 +238,7 @@
             raise PlatformRefused(f"{path}: status {status} {body[:100]!r}")
         try:
             answer = _decode(body, type=dict)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             self.counts["unavailable"] += 1
             raise PlatformUnavailable(f"{path}: answer is not a JSON object") from error
         self.counts["ok"] += 1
--- a/cardamomdrift/util.py
+++ b/cardamomdrift/util.py
@@ -7,8 +7,12 @@
 
 import asyncio
 
+import msgspec
 import xxhash
 
+# Errors of msgspec on input that cannot be decoded.  It recurses into nested values,
+# also into those of fields that it passes over.
+DECODE_ERRORS = (msgspec.DecodeError, RecursionError)
 MILLISECONDS = 1000.0  # per second
 CANCEL_RETRY_INTERVAL = 0.5  # seconds
 
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -18,6 +18,7 @@
 from cardamomdrift.platform.daemon import PlatformDaemon
 from cardamomdrift.sessions.commands import Commit, Read, SetValue, Write
 from cardamomdrift.sessions.handler import SessionHandler
+from cardamomdrift.standins.entries import instance_entry
 from tests.site import LineClient, Site, leadership_row
 
 
@@ -597,6 +598,39 @@
                 {"g-0", "g-1", "g-2"},
             )
 
+    async def test_an_odd_instance_entry_does_not_stop_the_list(
+        self,
+    ):
+        nested = b"[" * 100_000 + b"]" * 100_000
+        async with Site(daemons=1) as site:
+            instance = site.group.primary
+            odd = {
+                "i-nested": b'{"backend": "g", "more": ' + nested + b"}",
+                "i-born": instance_entry("g", instance, born=2**70),
+                "i-digits": instance_entry(
+                    "g", instance, address="127.0.0.1:" + "9" * 5000
+                ),
+                "i-port": instance_entry("g", instance, address="127.0.0.1:99999"),
+                "i-zero": instance_entry("g", instance, address="127.0.0.1:0"),
+                "i-host": instance_entry("g", instance, address="\0:80"),
+                "i-octet": instance_entry("g", instance, address="127.0.0.999:80"),
+                "i-slots": instance_entry("g", instance, slots="many"),
+                "i-cold": instance_entry("g", instance, coldLeftMs=[]),
+                "i-blank x\r\nQUERY": instance_entry("g", instance),
+            }
+            for name, entry in odd.items():
+                site.store.put("servers", name, entry)
+            leaving = site.group.instances["g-2"]
+            leaving.draining = True
+            site.update_entry(leaving)
+            cluster = site.daemons["vm-1"].clusters.get("g")
+            await site.until(lambda: cluster.instances["g-2"].leaving, 3)
+            self.assertEqual(set(cluster.instances), {"g-0", "g-1", "g-2"})
+            self.assertEqual(site.logged("loop step failed"), [])
+            unusable = " ".join(site.logged("instance entry not usable"))
+            for name in ("i-nested", "i-born", "i-digits", "i-port", "i-zero"):
+                self.assertIn(name, unusable)
+
 
 class StopTest(unittest.IsolatedAsyncioTestCase):
     async def test_stop_closes_idle_sessions_and_waits_for_transactions(self):
