--- a/cardamomdrift/platform/store.py
+++ b/cardamomdrift/platform/store.py
@@ -112,10 +112,13 @@
         return self._era
 
     async def read(self, table):
-        """Return the Snapshot of a table."""
+        """Return the Snapshot of a table.
+
+        Its version is that of the first page: rows of that page may have changed before
+        the next one was read.
+        """
         rows = {}
-        start = None
-        era = None
+        start = era = version = None
         while True:
             query = {"table": table, "part": ROW_PART, "limit": str(PAGE_ROWS)}
             if start is not None:
@@ -125,8 +128,9 @@
             self._check_era(READ_PATH, era)
             with _check_shape(READ_PATH):
                 rows.update((row["key"], _make_row(row, era)) for row in answer["rows"])
-                if not answer.get("hasMore"):
+                if version is None:
                     version = _join_version(era, answer["rowVersion"])
+                if not answer.get("hasMore"):
                     return Snapshot(rows, version, era)
                 # "from" is inclusive, so the next page begins just after the last key.
                 start = answer["rows"][-1]["key"] + "\0"
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -308,6 +308,23 @@
         self.assertEqual(len(snapshot.rows), 1203)
         self.assertEqual(snapshot.rows["k01202"].value, b"1202")
 
+    async def test_a_change_between_two_pages_is_not_missed(self):
+        for number in range(600):
+            self.rows.put("t", f"k{number:05}", b"old")
+        call = self.store._call
+
+        async def call_then_change(*args):
+            result = await call(*args)
+            if self.rows.get("t", "k00000") == b"old":
+                self.rows.put("t", "k00000", b"new")
+            return result
+
+        with mock.patch.object(self.store, "_call", call_then_change):
+            snapshot = await self.store.read("t")
+        changes = await self.store.watch("t", snapshot.version, 0.1)
+        rows = snapshot.rows | changes.changed
+        self.assertEqual(rows["k00000"].value, b"new")
+
     async def test_conditional_commits(self):
         first = await self.store.commit("t", {"k": 0}, {"k": b"1"})
         self.assertIsInstance(first, Committed)
