One silent stream to a lender ends the unused ones to it

The same cause as that of the late configurations, looked for elsewhere: a request for a loan that got no answer aborted its stream only, and the next one took another kept stream that had gone silent at the same moment (0.15 s each, two kept for 2 s). Pools of connections to instances already end all idle ones, each query to a peer opens a connection of its own, and the promotion call uses the HTTP client.

Failed before: test_one_silent_stream_ends_the_other_ones_to_its_lender.

--- a/cardamomdrift/upstreams/borrower.py
+++ b/cardamomdrift/upstreams/borrower.py
@@ -222,6 +222,9 @@
                 stream.abort()
             if not isinstance(error, STREAM_ERRORS):
                 raise
+            # What ended this stream has probably ended the unused ones, too.
+            for kept in self._streams.pop(lender, ()):
+                kept.abort()
             self._log.info(
                 "loan not answered",
                 lender=lender,
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -299,6 +299,7 @@
                 writer.transport.abort()
                 return
             stream.write(answer)
+        await reader.read()
 
     async def borrow(self, pinned=False):
         clock = asyncio.get_running_loop().time
@@ -333,6 +334,28 @@
         self.script = [LoanGranted({}, [], None)]
         self.assertIsNotNone(await borrower.borrow("i", ["vm-2"], False, clock() + 1))
 
+    async def test_one_silent_stream_ends_the_other_ones_to_its_lender(self):
+        self.script = [LoanRefused("none")]
+        borrower, _ = await self.borrow()
+        clock = asyncio.get_running_loop().time
+
+        async def borrow():
+            await asyncio.sleep(0.6)
+            return await borrower.borrow("i", ["vm-2"], False, clock() + 1)
+
+        streams = [
+            LoanStream(*await asyncio.open_connection("127.0.0.1", self.port))
+            for _ in range(2)
+        ]
+        borrower._streams["vm-2"] = streams
+        for stream in streams:
+            # The script has one answer for each stream, and no more.
+            stream.write(LoanRequest("vm-1", "i", False))
+            await stream.receive()
+        self.script = [LoanGranted({}, [], None)]
+        self.assertIsNone(await borrow())
+        self.assertIsNotNone(await borrow())
+
     async def test_a_refusal_gives_no_connection(self):
         self.script = [LoanRefused("none")]
         borrower, connection = await self.borrow()
