Writes go on if all daemons restart after a restore of the store

The change of the row comes first now. The first epoch of a new deployment is of the store's era, too; it counted as lost in a store restored before. The rows of the groups have a module of their own, membership/leadership_rows.py.

Failed before: test_writes_go_on_if_all_daemons_restart_after_a_restore (no usable primary 12 s after the restart, with 1 and with 3 daemons) and test_writes_go_on_after_a_restore_without_peers (the epoch stayed 1).

--- a/cardamomdrift/failover/execution.py
+++ b/cardamomdrift/failover/execution.py
@@ -444,4 +444,4 @@
         group = cluster.group.name
         row = self._control.rows.get(leadership_key(group))
         if row is not None:
-            self._control.outdated_rows[group] = row.version
+            self._control.leadership_rows.outdated[group] = row.version
--- a/cardamomdrift/membership/control.py
+++ b/cardamomdrift/membership/control.py
@@ -4,7 +4,7 @@
 
 Keeps this daemon registered in the platform's store, reads the store when the promises
 of the voters do not suffice, changes the set of voters, and removes the rows of daemons
-that have failed.
+that have failed.  The rows of the groups are in `membership.leadership_rows`.
 """
 
 import asyncio
@@ -18,18 +18,16 @@
 )
 from cardamomdrift.failover.permission import STORE_READ_VALIDITY
 from cardamomdrift.failover.records import (
-    LEADERSHIP_PREFIX,
     MEMBER_PREFIX,
     TABLE,
     VOTERS_KEY,
-    LeadershipRecord,
     MemberRecord,
     decode_record,
     encode_record,
-    leadership_key,
     member_key,
 )
 from cardamomdrift.loops import repeat
+from cardamomdrift.membership.leadership_rows import LeadershipRows
 from cardamomdrift.membership.rendezvous import rank
 from cardamomdrift.membership.voter_keeper import VoterKeeper
 from cardamomdrift.peers.contacts import LIVENESS_TIMEOUT
@@ -76,9 +74,7 @@
     ----------
     reachable : bool
         Whether the last call of the store was answered.
-    outdated_rows : dict of str to int
-        Versions of rows that lack the last known state of a replacement, by group; 0
-        for a row that is missing.
+    leadership_rows : LeadershipRows
     """
 
     def __init__(self, store, roster, permission, address, clusters, on_change, log):
@@ -104,7 +100,7 @@
         self._restore_seen_at = None
         self._voter_keeper = VoterKeeper(roster, log, self._resumed_at)
         self.reachable = False
-        self.outdated_rows = {}
+        self.leadership_rows = LeadershipRows(store, roster, clusters, log)
 
     @property
     def rows(self):
@@ -166,18 +162,19 @@
         if not self._registered:
             await self._register()
             await self.refresh()
+        elif self._voter_keeper.is_due(self._registered_names, now, self._resumed_at):
+            # Before the reads that may be due again and again until the row is written.
+            await self._change_voters(now)
         elif self._roster.is_voter and not self._roster.promised_epoch:
             self._retry_at = now + RETRY_INTERVAL
             await self.refresh()
         elif self._is_confirmation_due(now):
             await self.refresh()
-        elif self._voter_keeper.is_due(self._registered_names, now, self._resumed_at):
-            await self._change_voters(now)
         elif self._is_store_read_due(now) or self._is_restore_read_due(now):
             self._read_at = now
             await self.refresh()
-        elif self.outdated_rows:
-            await self._write_leadership_row()
+        elif self.leadership_rows.outdated:
+            await self.leadership_rows.write_outdated(self._rows)
         elif self._is_removal_read_due(now):
             self._retry_at = now + RETRY_INTERVAL
             await self.refresh()
@@ -285,7 +282,7 @@
             self._read_at = begun_at
             self._record_era(snapshot.era)
             self._rows = snapshot.rows
-            self._apply_leadership_rows(snapshot.rows)
+            self.leadership_rows.apply(snapshot.rows)
             self._voter_keeper.apply_row(
                 snapshot.rows.get(VOTERS_KEY), boot_clock(), snapshot.era
             )
@@ -314,46 +311,6 @@
         self._roster.set_incarnation(secrets.token_hex(4), boot_clock())
         self._log.warning("registration is gone from the store", era=self._era)
 
-    def _apply_leadership_rows(self, rows):
-        for key, row in rows.items():
-            if key.startswith(LEADERSHIP_PREFIX):
-                self.apply_leadership_row(key.removeprefix(LEADERSHIP_PREFIX), row)
-        for cluster in self._clusters:
-            group = cluster.group.name
-            if cluster.leadership.generation and leadership_key(group) not in rows:
-                self._note_outdated_row(group, 0)
-
-    def _note_outdated_row(self, group, version):
-        """Note a row that the store lost; only voters write it again."""
-        if self._roster.is_voter:
-            self.outdated_rows.setdefault(group, version)
-
-    def apply_leadership_row(self, group, row):
-        """Apply a group's row; return whether it was newer than the known state."""
-        cluster = self._clusters.get(group)
-        if cluster is None:
-            return False
-        try:
-            record = decode_record(row, LeadershipRecord)
-        except ControlRecordError as error:
-            self._log.error("row not usable", error=str(error))
-            return False
-        leadership = cluster.leadership
-        if cluster.adopt(
-            record.generation, record.settled, record.term, record.primary, "store"
-        ):
-            return True
-        if (
-            leadership.settled
-            and leadership.generation == record.generation
-            and not record.settled
-        ):
-            # The daemon that settled it stopped before it wrote the row.
-            self.outdated_rows.setdefault(group, row.version)
-        elif record.generation < leadership.generation:
-            self._note_outdated_row(group, row.version)
-        return False
-
     def _apply_member_rows(self, rows):
         registered = {}
         for key, row in rows.items():
@@ -379,43 +336,6 @@
 
     # Writing
 
-    async def _write_leadership_row(self):
-        """Write one row that lacks the last known state of a replacement."""
-        group, version = next(iter(self.outdated_rows.items()))
-        del self.outdated_rows[group]
-        cluster = self._clusters.get(group)
-        if cluster is None:
-            return
-        key = leadership_key(group)
-        row = self._rows.get(key)
-        if version != (0 if row is None else row.version):
-            return
-        leadership = cluster.leadership
-        generation, token = 0, 0
-        if row is not None:
-            record = decode_record(row, LeadershipRecord)
-            generation, token = record.generation, record.token
-            stored = (record.generation, record.settled)
-            if stored >= (leadership.generation, leadership.settled):
-                return
-        known = LeadershipRecord(
-            leadership.generation,
-            leadership.settled,
-            leadership.term,
-            leadership.primary,
-            token if generation == leadership.generation else 0,
-            "",
-        )
-        result = await self._store.commit(
-            TABLE, {key: version}, {key: encode_record(known)}
-        )
-        self._log.info(
-            "replacement written",
-            group=group,
-            generation=leadership.generation,
-            taken=isinstance(result, Committed),
-        )
-
     async def _change_voters(self, now):
         """Write the row of the voters if it is still to be changed."""
         keeper = self._voter_keeper
@@ -429,8 +349,8 @@
             return
         if keeper.is_outdated:
             # A read that shows the epoch must show all replacements before it, too.
-            while self.outdated_rows:
-                await self._write_leadership_row()
+            while self.leadership_rows.outdated:
+                await self.leadership_rows.write_outdated(self._rows)
         expected = {VOTERS_KEY: keeper.version, own_row.key: own_row.version}
         puts = {VOTERS_KEY: encode_record(record)}
         result = await self._store.commit(TABLE, expected, puts)
--- a/cardamomdrift/membership/voter_keeper.py
+++ b/cardamomdrift/membership/voter_keeper.py
@@ -98,6 +98,7 @@
             Era of the store at the read.
         """
         roster = self._roster
+        self._era = era
         if row is None and not roster.voters.epoch:
             roster.confirmed_epoch = roster.confirmed_epoch or 0
             return
@@ -114,7 +115,6 @@
             self._version = version
             self._seen_at = now
             self._acknowledged_at = None
-        self._era = era
         self._is_outdated = row is None or record.epoch < first_number(era)
         if record.epoch < known.epoch:
             # Either the store lost the epoch, or this read began before it.
@@ -176,7 +176,8 @@
         """
         if self._record is None:
             names = first_voters(registered)
-            return VotersRecord(1, names, ()) if names else None
+            epoch = next_number(self._era, 0)
+            return VotersRecord(epoch, names, ()) if names else None
         if not self._may_change(now, resumed_at):
             return None
         if self._is_outdated:
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -6,11 +6,14 @@
 """
 
 import asyncio
+import json
 import unittest
 from unittest import mock
 
 from cardamomdrift.bundle import configuration as configuration_module
 from cardamomdrift.errors import NotRun
+from cardamomdrift.failover.numbers import first_number
+from cardamomdrift.failover.permission import PERMISSION_VALIDITY
 from cardamomdrift.membership import control
 from cardamomdrift.membership.instance_list import MAX_CURRENT_AGE
 from cardamomdrift.peers.link import send_query
@@ -21,6 +24,13 @@
 from cardamomdrift.standins.entries import instance_entry
 from tests.site import LineClient, Site, leadership_row
 
+RECOVERY_TIME = 12.0  # seconds after a loss of all daemons until writes are served
+
+
+def stored_epoch(site):
+    """Return the epoch of the voters in the control table."""
+    return json.loads(site.store.get("cardamomdrift", "epoch"))["epoch"]
+
 
 class NoFaultTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_session_reads_its_own_write_at_once(self):
@@ -354,6 +364,39 @@
             _, _, _, second_token = await self.hand_over(site)
             self.assertGreater(second_token, first_token)
 
+    async def test_writes_go_on_if_all_daemons_restart_after_a_restore(self):
+        for daemons in (1, 3):
+            with self.subTest(daemons=daemons):
+                async with Site(daemons=daemons) as site:
+                    copy = site.store.copy()
+                    names = list(site.daemons)
+                    for name in names:
+                        await site.kill(name)
+                    site.store.restore(copy)
+                    for name in names:
+                        await site.start(name)
+                    await site.until(
+                        lambda site=site: all(map(site.usable, site.daemons)),
+                        RECOVERY_TIME,
+                    )
+
+    async def test_writes_go_on_after_a_restore_without_peers(self):
+        async with Site(daemons=1) as site:
+            copy = site.store.copy()
+            await asyncio.sleep(0.2)
+            site.store.restore(copy)
+            await site.until(lambda: stored_epoch(site) == first_number(2), 6)
+            await asyncio.sleep(PERMISSION_VALIDITY + 0.5)
+            self.assertTrue(site.usable("vm-1"))
+
+    async def test_a_new_deployment_starts_at_once_in_a_later_era(self):
+        site = Site(daemons=1)
+        site.store.era = 7
+        started = asyncio.get_running_loop().time()
+        async with site:
+            self.assertLess(asyncio.get_running_loop().time() - started, 3.0)
+            self.assertEqual(stored_epoch(site), first_number(7))
+
     async def test_a_lost_registration_is_noticed_soon_after_a_restore(self):
         async with Site(daemons=2) as site:
             copy = site.store.copy()
