Soak: a restored store, silent connections; one red test

The soak draws from two more faults with one seed in five (the others keep theirs) and checks the fencing tokens of all promotion calls.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,13 +15,14 @@
 from pathlib import Path
 
 from soak.callers import Caller
-from soak.checker import Checker
-from soak.faults import FaultInjector
+from soak.checker import Checker, find_token_faults
+from soak.faults import FAULTS, STORE_FAULTS, FaultInjector
 from soak.fleet import INSTANCE_CONNECTIONS, Fleet
 
 DAEMON_COUNT = 4
 SCARCE_CONNECTIONS = 4  # per instance; one daemon then has no share and borrows
 SCARCE_SEED_INTERVAL = 4  # one seed in four runs with scarce connections
+STORE_SEED_INTERVAL = 5  # one seed in five also draws from the faults of the store
 CALLER_COUNT = 12
 STARTUP_TIME = 2.0  # seconds in which the daemons find each other
 RECOVERY_TIME = 3.0  # seconds without faults, before and while answers are counted
@@ -49,6 +50,8 @@
         if seed % SCARCE_SEED_INTERVAL == SCARCE_SEED_INTERVAL - 1
         else INSTANCE_CONNECTIONS
     )
+    if names is None and seed % STORE_SEED_INTERVAL == STORE_SEED_INTERVAL - 1:
+        names = (*FAULTS, *STORE_FAULTS)
     async with Fleet(DAEMON_COUNT, folder, module, connections) as fleet:
         checker = Checker(fleet.group)
         injector = FaultInjector(fleet, rng, names)
@@ -78,6 +81,7 @@
             if not task.cancelled() and task.exception() is not None:
                 checker.violations.append(f"caller failed: {task.exception()!r}")
         checker.finish()
+        checker.violations += find_token_faults(fleet.store.promotions)
         return checker, injector.injected
 
 
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -163,3 +163,21 @@
             if write.outcome == "done" and not run_count:
                 self.violations.append(f"write {request_id} acknowledged, never ran")
         return self.violations
+
+
+def find_token_faults(promotions):
+    """Return a line for each promotion call with a token that it must not have.
+
+    Parameters
+    ----------
+    promotions : list of tuple
+        Calls in their order, as (group, instance, duty holder, fencing token).
+    """
+    faults, highest, holders = [], 0, {}
+    for group, _, holder, token in promotions:
+        if token < highest:
+            faults.append(f"{holder} promoted in {group} with {token} after {highest}")
+        if holders.setdefault(token, holder) != holder:
+            faults.append(f"{holder} and {holders[token]} promoted with token {token}")
+        highest = max(highest, token)
+    return faults
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -33,6 +33,7 @@
 
     def __init__(self, fleet, random, names=None):
         self._fault_names = list(names or FAULTS)
+        self._faults = FAULTS | STORE_FAULTS
         self._fleet = fleet
         self._random = random
         self._tasks = set()
@@ -44,7 +45,7 @@
             await asyncio.sleep(self._random.uniform(*FAULT_INTERVAL_RANGE))
             name = self._random.choice(self._fault_names)
             self.injected.append(name)
-            keep_task(self._tasks, FAULTS[name](self))
+            keep_task(self._tasks, self._faults[name](self))
 
     async def heal(self):
         """Wait for faults in progress, then undo all faults and start what is down."""
@@ -138,6 +139,22 @@
         """Drop the history of changes that the store keeps."""
         self._fleet.store.drop_history()
 
+    async def restore(self):
+        """Return the store to a copy of some seconds ago; writers write again."""
+        store = self._fleet.store
+        copy = store.copy()
+        await self._wait_fault_duration()
+        store.restore(copy)
+        self._fleet.write_configuration()
+        self._fleet.list_instances()
+
+    async def silence_store(self):
+        """Let the connections of one daemon or of all to the store go silent."""
+        endpoints = self._fleet.endpoints
+        names = self._choose_vm_names()
+        for name in endpoints if "*" in names else names:
+            endpoints[name].silence_connections()
+
     async def link(self):
         """Silence, cut one way, refuse or delay connections to an instance."""
         proxy = self._random.choice(list(self._fleet.proxies.values()))
@@ -222,3 +239,8 @@
         "configure",
     )
 }
+# Faults of the store that only the seeds chosen in `soak.__main__` draw from, so that
+# the other seeds go on with the faults that they had.
+STORE_FAULTS = {
+    name: getattr(FaultInjector, name) for name in ("restore", "silence_store")
+}
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -191,6 +191,10 @@
     def configure(self):
         """Write the next configuration; it adds one route and keeps the others."""
         self.version += 1
+        self.write_configuration()
+
+    def write_configuration(self):
+        """Write the newest configuration, also again."""
         routes = [
             route("book", "primary", "g"),
             route("look", "bounded_staleness", "g"),
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -14,6 +14,7 @@
 from cardamomdrift.errors import NotRun
 from cardamomdrift.failover.numbers import first_number
 from cardamomdrift.failover.permission import PERMISSION_VALIDITY
+from cardamomdrift.failover.replacement import MIN_PRIMARY_AGE
 from cardamomdrift.membership import control
 from cardamomdrift.membership.instance_list import MAX_CURRENT_AGE
 from cardamomdrift.peers.link import send_query
@@ -380,6 +381,28 @@
                         RECOVERY_TIME,
                     )
 
+    async def test_a_replacement_that_all_daemons_forgot_does_not_stop_writes(self):
+        async with Site() as site:
+            copies = []
+            for _ in range(2):
+                copies.append(site.store.copy())
+                await self.hand_over(site)
+                for instance in site.group.instances.values():
+                    instance.draining = False
+                site.list_instances()
+                await asyncio.sleep(MIN_PRIMARY_AGE)
+            names = list(site.daemons)
+            for name in names:
+                await site.kill(name)
+            site.store.restore(copies[-1])
+            site.list_instances()
+            for name in names:
+                await site.start(name)
+            book = await site.caller("vm-1", "book")
+            async with asyncio.timeout(RECOVERY_TIME):
+                while not (await book.ask("WRITE a 1"))[0].startswith("COMPLETE"):
+                    await asyncio.sleep(0.2)
+
     async def test_writes_go_on_after_a_restore_without_peers(self):
         async with Site(daemons=1) as site:
             copy = site.store.copy()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,8 +10,10 @@
 import unittest
 
 from soak.__main__ import soak
+from soak.checker import find_token_faults
 
-SEEDS = (101, 7)  # 101 failed once, see soak/regressions.txt
+# 101 failed once, see soak/regressions.txt; 9 draws from the faults of the store, too.
+SEEDS = (101, 7, 9)
 SECONDS = 8.0  # seconds for which faults are injected
 
 
@@ -49,6 +51,12 @@
         ]
         self.assertTrue(matching, (break_name, checker.violations[:5], injected))
 
+    def test_tokens_that_repeat_or_fall_are_caught(self):
+        good = [("g", "i", "a", 1), ("g", "j", "a", 1), ("h", "i", "b", 2)]
+        self.assertEqual(find_token_faults(good), [])
+        self.assertEqual(len(find_token_faults([*good, ("g", "i", "c", 2)])), 1)
+        self.assertEqual(len(find_token_faults([*good, ("g", "i", "a", 1)])), 1)
+
     async def test_a_repeated_write_is_caught(self):
         await self.assert_caught("repeat-writes", "ran", "lose_answers")
 
