--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -39,7 +39,9 @@
             while not stop.is_set():
                 number += 1
                 request_id = f"w{number}"
-                answer, _, _ = await client.query(request_id, f"WRITE i{number} d{number}")
+                answer, _, _ = await client.query(
+                    request_id, f"WRITE i{number} d{number}"
+                )
                 if answer.startswith("COMPLETE"):
                     acknowledged[request_id] = record.now()
                 elif not answer.startswith("ERROR"):
@@ -132,6 +134,7 @@
 
 
 def main():
+    """Play the case, check the rule, and return the exit code."""
     record = Record(Path(__file__).with_name("record.txt"))
     try:
         with tempfile.TemporaryDirectory() as folder:
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -38,6 +38,7 @@
         self._began = time.monotonic()
 
     def __call__(self, line):
+        """Write one line."""
         self._file.write(f"{self.now():8.3f} {line}\n")
         self._file.flush()
 
@@ -74,7 +75,9 @@
 class Daemon:
     """One daemon process."""
 
-    def __init__(self, name, host, first_port, platform, folder, record, zone="z1"):
+    def __init__(
+        self, name, host, first_port, platform, folder, record, bounds=None, zone="z1"
+    ):
         self.name, self.host = name, host
         self.front = first_port
         self._folder = Path(folder)
@@ -102,7 +105,7 @@
             "entry": "vip",
             "contracts": ["base", "drain", "config", "recover", "sql", "platform"],
             "faultTolerance": {"machines": 2, "zones": 0, "regions": 0},
-            "bounds": BOUNDS,
+            "bounds": BOUNDS | (bounds or {}),
             "platform": {
                 "address": platform.store_address,
                 "form": "table",
@@ -204,7 +207,9 @@
         The answer is COMPLETE, an ERROR line, or CLOSED if the connection ended
         without a complete answer.
         """
-        self._record(f"sent by {self.label} to {self._daemon.name}: {request_id} {text}")
+        self._record(
+            f"sent by {self.label} to {self._daemon.name}: {request_id} {text}"
+        )
         rows, answer = [], ""
         try:
             self._writer.write(f"QUERY {request_id} {text}\r\n".encode())
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -99,7 +99,8 @@
                 data = json.dumps(answer).encode()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-                    f"Content-Length: {len(data)}\r\n\r\n".encode() + data
+                    f"Content-Length: {len(data)}\r\n\r\n".encode()
+                    + data
                 )
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
