--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -135,6 +135,11 @@
             self._record(f"daemon {self.name} gets {signal.Signals(number).name}")
             self._process.send_signal(number)
 
+    @property
+    def pid(self):
+        """Id of the process."""
+        return self._process.pid
+
     @property
     def running(self):
         """Whether the process runs."""
--- a/review/standins/instances.py
+++ b/review/standins/instances.py
@@ -8,6 +8,7 @@
 HEARTBEAT = 1.2  # seconds, heartbeatMs
 NETWORK_DELAY = 0.001  # seconds between two instances, one way
 QUEUE = 16  # statements that may wait for a slot
+LINE_LIMIT = 1 << 21  # bytes; a message has 1 MiB at most
 
 
 @dataclass
@@ -56,7 +57,9 @@
 
     async def start(self):
         """Start listening and register."""
-        self._server = await asyncio.start_server(self._serve, self.host, self.port)
+        self._server = await asyncio.start_server(
+            self._serve, self.host, self.port, limit=LINE_LIMIT
+        )
         self.port = self._server.sockets[0].getsockname()[1]
         self.running = True
         self._spawn(self._beat())
