The newest log decides which replica is promoted, also if it is draining

Cause: choose_candidate preferred any replica that was not draining to the newest log. The daemon had read "i-b=1:107 i-c=1:82" and had i-c promoted. A draining replica counts toward syncReplicas until it ends.

Ruled out: too few answers (both replicas answered, both were needed), an outdated list, a late status.

--- a/cardamomdrift/failover/replacement.py
+++ b/cardamomdrift/failover/replacement.py
@@ -149,8 +149,9 @@
 def choose_candidate(candidates, needed):
     """Return the name of the instance to promote, or None if too few answered.
 
-    A draining candidate is chosen only if all are draining.  Otherwise the newest log
-    decides, then the name.
+    The newest log decides, since the commits that only it has would be lost otherwise.
+    Among equal logs an instance that is not draining is preferred, then the name
+    decides.
 
     Parameters
     ----------
@@ -161,21 +162,13 @@
     """
     if len(candidates) < needed:
         return None
-    not_draining = [candidate for candidate in candidates if not candidate.draining]
-    newest_received = max(
-        (candidate.received for candidate in candidates), default=None
-    )
-    most_advanced = (
-        [
-            candidate
-            for candidate in not_draining
-            if candidate.received == newest_received
-        ]
-        or not_draining
-        or candidates
-    )
     return max(
-        most_advanced, key=lambda candidate: (candidate.received, candidate.name)
+        candidates,
+        key=lambda candidate: (
+            candidate.received,
+            not candidate.draining,
+            candidate.name,
+        ),
     ).name
 
 
