Replicas are compared after the old primary has been released

What callers could see, with syncReplicas: a commit that was acknowledged while a replacement was in progress was gone after it.

Cause: the executor asked the replicas for their logs before the other daemons had released the old primary. Commits sent to it until then may be acknowledged by the replica that was not chosen. A planned replacement then waited 0.4 s for the chosen one and went on without it.

Ruled out: waiting longer for the chosen replica; it may receive nothing for seconds while the other one has everything.

Change: release first, then wait until any replica that stays has a draining primary's last position, then compare. With synchronous replicas the replacement fails and is tried again if none has, as long as the primary answers; without them it goes on as before.

--- a/cardamomdrift/failover/execution.py
+++ b/cardamomdrift/failover/execution.py
@@ -36,8 +36,8 @@
     INTENT_LIFETIME,
     Candidate,
     Intent,
-    Reason,
     answers_needed,
+    can_take_over,
     choose_candidate,
     is_released,
     may_call_platform,
@@ -106,10 +106,13 @@
         # before this intent was committed.
         await self._control.refresh()
         self._check_no_other_replacement(intent.token)
-        candidate, term = await self._find_candidate(cluster, intent)
         await self._wait_released(cluster, intent)
-        if reason is Reason.LEAVING:
-            await self._wait_caught_up(cluster, candidate)
+        # The old primary acknowledges no more commits from here on, so none is missing
+        # from the logs that are compared.
+        old = cluster.instances.get(cluster.leadership.primary)
+        if old is not None and old.spec.draining:
+            await self._wait_caught_up(cluster, old)
+        candidate, term = await self._find_candidate(cluster, intent)
         await self._call_promote(cluster, candidate, intent)
         term = await self._wait_until_primary(cluster, candidate, term)
         old = cluster.instances.get(cluster.leadership.primary)
@@ -249,21 +252,10 @@
 
     async def _find_candidate(self, cluster, intent):
         """Return the name of the instance to promote, and the highest term seen."""
-        leadership = cluster.leadership
-        others = [
-            (name, runtime)
-            for name, runtime in cluster.instances.items()
-            if name != leadership.primary
-        ]
-        if not others:
-            raise ReplacementFailed("the group has no other instance")
-        needed = answers_needed(len(others), cluster.group.synchronous)
+        needed = self._answers_needed(cluster)
         deadline_at = boot_clock() + PLATFORM_CALL_TIMEOUT
         while True:
-            answers = await asyncio.gather(
-                *(self._ask_candidate(name, runtime) for name, runtime in others)
-            )
-            candidates = [answer for answer in answers if answer is not None]
+            candidates = await self._ask_candidates(cluster)
             chosen = choose_candidate(candidates, needed)
             if chosen is not None:
                 self._log.info(
@@ -277,12 +269,39 @@
                     ),
                 )
                 return chosen, max(
-                    leadership.term, *(candidate.term for candidate in candidates)
+                    cluster.leadership.term,
+                    *(candidate.term for candidate in candidates),
                 )
             if boot_clock() >= deadline_at:
                 raise ReplacementFailed("too few replicas answer")
             await asyncio.sleep(POLL_INTERVAL)
 
+    @staticmethod
+    def _other_instances(cluster):
+        """Return the names and runtimes of the instances besides the old primary."""
+        others = [
+            (name, runtime)
+            for name, runtime in cluster.instances.items()
+            if name != cluster.leadership.primary
+        ]
+        if not others:
+            raise ReplacementFailed("the group has no other instance")
+        return others
+
+    def _answers_needed(self, cluster):
+        others = self._other_instances(cluster)
+        return answers_needed(len(others), cluster.group.synchronous)
+
+    async def _ask_candidates(self, cluster):
+        """Return the Candidates among the instances that answer."""
+        answers = await asyncio.gather(
+            *(
+                self._ask_candidate(name, runtime)
+                for name, runtime in self._other_instances(cluster)
+            )
+        )
+        return [answer for answer in answers if answer is not None]
+
     async def _ask_candidate(self, name, runtime):
         try:
             status = await runtime.prober.status()
@@ -344,26 +363,31 @@
             missing=",".join(missing) or None,
         )
 
-    async def _wait_caught_up(self, cluster, candidate):
-        """Wait until the candidate has the old primary's last commits, up to a limit.
+    async def _wait_caught_up(self, cluster, old):
+        """Wait until a replica has the last commits of a draining primary.
 
-        The replacement goes on in any case.
+        After CATCH_UP_TIMEOUT the replacement goes on without them, unless the group
+        has synchronous replicas and the primary still answers.
         """
-        old = cluster.instances.get(cluster.leadership.primary)
-        new = cluster.instances[candidate]
-        deadline_at = boot_clock() + CATCH_UP_TIMEOUT
+        last = None
         try:
-            last = await old.prober.ping(read_only=True) if old else None
-            while last is not None and boot_clock() < deadline_at:
-                position = await new.prober.ping(read_only=True)
-                if position is not None and position >= last:
-                    return
-                await asyncio.sleep(POLL_INTERVAL)
+            async with asyncio.timeout(CATCH_UP_TIMEOUT):
+                last = await old.prober.ping(read_only=True)
+                needed = self._answers_needed(cluster)
+                while last is not None and not can_take_over(
+                    await self._ask_candidates(cluster), needed, last
+                ):
+                    await asyncio.sleep(POLL_INTERVAL)
+                return
         except (UpstreamError, TimeoutError) as error:
-            last = f"unknown: {type(error).__name__} {error}"
-        self._log.warning(
-            "candidate not caught up", group=cluster.group.name, last=str(last)
-        )
+            self._log.warning(
+                "no replica has caught up",
+                group=cluster.group.name,
+                last=str(last),
+                error=f"{type(error).__name__} {error}",
+            )
+        if last is not None and cluster.group.synchronous:
+            raise ReplacementFailed("only the old primary has the last commits")
 
     async def _call_promote(self, cluster, candidate, intent):
         """Call the platform to promote the candidate.
--- a/cardamomdrift/failover/replacement.py
+++ b/cardamomdrift/failover/replacement.py
@@ -172,6 +172,24 @@
     ).name
 
 
+def can_take_over(candidates, needed, last):
+    """Whether a planned replacement loses no commit and needs no second one.
+
+    Parameters
+    ----------
+    candidates : list of Candidate
+        Replicas that answered.
+    needed : int
+        Number of replicas that must answer; see `answers_needed`.
+    last : Position
+        End of the old primary's log.
+    """
+    if len(candidates) < needed:
+        return False
+    not_draining = [candidate for candidate in candidates if not candidate.draining]
+    return any(candidate.received >= last for candidate in not_draining or candidates)
+
+
 @dataclass(frozen=True, slots=True)
 class Intent:
     """Replacement that is committed to the store.
--- a/cardamomdrift/standins/entries.py
+++ b/cardamomdrift/standins/entries.py
@@ -61,7 +61,7 @@
     return entry | changes
 
 
-def configuration(version, routes, groups, transaction_idle_ms=3000):
+def configuration(version, routes, groups, transaction_idle_ms=3000, synchronous=0):
     """Return a configuration as JSON bytes.
 
     Parameters
@@ -72,13 +72,15 @@
         Connection limit of each instance, by group.
     transaction_idle_ms : int
         Milliseconds after which an idle transaction is ended.
+    synchronous : int
+        Replicas that have a commit before it is acknowledged.
     """
     backends = [
         {
             "name": name,
             "healthPath": "/health",
             "maxConns": connection_limit,
-            "syncReplicas": 0,
+            "syncReplicas": synchronous,
         }
         for name, connection_limit in groups.items()
     ]
--- a/tests/site.py
+++ b/tests/site.py
@@ -114,6 +114,8 @@
         Routes of the configuration; ROUTES by default.
     idle_ms : int
         Milliseconds after which an idle transaction is ended.
+    synchronous : int
+        Synchronous replicas of the group, according to the configuration.
 
     Attributes
     ----------
@@ -129,12 +131,15 @@
         Ports that each daemon uses at its own address; set on entering.
     """
 
-    def __init__(self, daemons=3, connections=16, routes=None, idle_ms=3000):
+    def __init__(
+        self, daemons=3, connections=16, routes=None, idle_ms=3000, synchronous=0
+    ):
         self._daemon_count = daemons
         self._stack = AsyncExitStack()
         self._folder = None
         self._routes = ROUTES if routes is None else routes
         self._idle_ms = idle_ms
+        self._synchronous = synchronous
         self.group = LineGroup("g", connections=connections)
         self.store = RowStore(promote=self.group.promote)
         self.daemons = {}
@@ -165,7 +170,13 @@
 
     def configure(self, version, routes=None):
         """Write a configuration to the store, as the operator does."""
-        body = configuration(version, routes or self._routes, {"g": 16}, self._idle_ms)
+        body = configuration(
+            version,
+            routes or self._routes,
+            {"g": 16},
+            self._idle_ms,
+            self._synchronous,
+        )
         self.store.put("op", "config", body)
 
     def list_instances(self):
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -23,6 +23,7 @@
     PrimaryEvidence,
     Reason,
     answers_needed,
+    can_take_over,
     choose_candidate,
     is_released,
     may_call_platform,
@@ -182,6 +183,17 @@
         self.assertEqual(choose_candidate(candidates, 1), "b")
         self.assertEqual(choose_candidate(candidates[1:], 1), "c")
 
+    def test_a_planned_replacement_waits_for_a_replica_that_stays(self):
+        last = Position(1, 9)
+        behind = Candidate("b", Position(1, 8), False)
+        leaving = Candidate("c", last, True)
+        equal = Candidate("d", last, False)
+        self.assertFalse(can_take_over([], 1, last))
+        self.assertFalse(can_take_over([equal], 2, last))
+        self.assertFalse(can_take_over([behind, leaving], 1, last))
+        self.assertTrue(can_take_over([behind, leaving, equal], 1, last))
+        self.assertTrue(can_take_over([leaving], 1, last))
+
     def test_with_synchronous_replicas_enough_must_answer(self):
         self.assertEqual(answers_needed(2, 0), 1)
         self.assertEqual(answers_needed(2, 1), 2)
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -339,6 +339,42 @@
             )
             self.assertGreater(len(acknowledged), 50)
 
+    async def test_commits_between_the_choice_and_the_release_are_not_lost(self):
+        """The logs were compared while other daemons still used the old primary."""
+        async with Site(daemons=1) as site:
+            executor = site.daemons["vm-1"].replacer._executor
+            wait_released = executor._wait_released
+            old = site.group.primary
+
+            async def commit_until_released(*args):
+                site.group.instances["g-2"].faults.replication_stopped = True
+                site.group.append(old, ("k", "v"))
+                await wait_released(*args)
+
+            with mock.patch.object(executor, "_wait_released", commit_until_released):
+                old.draining = True
+                site.update_entry(old)
+                await site.until(lambda: site.group.primary is not old)
+            self.assertEqual(site.group.primary.log, [(1, "k", "v")])
+
+    async def test_a_planned_replacement_loses_no_synchronous_commit(self):
+        """It went on after 0.4 s without the last commits of the old primary."""
+        async with Site(daemons=1, synchronous=1) as site:
+            book = await site.caller("vm-1", "book")
+            old = site.group.primary
+            replicas = [x for x in site.group.instances.values() if x is not old]
+            for replica in replicas:
+                replica.faults.replication_stopped = True
+            await book.ask("WRITE a 1")
+            old.draining = True
+            site.update_entry(old)
+            await site.until(lambda: len(site.logged("replacement failed")) >= 2)
+            self.assertIs(site.group.primary, old)
+            for replica in replicas:
+                replica.log = list(old.log)
+            await site.until(lambda: site.group.primary is not old)
+            self.assertEqual(site.group.primary.log, [(1, "a", "1")])
+
     async def hand_over(self, site):
         """Have the primary leave, and wait until the store names the next one."""
         generation = (leadership_row(site) or {"generation": 0})["generation"]
