MySQL edge: leaving instances are fenced and compared like the others

What callers could see: with one replica leaving, a crash of the primary left the group without a primary (the other two are a majority, so the leaving one was never fenced, and the dead one never answers); or commits that only the leaving replica had were lost.

Change: a promotion fences all instances; among equal logs one that isn't leaving is promoted.

--- a/cardamomdrift/failover/monitor.py
+++ b/cardamomdrift/failover/monitor.py
@@ -193,19 +193,6 @@
             if name != primary
         )
 
-    def _candidates(self):
-        """Return the names of the instances to fence, one of which is promoted.
-
-        Leaving instances are included only if the others are no majority.
-        """
-        staying = tuple(
-            name
-            for name, runtime in self._components.instances.items()
-            if not runtime.leaving
-        )
-        enough = len(staying) >= self._components.spec.majority
-        return staying if enough else self._components.spec.instance_names
-
     def _is_leaderless(self, now):
         """Whether a majority has answered for some time and none is the primary."""
         answering = self._components.status_collector.statuses_since(
@@ -245,7 +232,12 @@
         promotion = Promotion(
             term=term,
             owner=f"{components.vm.name}/{self._random.getrandbits(32):08x}",
-            instances=self._candidates(),
+            instances=components.spec.instance_names,
+            leaving=frozenset(
+                name
+                for name, runtime in components.instances.items()
+                if runtime.leaving
+            ),
             majority=components.spec.majority,
             record=components.spec.record_order,
             deadline_at=components.clock() + PROMOTION_TIMEOUT,
--- a/cardamomdrift/failover/promotion.py
+++ b/cardamomdrift/failover/promotion.py
@@ -120,6 +120,8 @@
         Whether the term's row is written before or after the promotion.
     deadline_at : float
         When an unfinished attempt fails, in seconds of the loop's clock.
+    leaving : frozenset of str
+        Instances that are promoted only if no other one has the same log.
     fenced : dict of str to FencedInstanceStatus
         Statuses of the instances that accepted the fence, by name.
     failed : set of str
@@ -136,6 +138,7 @@
     majority: int
     record: RecordOrder
     deadline_at: float
+    leaving: frozenset = frozenset()
     phase: Phase = Phase.FENCING
     fenced: dict = field(default_factory=dict)
     failed: set = field(default_factory=set)
@@ -202,7 +205,8 @@
         if answered < len(self.instances) and now < self.majority_at + FENCE_GRACE:
             return []
         self.chosen = max(
-            sorted(self.fenced), key=lambda name: self.fenced[name].position
+            sorted(self.fenced),
+            key=lambda name: (self.fenced[name].position, name not in self.leaving),
         )
         if self.record is RecordOrder.BEFORE:
             self.phase = Phase.RECORDING
