At a planned stop every statement that was taken is answered before the exit

Cause: the drain waits for callers up to the grace period less 0.7 s and then cancels all sessions. Deadlines of statements didn't know of that time.

Ruled out: the instances, which answered later; single statements, whose sessions are closed while idle.

Change: a stop sets the time of the last answer, 1 s before the end of the grace period. No request has a later deadline; one that isn't expected to be answered by then is refused at once (ABORTED, rolled back, in a transaction; BUSY otherwise); what began earlier with a later deadline is interrupted then, with a typed answer. A stopping lender passes on the replies that are due and refuses further statements as not sent.

Why not refuse everything after half of the grace period: a transaction that can still end is worth more to its caller than one that is refused, and the refusal is given as soon as that can't be expected any more.

--- a/cardamomdrift/platform/callers.py
+++ b/cardamomdrift/platform/callers.py
@@ -36,6 +36,7 @@
 # Seconds for which a session that opens before the first configuration waits for it.
 FIRST_CONFIGURATION_TIMEOUT = 1.8
 UNCONFIGURED_RETRY_AFTER = 0.5  # seconds, sent to a caller that waited in vain
+FINISH_TIMEOUT = 0.2  # seconds to send the last answers at a shutdown
 LISTEN_BACKLOG = 1024  # connections that wait to be accepted
 
 
@@ -47,6 +48,7 @@
         self.handler = None
         self.task = None
         self.busy = False
+        self.interrupted = False
 
     @property
     def idle(self):
@@ -73,6 +75,7 @@
         self._server = None
         self._sessions = set()
         self._draining = False
+        self._finishing = False
 
     @property
     def session_count(self):
@@ -177,6 +180,8 @@
             session.busy = False
             if self._draining and session.idle:
                 return
+            if self._finishing and not stream.has_unread_data:
+                return
             await stream.drain()
 
     async def _answer_query(self, session, request_id, command):
@@ -185,6 +190,12 @@
             answer = await handler.handle(request_id, command)
         except CallerError as error:
             data = render_failure(error, handler.state, handler.position)
+        except asyncio.CancelledError:
+            if not session.interrupted:
+                raise
+            session.task.uncancel()
+            error = handler.interrupt(command)
+            data = render_failure(error, handler.state, handler.position)
         else:
             data = render_answer(
                 answer.rows, answer.signature, handler.state, answer.position
@@ -197,3 +208,22 @@
         for session in list(self._sessions):
             if session.idle:
                 session.stream.close()
+
+    async def finish(self):
+        """Answer the statements that still run, and close all sessions.
+
+        Sessions with an open transaction stay open for FINISH_TIMEOUT, so that their
+        next statement is refused instead of lost.
+        """
+        self._server.close()
+        self._finishing = True
+        for session in self._sessions:
+            if session.busy:
+                session.interrupted = True
+                session.task.cancel()
+        self.close_idle()
+        tasks = [session.task for session in self._sessions]
+        if tasks:
+            await asyncio.wait(tasks, timeout=FINISH_TIMEOUT)
+        for session in list(self._sessions):
+            session.stream.close()
--- a/cardamomdrift/platform/daemon.py
+++ b/cardamomdrift/platform/daemon.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import secrets
-import time
 from contextlib import AsyncExitStack
 from importlib import import_module
 
@@ -72,6 +71,7 @@
 # Seconds.  Loading the metrics library at the start would delay the first callers.
 METRICS_LOAD_DELAY = 3.0
 EXIT_RESERVE = 0.7  # seconds of the grace period that remain for the process to exit
+ANSWER_RESERVE = 0.3  # seconds before that to send the last answers
 
 
 class PlatformDaemon:
@@ -430,23 +430,26 @@
         The callers are drained first.  Then the other daemons are told, and this daemon
         is deregistered.
         """
-        started = time.monotonic()
-        stop_by = started + self._settings.stop_grace - EXIT_RESERVE
+        clock = asyncio.get_running_loop().time
+        started = clock()
+        answer_by = started + self._settings.stop_grace - EXIT_RESERVE - ANSWER_RESERVE
+        self.clusters.answer_by = answer_by
         self._stopping = True
         self.roster.stopping = True
         self.announcer.announce()
         self.replacer.stop()
         self.log.info("daemon stopping", sessions=self.callers.session_count)
-        await asyncio.sleep(min(BALANCER_REMOVAL_TIME, stop_by - time.monotonic()))
+        await asyncio.sleep(min(BALANCER_REMOVAL_TIME, answer_by - clock()))
         self.lender.stop()
-        while time.monotonic() < stop_by and self._has_unfinished_work():
+        while clock() < answer_by and self._has_unfinished_work():
             self.callers.close_idle()
             await asyncio.sleep(IDLE_CLOSE_INTERVAL)
+        await asyncio.gather(self.callers.finish(), self.lender.finish())
         self.announcer.leaving = True
         self.announcer.send_all()
         await self.control.deregister()
         self.log.info(
             "daemon stopped",
             sessions=self.callers.session_count,
-            took_s=round(time.monotonic() - started, 2),
+            took_s=round(clock() - started, 2),
         )
--- a/cardamomdrift/platform/line_protocol.py
+++ b/cardamomdrift/platform/line_protocol.py
@@ -18,6 +18,7 @@
     Overloaded,
     ReadFailed,
     RefusedByInstance,
+    ShuttingDown,
     UnknownDatabase,
     UnknownStatement,
     UpstreamLost,
@@ -79,6 +80,7 @@
     (Overloaded, "BUSY"),
     (DeadlinePassed, "BUSY"),
     (NoPrimary, "BUSY"),
+    (ShuttingDown, "BUSY"),
     (CallerError, "ABORTED"),
 )
 
--- a/cardamomdrift/routing/clusters.py
+++ b/cardamomdrift/routing/clusters.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 
 from cardamomdrift.routing.cluster import Cluster
 from cardamomdrift.routing.statements import StatementRunner
@@ -25,12 +26,19 @@
     instances : InstanceList
     recorder : RequestRecorder
         Records the outcome of each request.
+
+    Attributes
+    ----------
+    answer_by : float
+        When all requests must have been answered, in seconds of the loop's clock;
+        infinity unless the daemon is shutting down.
     """
 
     def __init__(self, context, instances, recorder):
         self._context = context
         self._instances = instances
         self._recorder = recorder
+        self.answer_by = math.inf
         self._deployment = None
         self._deployed = asyncio.Event()
         self._clusters = {}
@@ -160,6 +168,12 @@
         """Return the StatementRunner of the group that a route leads to."""
         return self._runners[route.group]
 
+    def can_answer(self, request):
+        """Whether a request is expected to be answered before the daemon exits."""
+        route = request.route
+        expected = self.cluster_of(route).costs.expected(route.database)
+        return request.arrived_at + expected <= self.answer_by
+
     def run_in_background(self, work):
         """Run a coroutine in the background; return its task."""
         return keep_task(self._background_tasks, work)
--- a/cardamomdrift/sessions/handler.py
+++ b/cardamomdrift/sessions/handler.py
@@ -13,7 +13,10 @@
 from cardamomdrift.errors import (
     BadRequest,
     CallerError,
+    OutcomeUnknown,
     Overloaded,
+    ReadFailed,
+    ShuttingDown,
     TransactionLost,
     UnknownDatabase,
     UnknownStatement,
@@ -41,6 +44,7 @@
 )
 
 RETRY_AFTER = 0.2  # seconds after which callers are told to retry
+SHUTDOWN_REASON = "the daemon is shutting down"
 
 
 @dataclass(slots=True)
@@ -201,7 +205,7 @@
             route=route,
             caller=self._caller,
             arrived_at=now,
-            deadline_at=now + route.timeout,
+            deadline_at=min(now + route.timeout, self._clusters.answer_by),
             arrived_boot=boot_clock(),
             last_write=last_write,
         )
@@ -226,6 +230,8 @@
         return self._make_answer(reply, request)
 
     async def _dispatch(self, request):
+        if not self._clusters.can_answer(request):
+            raise self._make_shutdown_error()
         if self._transaction is not None:
             return await self._transaction.run(request)
         runner = self._clusters.runner_of(request.route)
@@ -235,6 +241,12 @@
             return reply
         return await runner.read(request)
 
+    def _make_shutdown_error(self):
+        """Return the error of a request that comes too late to be answered."""
+        if self._transaction is not None:
+            return TransactionLost(SHUTDOWN_REASON, RETRY_AFTER)
+        return ShuttingDown(SHUTDOWN_REASON, RETRY_AFTER)
+
     @staticmethod
     def _is_write(request):
         if isinstance(request.command, Execute):
@@ -256,6 +268,9 @@
             raise BadRequest("no transaction is open")
         request = self._make_request(request_id, Commit())
         try:
+            if not self._clusters.can_answer(request):
+                self._rollback()
+                raise TransactionLost(SHUTDOWN_REASON, RETRY_AFTER)
             reply = await transaction.commit(request)
         except CallerError as error:
             self._clusters.record(request_id, self._database, request, error)
@@ -270,6 +285,19 @@
 
     # End
 
+    def interrupt(self, command):
+        """Return the error of a command whose task was cancelled.
+
+        A transaction is rolled back when its connection closes, unless its commit has
+        been sent.
+        """
+        if self._transaction is not None:
+            self._fail()
+            return TransactionLost(SHUTDOWN_REASON, RETRY_AFTER)
+        if isinstance(command, Read):
+            return ReadFailed(SHUTDOWN_REASON)
+        return OutcomeUnknown(SHUTDOWN_REASON)
+
     def expire(self, now, limit):
         """Roll back a transaction that was idle too long; return whether it was.
 
--- a/cardamomdrift/upstreams/lender.py
+++ b/cardamomdrift/upstreams/lender.py
@@ -29,6 +29,8 @@
 REQUEST_TIMEOUT = 5.0
 EXCHANGE_TIMEOUT = 5.0  # seconds for an instance's answer; longer than callers wait
 OPEN_TIMEOUT = 0.1  # seconds to open a connection; the time of several handshakes
+FINISH_TIMEOUT = 0.2  # seconds to pass on the last replies at a shutdown
+FINISH_POLL_INTERVAL = 0.01  # seconds
 
 
 class Lender:
@@ -54,6 +56,8 @@
         self._server = None
         self._streams = set()
         self._stopping = False
+        self._finishing = False
+        self._running_steps = 0
         self.active_loans = 0
         self.counts = {"granted": 0, "refused": 0, "lost": 0}
 
@@ -71,6 +75,13 @@
         """Refuse all further loans."""
         self._stopping = True
 
+    async def finish(self):
+        """Run no further statements, and pass on the replies to those that run."""
+        self._stopping = self._finishing = True
+        give_up_at = self._clock() + FINISH_TIMEOUT
+        while self._running_steps and self._clock() < give_up_at:
+            await asyncio.sleep(FINISH_POLL_INTERVAL)
+
     async def _serve(self, reader, writer):
         stream = LoanStream(reader, writer)
         self._streams.add(stream)
@@ -147,8 +158,12 @@
 
     async def _run_steps(self, stream, runtime, connection, message):
         """Run statements and pass the replies on; return False if there are none."""
+        if self._finishing:
+            stream.write(LoanLost(False, "the daemon is shutting down"))
+            return False
         steps = unpack_steps(message)
         runtime.silence.record_request(self._clock())
+        self._running_steps += 1
         try:
             async with asyncio.timeout(EXCHANGE_TIMEOUT):
                 replies = await connection.exchange(steps)
@@ -157,6 +172,8 @@
             sent = not isinstance(error, UpstreamUnreachable)
             stream.write(LoanLost(sent, f"{type(error).__name__} {error}"))
             return False
+        finally:
+            self._running_steps -= 1
         runtime.record_reply()
         stream.write(LoanReplies(replies))
         return True
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -59,9 +59,11 @@
         self.position = Position(1, 1)
         self.reusable = True
         self.steps = []
+        self.delay = 0.0  # seconds until it answers
 
     async def exchange(self, steps):
         self.steps.extend(steps)
+        await asyncio.sleep(self.delay)
         return [Reply([], "sig", position=Position(1, 2)) for _ in steps]
 
     def close(self):
@@ -261,6 +263,18 @@
         self.lender.stop()
         self.assertIsInstance(await self.request_loan(), LoanRefused)
 
+    async def test_a_stopping_lender_passes_on_the_replies_that_are_due(self):
+        """The borrower's statement was in doubt, although it ran to its end."""
+        self.assertIsInstance(await self.request_loan(), LoanGranted)
+        self.connection.delay = 0.1
+        self.stream.write(pack_steps([("x", Read("k"))]))
+        await asyncio.sleep(0.02)
+        await self.lender.finish()
+        self.assertIsInstance(await self.stream.receive(), LoanReplies)
+        self.stream.write(pack_steps([("y", Read("k"))]))
+        answer = await self.stream.receive()
+        self.assertEqual((type(answer), answer.sent), (LoanLost, False))
+
     async def test_a_daemon_that_uses_a_detour_lends_nothing(self):
         self.runtime.begin_detour(asyncio.get_running_loop().time() + 1.0)
         self.assertIsInstance(await self.request_loan(), LoanRefused)
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from cardamomdrift.bundle import configuration as configuration_module
@@ -22,7 +23,7 @@
 from cardamomdrift.platform.daemon import PlatformDaemon
 from cardamomdrift.sessions.commands import Commit, Read, SetValue, Write
 from cardamomdrift.sessions.handler import SessionHandler
-from cardamomdrift.standins.entries import instance_entry
+from cardamomdrift.standins.entries import instance_entry, route
 from tests.site import LineClient, Site, leadership_row
 
 RECOVERY_TIME = 12.0  # seconds after a loss of all daemons until writes are served
@@ -756,6 +757,74 @@
             await stopping
             self.assertIsNone(site.store.get("cardamomdrift", "member/vm-1"))
 
+    async def stop_soon(self, site, name):
+        """End a daemon as SIGTERM does; its callers have 1 s to end."""
+        daemon = site.daemons[name]
+        daemon._settings = replace(daemon._settings, stop_grace=2.0)
+        await daemon.stop()
+        await site.kill(name)
+
+    async def test_statements_sent_until_the_exit_are_answered(self):
+        """A statement of an open transaction was cut when the process exited."""
+        async with Site(daemons=2) as site:
+            for instance in site.group.instances.values():
+                instance.service_time = 0.15
+            callers = [await site.caller("vm-1", "look") for _ in range(4)]
+            answers = []
+
+            async def run_statements(caller):
+                await caller.ask("BEGIN READ")
+                while caller.state == "T":
+                    answers.append(await caller.ask("READ a"))
+                    await asyncio.sleep(0.02)
+
+            running = [asyncio.create_task(run_statements(each)) for each in callers]
+            await asyncio.sleep(0.3)
+            await self.stop_soon(site, "vm-1")
+            await asyncio.gather(*running)
+            refused = [lines[0] for lines in answers if "ERROR" in lines[0]]
+            self.assertEqual(len(refused), len(callers))
+            for line in refused:
+                self.assertTrue(line.startswith("ERROR ABORTED"), line)
+
+    async def test_a_commit_that_comes_too_late_is_rolled_back(self):
+        async with Site(daemons=2) as site:
+            daemon = site.daemons["vm-1"]
+            book = await site.caller("vm-1", "book")
+            await book.ask("BEGIN")
+            await book.ask("WRITE a 1")
+            daemon.clusters.answer_by = asyncio.get_running_loop().time()
+            answer = await book.ask("COMMIT")
+            self.assertTrue(answer[0].startswith("ERROR ABORTED"), answer)
+            self.assertEqual(book.state, "I")
+            answer = await book.ask("WRITE b 1")
+            self.assertTrue(answer[0].startswith("ERROR BUSY"), answer)
+            self.assertEqual(site.group.primary.log, [])
+
+    async def test_statements_that_run_at_the_exit_are_answered(self):
+        """They had no answer if their deadline was later than the exit."""
+        routes = [route("book", "primary", "g", timeoutMs=20_000)]
+        async with Site(daemons=2, routes=routes) as site:
+            read, write, pinned = [await site.caller("vm-1", "book") for _ in range(3)]
+            await pinned.ask("BEGIN")
+            await pinned.ask("WRITE a 1")
+            site.group.primary.service_time = 3.0
+            asking = [
+                asyncio.create_task(caller.ask(text))
+                for caller, text in (
+                    (read, "READ a"),
+                    (write, "WRITE b 1"),
+                    (pinned, "WRITE c 1"),
+                )
+            ]
+            await asyncio.sleep(0.1)
+            await self.stop_soon(site, "vm-1")
+            answers = [(await answer)[0].split(" ")[:2] for answer in asking]
+            self.assertEqual(
+                answers,
+                [["ERROR", "TIMEOUT"], ["ERROR", "INDOUBT"], ["ERROR", "ABORTED"]],
+            )
+
     async def test_malformed_and_oversized_lines_end_only_their_session(self):
         async with Site(daemons=1) as site:
             other = await site.caller("vm-1", "look")
