A request whose instance has left the group is answered

Callers saw: their connection ended without an answer, after a write that had been acknowledged by its instance too, if that instance left the list meanwhile.

Cause: Dispatcher.release looked the instance up by name and raised KeyError. If an instance had come back under the name, the request was taken off the counts of that one.

Change: a placement holds the state of the instance that counts it.

Measured: the new test failed before (KeyError: 'a') and passes.

--- a/cardamomdrift/routing/dispatch.py
+++ b/cardamomdrift/routing/dispatch.py
@@ -66,10 +66,13 @@
     term : int
         Highest term seen when the request was placed.  In a `Cluster` it is the
         generation, the number of the last replacement of the primary.
+    runtime : InstanceRuntime
+        Counts the request; the instance may leave the group before it is released.
     """
 
     name: str
     term: int
+    runtime: object
 
 
 @dataclass(slots=True, eq=False)
@@ -164,7 +167,7 @@
 
     def release(self, placement, need, long):
         """Release a placement, and dispatch waiting requests."""
-        runtime = self._instances[placement.name]
+        runtime = placement.runtime
         runtime.in_flight -= 1
         runtime.long_in_flight -= long
         if isinstance(need, ForTransaction):
@@ -226,8 +229,9 @@
             self._occupy(placement, ticket.payload.need, ticket.long)
             ticket.payload.future.set_result(placement)
 
-    def _occupy(self, placement, need, long):
-        runtime = self._instances[placement.name]
+    @staticmethod
+    def _occupy(placement, need, long):
+        runtime = placement.runtime
         runtime.in_flight += 1
         runtime.long_in_flight += long
         if isinstance(need, ForTransaction):
@@ -243,7 +247,7 @@
                 placement = self._find_primary(ticket)
                 if placement is None:
                     return None
-                runtime = self._instances[placement.name]
+                runtime = placement.runtime
                 full = runtime.transactions >= runtime.transaction_limit
                 return None if full else placement
 
@@ -254,13 +258,13 @@
         runtime = self._instances[name]
         if not runtime.usable or runtime.in_flight >= runtime.limit:
             return None
-        return Placement(name, self._view.term)
+        return Placement(name, self._view.term, runtime)
 
     def _find_for_read(self, floor, excluded, ticket):
         candidates = self._candidates(excluded, ticket)
         match choose_instance(candidates, floor, ticket.long):
             case Serve(name) | Probe(name):
-                return Placement(name, self._view.term)
+                return Placement(name, self._view.term, self._instances[name])
             case NoneAvailable():
                 return None
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -33,6 +33,20 @@
     )
 
 
+def make_dispatcher(spec, instances, view):
+    """Return a dispatcher of one VM, whose clock stands still."""
+    return Dispatcher(
+        spec,
+        instances,
+        view,
+        AdmissionQueue(10, Fifo()),
+        CostEstimator(),
+        VmIdentity("vm-1", "z"),
+        lambda: ("vm-1",),
+        lambda: 0.0,
+    )
+
+
 class LongStatementTest(unittest.IsolatedAsyncioTestCase):
     async def test_without_replicas_long_statements_follow_the_primary(self):
         spec = bundle().groups["g"]
@@ -42,16 +56,7 @@
             "b": make_runtime(False),
             "c": make_runtime(False),
         }
-        dispatcher = Dispatcher(
-            spec,
-            instances,
-            view,
-            AdmissionQueue(10, Fifo()),
-            CostEstimator(),
-            VmIdentity("vm-1", "z"),
-            lambda: ("vm-1",),
-            lambda: 0.0,
-        )
+        dispatcher = make_dispatcher(spec, instances, view)
         need = ForRead(Position(1, 1))
         for term, primary in ((1, "a"), (2, "b")):
             for name, runtime in instances.items():
@@ -73,5 +78,21 @@
             return placement.name
 
 
+class ReleaseTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_request_whose_instance_has_left_the_group_ends_normally(self):
+        """Its release raised KeyError, so its caller got no answer."""
+        runtime = make_runtime(True)
+        instances = {"a": runtime}
+        spec = bundle().groups["g"]
+        view = make_view(spec)
+        dispatcher = make_dispatcher(spec, instances, view)
+        status = FencedInstanceStatus(1, "o", Position(1, 5), True, "", 0.0)
+        view.observe("a", status, 1.0, 1.0)
+        async with dispatcher.acquire(ForRead(Position(1, 1)), ticket()):
+            self.assertEqual(runtime.in_flight, 1)
+            del instances["a"]
+        self.assertEqual(runtime.in_flight, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
