A statement that ends in an unexpected error is answered

Change: the caller gets what is true in any case (ABORTED in a transaction, TIMEOUT for a read, INDOUBT otherwise); then the session ends and the error is logged, as before.

Measured: the new test failed before (IncompleteReadError) and passes.

--- a/cardamomdrift/platform/callers.py
+++ b/cardamomdrift/platform/callers.py
@@ -194,8 +194,12 @@
             if not session.interrupted:
                 raise
             session.task.uncancel()
-            error = handler.interrupt(command)
+            error = handler.interrupt(command, "the daemon is shutting down")
             data = render_failure(error, handler.state, handler.position)
+        except Exception:
+            error = handler.interrupt(command, "internal error")
+            session.stream.write(render_failure(error, handler.state, handler.position))
+            raise
         else:
             data = render_answer(
                 answer.rows, answer.signature, handler.state, answer.position
--- a/cardamomdrift/sessions/handler.py
+++ b/cardamomdrift/sessions/handler.py
@@ -285,18 +285,18 @@
 
     # End
 
-    def interrupt(self, command):
-        """Return the error of a command whose task was cancelled.
+    def interrupt(self, command, reason):
+        """Return the error of a command that ended without an outcome.
 
-        A transaction is rolled back when its connection closes, unless its commit has
-        been sent.
+        An open transaction is rolled back when its connection closes, because its
+        commit has not been sent.
         """
         if self._transaction is not None:
             self._fail()
-            return TransactionLost(SHUTDOWN_REASON, RETRY_AFTER)
+            return TransactionLost(reason, RETRY_AFTER)
         if isinstance(command, Read):
-            return ReadFailed(SHUTDOWN_REASON)
-        return OutcomeUnknown(SHUTDOWN_REASON)
+            return ReadFailed(reason)
+        return OutcomeUnknown(reason)
 
     def expire(self, now, limit):
         """Roll back a transaction that was idle too long; return whether it was.
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -825,6 +825,16 @@
                 [["ERROR", "TIMEOUT"], ["ERROR", "INDOUBT"], ["ERROR", "ABORTED"]],
             )
 
+    async def test_a_statement_that_fails_unexpectedly_is_answered(self):
+        """Its caller's connection ended without an answer."""
+        async with Site(daemons=1) as site:
+            caller = await site.caller("vm-1", "book")
+            runner = site.daemons["vm-1"].clusters._runners["g"]
+            with mock.patch.object(runner, "write", side_effect=KeyError("x")):
+                answer = await caller.ask("WRITE a 1")
+            self.assertTrue(answer[0].startswith("ERROR INDOUBT"), answer)
+            self.assertTrue(await caller.at_eof())
+
     async def test_malformed_and_oversized_lines_end_only_their_session(self):
         async with Site(daemons=1) as site:
             other = await site.caller("vm-1", "look")
