MySQL edge: statements that run at the end of the drain are answered

Callers saw: error 2013, "Lost connection to MySQL server during query", when a daemon stopped and their statement had a deadline later than the drain timeout.

Change: when the server closes, running statements end with an error packet: transaction lost (it is rolled back), read failed, or outcome unknown. A statement whose OK packet is being written is left alone.

Ruled out: refusing statements of open transactions from the start of the drain, which would lose those that can end in time.

Measured: the new test of test_fleet failed before ("2013 != 50012") and passes.

--- a/cardamomdrift/mysql/session.py
+++ b/cardamomdrift/mysql/session.py
@@ -11,7 +11,13 @@
 from mysql_mimic.types import ColumnType
 
 from cardamomdrift.bundle.model import RequestKind
-from cardamomdrift.errors import BadRequest, ShuttingDown
+from cardamomdrift.errors import (
+    BadRequest,
+    OutcomeUnknown,
+    ReadFailed,
+    ShuttingDown,
+    TransactionLost,
+)
 from cardamomdrift.mysql.columns import make_column
 from cardamomdrift.mysql.wire import Ok, Rows, WireVariables
 from cardamomdrift.position import ORIGIN
@@ -48,6 +54,7 @@
         self._transaction_options = None
         self._autocommit = True
         self._open_result = None
+        self._verb = None
 
     @property
     def in_transaction(self):
@@ -109,6 +116,7 @@
         """
         await self._close_result()
         statement = parse_statement(sql)
+        self._verb = statement.verb
         values = {**self._option_values, **dict(statement.options)}
         if attributes:
             values.update(attribute_options(attributes))
@@ -143,6 +151,19 @@
             case _:
                 raise BadRequest("the statement needs a connection of its own")
 
+    def make_interruption(self):
+        """Return the error of a statement that was cancelled.
+
+        An open transaction is rolled back when its connection closes, because its
+        commit has not been sent.
+        """
+        reason = "the daemon is shutting down"
+        if self._transaction is not None:
+            return TransactionLost(reason, 0.1)
+        if self._verb is Verb.READ:
+            return ReadFailed(reason)
+        return OutcomeUnknown(reason)
+
     async def _read(self, statement, values):
         if await self._ensure_transaction(values):
             return await self._transaction.execute(statement.sql, writes=False)
--- a/cardamomdrift/mysql/wire.py
+++ b/cardamomdrift/mysql/wire.py
@@ -33,6 +33,8 @@
 from cardamomdrift.mysql.tls import TlsStream
 from cardamomdrift.sessions.parameters import bind, split_parameters
 
+FINISH_TIMEOUT = 0.2  # seconds to answer the statements that run when the server closes
+FINISH_POLL_INTERVAL = 0.01  # seconds
 HANDSHAKE_TIMEOUT = 5.0  # seconds
 READ_BUFFER_BYTES = 16 * 1024
 MAX_PREPARED_STATEMENTS = 1000  # for each connection
@@ -125,9 +127,21 @@
 
 
 class WireConnection(Connection):
-    """Server side of a connection from a MySQL client."""
+    """Server side of a connection from a MySQL client.
+
+    Attributes
+    ----------
+    require_tls : bool
+    running : bool
+        Whether a statement is running.
+    interrupted : bool
+        Whether the running statement is to be answered with an error when its task is
+        cancelled.
+    """
 
     require_tls = False
+    running = False
+    interrupted = False
 
     async def authenticate(self, **kwargs):
         """Authenticate the client; a refused client is disconnected."""
@@ -171,8 +185,23 @@
             client_charset=self.client_charset,
             data=data,
         )
-        answer = await self.session.handle_query(query.sql, query.query_attrs)
-        await self._write_answer(answer, self._write_rows)
+        await self._run(query.sql, query.query_attrs, self._write_rows)
+
+    async def _run(self, sql, attributes, write_rows):
+        """Run a statement and write its answer."""
+        self.running = True
+        try:
+            answer = await self.session.handle_query(sql, attributes)
+            # No error may follow the packet of an `Ok`.
+            self.running = isinstance(answer, Rows)
+            await self._write_answer(answer, write_rows)
+        except asyncio.CancelledError:
+            if not self.interrupted:
+                raise
+            asyncio.current_task().uncancel()
+            raise self.session.make_interruption() from None
+        finally:
+            self.running = False
 
     async def _write_answer(self, answer, write_rows):
         match answer:
@@ -236,8 +265,7 @@
     async def handle_stmt_execute(self, data):
         """Run a prepared statement and write its result in the binary protocol."""
         sql, attributes = self._parse_execute(data)
-        answer = await self.session.handle_query(sql, attributes)
-        await self._write_answer(answer, self._write_binary_rows)
+        await self._run(sql, attributes, self._write_binary_rows)
 
     async def _write_binary_rows(self, columns, rows):
         await self.stream.write(uint_len(len(columns)), drain=False)
@@ -353,6 +381,7 @@
         self._control = LocalControl(server_id=1)
         self._server = None
         self._tasks = {}
+        self._wire_connections = {}
         self._refused = 0
 
     @property
@@ -381,13 +410,31 @@
             self._server.close()
 
     async def close(self):
-        """Stop listening and end every connection."""
+        """Stop listening, answer running statements and end every connection."""
         self.stop_listening()
+        await self._interrupt_statements()
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def _interrupt_statements(self):
+        """Answer the statements that are running with errors."""
+        running = {
+            task: connection
+            for task, connection in self._wire_connections.items()
+            if connection.running
+        }
+        for task, connection in running.items():
+            connection.interrupted = True
+            task.cancel()
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + FINISH_TIMEOUT
+        while loop.time() < give_up_at and any(
+            connection.running for connection in running.values()
+        ):
+            await asyncio.sleep(FINISH_POLL_INTERVAL)
+
     def abort_connections(self):
         """Abort every connection immediately, as a crash does."""
         for task, writer in list(self._tasks.items()):
@@ -442,8 +489,11 @@
         )
         connection.require_tls = self._require_tls
         connection.connection_id = await self._control.add(connection)
+        task = asyncio.current_task()
+        self._wire_connections[task] = connection
         try:
             # `Connection.start` would create a second task.
             await connection._start()
         finally:
+            del self._wire_connections[task]
             await self._control.remove(connection.connection_id)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from datetime import UTC, datetime
 
 from asyncmy.errors import Error
@@ -19,6 +20,7 @@
     BundleConflict,
     KeyReused,
     OutcomeUnknown,
+    ReadFailed,
     ShuttingDown,
     TransactionLost,
     UnknownClass,
@@ -364,6 +366,30 @@
             await until(lambda: keeper.membership.counted == {"vm-2"})
             self.assertEqual(await query(other, COUNT), [(1,)])
 
+    async def test_statements_that_run_at_the_end_of_the_drain_are_answered(self):
+        """Their connections ended without an answer."""
+        async with running_fleet() as fleet:
+            daemon = fleet.daemons["vm-1"]
+            daemon._settings = replace(daemon._settings, drain_timeout=0.3)
+            read, write, pinned = [await fleet.connect("vm-1", "d") for _ in range(3)]
+            await query(pinned, "BEGIN")
+            slow = "/* cardamomdrift: deadline_ms=9000 */"
+            cost = "/* cost_ms=6000 */"
+            statements = (
+                (ReadFailed, read, f"{slow} SELECT {cost} 1"),
+                (OutcomeUnknown, write, f"{slow} INSERT {cost} INTO t (v) VALUES (1)"),
+                (TransactionLost, pinned, f"INSERT {cost} INTO t (v) VALUES (2)"),
+            )
+            checks = [
+                asyncio.create_task(
+                    self.assert_error_code(error_type, query(connection, sql))
+                )
+                for error_type, connection, sql in statements
+            ]
+            await asyncio.sleep(0.1)
+            self.assertFalse(await fleet.stop_daemon("vm-1"))
+            await asyncio.gather(*checks)
+
     async def test_concurrent_roll_outs_have_one_winner_named_in_the_others_error(self):
         async with running_fleet(daemons=1) as fleet:
             registry = fleet.registry
