Soak: callers that rest in transactions, and a check for statements cut at planned stops

One seed in six has slow instances (150 ms) and half of its callers in read transactions of 6.5 s. A statement that an instance ran, and whose connection ended without an answer at a graceful stop, is a violation, unless the daemon was suspended meanwhile.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,13 +23,23 @@
 SCARCE_CONNECTIONS = 4  # per instance; one daemon then has no share and borrows
 SCARCE_SEED_INTERVAL = 4  # one seed in four runs with scarce connections
 STORE_SEED_INTERVAL = 5  # one seed in five also draws from the faults of the store
+# One seed in six has slow instances, and half of the callers rest in transactions.
+RESTING_SEED_INTERVAL = 6
+RESTING_SERVICE_TIME = 0.15  # seconds
 CALLER_COUNT = 12
 STARTUP_TIME = 2.0  # seconds in which the daemons find each other
 RECOVERY_TIME = 3.0  # seconds without faults, before and while answers are counted
 MIN_RECOVERY_ANSWERS = 20  # answers that callers must get within RECOVERY_TIME
 
 
-async def soak(seed, seconds, folder, module=("cardamomdrift.platform",), names=None):
+async def soak(
+    seed,
+    seconds,
+    folder,
+    module=("cardamomdrift.platform",),
+    names=None,
+    resting=None,
+):
     """Run one soak test and return its Checker and the names of the faults injected.
 
     Parameters
@@ -43,6 +53,8 @@
         Module and arguments that start a daemon.
     names : sequence of str, optional
         Names of the faults to draw from; all by default.
+    resting : bool, optional
+        Whether half of the callers rest in transactions; the seed decides by default.
     """
     rng = random.Random(seed)
     connections = (
@@ -52,13 +64,24 @@
     )
     if names is None and seed % STORE_SEED_INTERVAL == STORE_SEED_INTERVAL - 1:
         names = (*FAULTS, *STORE_FAULTS)
+    if resting is None:
+        resting = seed % RESTING_SEED_INTERVAL == RESTING_SEED_INTERVAL - 2
     async with Fleet(DAEMON_COUNT, folder, module, connections) as fleet:
         checker = Checker(fleet.group)
         injector = FaultInjector(fleet, rng, names)
         callers = [
-            Caller(number, fleet, checker, random.Random(rng.random()))
+            Caller(
+                number,
+                fleet,
+                checker,
+                random.Random(rng.random()),
+                resting=resting and number % 2 == 0,
+            )
             for number in range(CALLER_COUNT)
         ]
+        if resting:
+            for instance in fleet.group.instances.values():
+                instance.service_time = RESTING_SERVICE_TIME
         await asyncio.sleep(STARTUP_TIME)
         caller_tasks = [asyncio.create_task(caller.run()) for caller in callers]
         fault_task = asyncio.create_task(injector.run())
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -33,6 +33,11 @@
         "cardamomdrift.platform.line_protocol._ERROR_CODES",
         ((Exception, "BUSY"),),
     ),
+    # A daemon that stops closes all sessions, also those that wait for an answer.
+    "cut-at-stop": (
+        "cardamomdrift.platform.callers.CallerServer.close_idle",
+        lambda self: [session.task.cancel() for session in list(self._sessions)],
+    ),
     # A replacement does not wait until the others have released the old primary.
     "hasty": (
         "cardamomdrift.failover.execution.is_released",
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,6 +11,8 @@
 
 from soak.checker import STALENESS_SLACK
 
+RESTING_STATEMENTS = 10  # statements of a transaction that rests between them
+RESTING_PAUSE = 0.5  # seconds
 ANSWER_TIMEOUT = 3.0  # seconds; longer than a statement may take
 STATEMENT_INTERVAL = 0.02  # seconds between two statements of a session
 MAX_STALENESS = 1.5  # seconds; limit of the route "look"
@@ -35,16 +37,18 @@
         Number of answers received.
     """
 
-    def __init__(self, number, fleet, checker, random):
+    def __init__(self, number, fleet, checker, random, resting=False):
         self._fleet = fleet
         self._checker = checker
         self._random = random
+        self._resting = resting
         self._request_ids = (f"c{number}x{count}" for count in itertools.count())
         self._item = f"item{number}"
         self._last_number = 0
         self._reader = None
         self._writer = None
         self._daemon = None
+        self._incarnation = 0
         self._acknowledged_number = 0
         self.answers = 0
 
@@ -66,6 +70,7 @@
 
     async def _open(self, database):
         self._daemon = self._random.choice(list(self._fleet.daemons.values()))
+        self._incarnation = self._daemon.incarnation
         address = (self._daemon.host, self._fleet.ports[0])
         self._acknowledged_number = 0
         try:
@@ -90,11 +95,17 @@
                     lines.append(line)
         except TimeoutError:
             raise SessionEnded from None
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self._checker.note_cut(request_id, self._daemon, self._incarnation)
+            raise
         self.answers += 1
         self._checker.check_answer(request_id, lines)
         return lines
 
     async def _run_operation(self, database):
+        if self._resting:
+            await self._rest_in_transaction()
+            return
         draw = self._random.random()
         if draw < 0.4 and database != "look":
             await self._write()
@@ -124,6 +135,18 @@
         write = self._checker.begin_write(self._item, self._last_number, request_id)
         self._finish_write(write, await self._query(request_id, "COMMIT"))
 
+    async def _rest_in_transaction(self):
+        """Run a read transaction of seconds, with pauses between its statements."""
+        await self._query(next(self._request_ids), "BEGIN READ")
+        for _ in range(RESTING_STATEMENTS):
+            request_id = next(self._request_ids)
+            lines = await self._query(request_id, f"READ {self._item}")
+            if lines[-1].startswith("ERROR"):
+                await self._query(next(self._request_ids), "ROLLBACK")
+                return
+            await asyncio.sleep(RESTING_PAUSE)
+        await self._query(next(self._request_ids), "COMMIT")
+
     def _finish_write(self, write, lines):
         words = lines[-1].split(" ")
         now = asyncio.get_running_loop().time()
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -48,6 +48,8 @@
         Writes by request ID.
     by_item : dict of str to list of Write
         Writes by item, in the order in which they were sent.
+    cut_at_stops : list of tuple
+        Statements without an answer, with the daemon that was ended gracefully.
     newest_versions : dict of tuple to int
         Highest configuration version whose route was served, by name and incarnation
         of the daemon.
@@ -60,6 +62,7 @@
     writes: dict = field(default_factory=dict)
     by_item: dict = field(default_factory=dict)
     newest_versions: dict = field(default_factory=dict)
+    cut_at_stops: list = field(default_factory=list)
     reads: int = 0
 
     def begin_write(self, item, number, request_id):
@@ -137,6 +140,11 @@
                 f"answer {last} is for a different request than {request_id}"
             )
 
+    def note_cut(self, request_id, daemon, incarnation):
+        """Record that a connection ended while a statement had no answer."""
+        if incarnation in daemon.planned_ends:
+            self.cut_at_stops.append((request_id, daemon.name))
+
     def check_route(self, daemon, version, served):
         """Check that a daemon process still serves each route that it has served."""
         key = (daemon.name, daemon.incarnation)
@@ -150,6 +158,14 @@
 
     def finish(self):
         """Check all writes against what the instances executed; return violations."""
+        executed = {
+            request_id
+            for instance in self.group.instances.values()
+            for request_id, *_ in instance.executed_statements
+        }
+        for request_id, name in self.cut_at_stops:
+            if request_id in executed:
+                self.violations.append(f"{request_id} cut at a planned stop of {name}")
         run_counts = {}
         for instance in self.group.instances.values():
             for request_id, *_ in instance.committed:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -45,6 +45,8 @@
         Number of starts.
     stopping : bool
         Whether the soak test is ending the process.
+    planned_ends : set of int
+        Incarnations that were ended gracefully and not suspended meanwhile.
     """
 
     def __init__(self, name, host, settings_path, log_path, module):
@@ -56,6 +58,7 @@
         self._process = None
         self.incarnation = 0
         self.stopping = False
+        self.planned_ends = set()
 
     @property
     def running(self):
@@ -79,12 +82,15 @@
 
     def signal(self, number):
         """Send a signal to the process."""
+        if number == signal.SIGSTOP:
+            self.planned_ends.discard(self.incarnation)
         if self.running:
             self._process.send_signal(number)
 
     async def stop(self):
         """End the process gracefully; kill it after the grace period."""
         self.stopping = True
+        self.planned_ends.add(self.incarnation)
         self.signal(signal.SIGTERM)
         await self._wait(GRACE_PERIOD)
         await self.kill()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,7 +32,15 @@
                 self.assertGreater(checker.reads, 200)
                 self.assertGreater(len(checker.writes), 200)
 
-    async def assert_caught(self, break_name, expected_text, *names):
+    async def test_no_statement_is_cut_at_planned_stops(self):
+        """Statements of open transactions were cut when a daemon exited."""
+        checker, injected = await self.run_soak(
+            4, SECONDS, names=("stop",), resting=True
+        )
+        self.assertEqual(checker.violations, [], injected)
+        self.assertIn("stop", injected)
+
+    async def assert_caught(self, break_name, expected_text, *names, resting=False):
         """Check that a soak of broken daemons reports a violation with a text.
 
         Parameters
@@ -43,8 +51,11 @@
             Part of the reported violation.
         *names : str
             Names of the faults to draw from.
+        resting : bool
+            Whether half of the callers rest in transactions.
         """
         options = {"module": ("soak.broken", break_name), "names": names}
+        options["resting"] = resting
         checker, injected = await self.run_soak(21, 12.0, **options)
         matching = [
             violation for violation in checker.violations if expected_text in violation
@@ -66,6 +77,9 @@
     async def test_a_read_without_its_floor_is_caught(self):
         await self.assert_caught("no-floor", "not", "lag", "deaf")
 
+    async def test_a_cut_statement_is_caught(self):
+        await self.assert_caught("cut-at-stop", "cut", "stop", resting=True)
+
 
 if __name__ == "__main__":
     unittest.main()
