--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -507,6 +507,18 @@
         self.assertTrue(lines[-1].startswith("ERROR"), lines)
         self.assertEqual(site.group.primary.log, [])
 
+    async def test_loans_go_on_when_all_streams_between_daemons_went_silent(self):
+        """Statements must not wait for streams whose answers never arrive."""
+        site = await self.start()
+        client, _ = await LineClient.open(site.front("vm-2"), "book")
+        await self.write(client, "WRITE x 1", "before")
+        streams = site.daemons["vm-1"].lender._streams
+        self.assertTrue(streams)
+        for stream in streams:
+            stream.write = lambda _message: None
+        async with asyncio.timeout(1.0):
+            await self.write(client, "WRITE x 2", "after")
+
     async def test_a_held_connection_leaves_room_for_single_statements(self):
         """With one connection each, an idle transaction must not block statements."""
         site = await self.start(connections=2)
