--- a/cardamomdrift/mysql/wire.py
+++ b/cardamomdrift/mysql/wire.py
@@ -185,9 +185,9 @@
             client_charset=self.client_charset,
             data=data,
         )
-        await self._run(query.sql, query.query_attrs, self._write_rows)
+        await self._run_statement(query.sql, query.query_attrs, self._write_rows)
 
-    async def _run(self, sql, attributes, write_rows):
+    async def _run_statement(self, sql, attributes, write_rows):
         """Run a statement and write its answer."""
         self.running = True
         try:
@@ -265,7 +265,7 @@
     async def handle_stmt_execute(self, data):
         """Run a prepared statement and write its result in the binary protocol."""
         sql, attributes = self._parse_execute(data)
-        await self._run(sql, attributes, self._write_binary_rows)
+        await self._run_statement(sql, attributes, self._write_binary_rows)
 
     async def _write_binary_rows(self, columns, rows):
         await self.stream.write(uint_len(len(columns)), drain=False)
--- a/cardamomdrift/platform/callers.py
+++ b/cardamomdrift/platform/callers.py
@@ -41,7 +41,16 @@
 
 
 class _Session:
-    """Connection of a caller with its session handler and its task."""
+    """Connection of a caller with its session handler and its task.
+
+    Attributes
+    ----------
+    busy : bool
+        Whether a statement has been read and not answered yet.
+    interrupted : bool
+        Whether the statement is to be answered with an error when its task is
+        cancelled.
+    """
 
     def __init__(self, stream):
         self.stream = stream
