--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -69,19 +69,7 @@
     async with Fleet(DAEMON_COUNT, folder, module, connections) as fleet:
         checker = Checker(fleet.group)
         injector = FaultInjector(fleet, rng, names)
-        callers = [
-            Caller(
-                number,
-                fleet,
-                checker,
-                random.Random(rng.random()),
-                resting=resting and number % 2 == 0,
-            )
-            for number in range(CALLER_COUNT)
-        ]
-        if resting:
-            for instance in fleet.group.instances.values():
-                instance.service_time = RESTING_SERVICE_TIME
+        callers = _make_callers(fleet, checker, rng, resting)
         await asyncio.sleep(STARTUP_TIME)
         caller_tasks = [asyncio.create_task(caller.run()) for caller in callers]
         fault_task = asyncio.create_task(injector.run())
@@ -108,6 +96,26 @@
         return checker, injector.injected
 
 
+def _make_callers(fleet, checker, rng, resting):
+    """Return the callers.
+
+    If ``resting`` is true, half of them rest in transactions, and instances are slow.
+    """
+    if resting:
+        for instance in fleet.group.instances.values():
+            instance.service_time = RESTING_SERVICE_TIME
+    return [
+        Caller(
+            number,
+            fleet,
+            checker,
+            random.Random(rng.random()),
+            resting=resting and number % 2 == 0,
+        )
+        for number in range(CALLER_COUNT)
+    ]
+
+
 async def _refresh_instance_list(fleet):
     """Write the instances' entries regularly, as real instances do on the platform."""
     while True:
