Request log: size of a statement's text at its arrival and as it was sent

The log could not tell whether a text was changed when it was read, when it was rendered, or only by a later attempt. Request lines have payload_bytes and sent_bytes now; both leave out the position to wait for and the name of the prepared statement, which a daemon may add or change.

--- a/cardamomdrift/platform/callers.py
+++ b/cardamomdrift/platform/callers.py
@@ -176,8 +176,8 @@
             line = await stream.read_line()
             session.busy = True
             match parse_message(line):
-                case Query(request_id, command):
-                    await self._answer_query(session, request_id, command)
+                case Query() as query:
+                    await self._answer_query(session, query)
                 case Terminate():
                     return
                 case Malformed(reason):
@@ -193,10 +193,13 @@
                 return
             await stream.drain()
 
-    async def _answer_query(self, session, request_id, command):
+    async def _answer_query(self, session, query):
         handler = session.handler
+        command = query.command
         try:
-            answer = await handler.handle(request_id, command)
+            answer = await handler.handle(
+                query.request_id, command, query.payload_bytes
+            )
         except CallerError as error:
             data = render_failure(error, handler.state, handler.position)
         except asyncio.CancelledError:
--- a/cardamomdrift/platform/connection.py
+++ b/cardamomdrift/platform/connection.py
@@ -21,6 +21,7 @@
     STATUS,
     parse_ready,
     parse_status,
+    payload_size,
     render_command,
     render_query,
 )
@@ -96,6 +97,7 @@
             self.close()
             raise
         self._awaiting_reply = False
+        replies[-1].sent_bytes = payload_size(queries[-1][1])
         return replies
 
     async def _read_reply(self):
--- a/cardamomdrift/platform/line_protocol.py
+++ b/cardamomdrift/platform/line_protocol.py
@@ -7,7 +7,7 @@
 of the line.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from cardamomdrift.errors import (
     BadRequest,
@@ -48,6 +48,8 @@
 NO_POSITION = "-"
 POSITION_SEPARATOR = "."
 STATUS = "STATUS"
+WAIT_PREFIX = "WAITLSN "
+EXECUTE_PREFIX = "EXECUTE "
 PRIMARY_ROLE = "primary"
 INSTANCE_ROLES = frozenset((PRIMARY_ROLE, "replica"))
 
@@ -95,10 +97,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Query:
-    """Message with a command and the request id that the caller chose."""
+    """Message with a command and the request id that the caller chose.
+
+    Attributes
+    ----------
+    request_id : str
+    command : object
+    payload_bytes : int
+        See `payload_size`.
+    """
 
     request_id: str
     command: object
+    payload_bytes: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,7 +127,7 @@
             request_id, _, text = rest.partition(" ")
             if not request_id or not text:
                 return Malformed("QUERY needs an id and a text")
-            return Query(request_id, parse_command(text))
+            return Query(request_id, parse_command(text), payload_size(text))
         case "START":
             database, _, user = rest.partition(" ")
             return Start(database, user) if database else Malformed("no database")
@@ -170,10 +181,23 @@
 }
 
 
+def payload_size(text):
+    """Return the bytes of a statement's text that no daemon may change.
+
+    A daemon may add a position to wait for, and rename prepared statements.
+    """
+    if text.startswith(WAIT_PREFIX):
+        text = text.split(" ", 2)[-1]
+    if text.startswith(EXECUTE_PREFIX):
+        name, separator, arguments = text.removeprefix(EXECUTE_PREFIX).partition(" ")
+        text = separator + arguments
+    return len(_encode(text))
+
+
 def _render_wait_prefix(floor):
     if floor is None:
         return ""
-    return f"WAITLSN {floor.term}{POSITION_SEPARATOR}{floor.sequence} "
+    return f"{WAIT_PREFIX}{floor.term}{POSITION_SEPARATOR}{floor.sequence} "
 
 
 def render_command(command):
--- a/cardamomdrift/ports.py
+++ b/cardamomdrift/ports.py
@@ -70,6 +70,8 @@
     state : TransactionState
     position : Position or None
         Last entry of the instance's log.
+    sent_bytes : int or None
+        Size of the caller's text in the statement as it was sent; None if unknown.
     """
 
     rows: list
@@ -79,6 +81,7 @@
     detail: str = ""
     state: TransactionState = TransactionState.IDLE
     position: Position | None = None
+    sent_bytes: int | None = None
 
     @property
     def not_run(self):
--- a/cardamomdrift/routing/attempt.py
+++ b/cardamomdrift/routing/attempt.py
@@ -115,6 +115,7 @@
     setup = plan_setup(connection.loaded, request.values, prepared)
     step = (request.request_id, command)
     reply = await send_with_setup(cluster, connection, instance_name, setup, step)
+    request.trace.sent_bytes = reply.sent_bytes
     if reply.refusal is Refusal.NO_SUCH_STATEMENT:
         connection.loaded.prepared.clear()
     return reply
--- a/cardamomdrift/routing/request.py
+++ b/cardamomdrift/routing/request.py
@@ -34,6 +34,8 @@
         When it arrived, by the boot clock.
     last_write : Position or None
         Position of the session's last acknowledged write.
+    payload_bytes : int
+        Size of the caller's text that must reach the instance unchanged.
     trace : Trace
     """
 
@@ -47,6 +49,7 @@
     deadline_at: float
     arrived_boot: float
     last_write: Position | None = None
+    payload_bytes: int = 0
     trace: "Trace" = field(default_factory=lambda: Trace())
 
     @property
@@ -83,6 +86,8 @@
         When it got its last placement, in seconds of the loop's clock.
     sent : bool
         Whether anything was sent that may have run.
+    sent_bytes : int or None
+        Size of the caller's text in the last statement that was answered.
     events : list of str
         Failed attempts and hedges, in order.
     """
@@ -95,4 +100,5 @@
     attempts: int = 0
     placed_at: float | None = None
     sent: bool = False
+    sent_bytes: int | None = None
     events: list = field(default_factory=list)
--- a/cardamomdrift/sessions/handler.py
+++ b/cardamomdrift/sessions/handler.py
@@ -99,9 +99,16 @@
         """The open transaction, or None."""
         return self._transaction
 
-    async def handle(self, request_id, command):
+    async def handle(self, request_id, command, payload_bytes=0):
         """Return the Answer to a command.
 
+        Parameters
+        ----------
+        request_id : str
+        command : object
+        payload_bytes : int
+            Size of the text that must reach the instance unchanged, for the log.
+
         Raises
         ------
         CallerError
@@ -111,11 +118,11 @@
             return await self._handle_failed(command)
         match command:
             case Read() | Write() | Execute():
-                return await self._run(request_id, command)
+                return await self._run(request_id, command, payload_bytes)
             case Begin(read_only):
                 return self._begin(read_only)
             case Commit():
-                return await self._commit(request_id)
+                return await self._commit(request_id, payload_bytes)
             case Rollback():
                 return self._rollback()
             case SetValue(name, value):
@@ -188,7 +195,7 @@
         self._last_route = route
         return route
 
-    def _make_request(self, request_id, command):
+    def _make_request(self, request_id, command, payload_bytes):
         prepared = None
         if isinstance(command, Execute):
             prepared = self._session.prepared.get(command.name)
@@ -208,6 +215,7 @@
             deadline_at=min(now + route.timeout, self._clusters.answer_by),
             arrived_boot=boot_clock(),
             last_write=last_write,
+            payload_bytes=payload_bytes,
         )
 
     def _route_for(self, command):
@@ -217,10 +225,10 @@
             return self._last_route
         return self._route()
 
-    async def _run(self, request_id, command):
+    async def _run(self, request_id, command, payload_bytes):
         request = None
         try:
-            request = self._make_request(request_id, command)
+            request = self._make_request(request_id, command, payload_bytes)
             reply = await self._dispatch(request)
         except CallerError as error:
             self._fail()
@@ -262,11 +270,11 @@
             self.position = reply.position
         return Answer(reply.rows, reply.signature, reply.position)
 
-    async def _commit(self, request_id):
+    async def _commit(self, request_id, payload_bytes):
         transaction = self._transaction
         if transaction is None:
             raise BadRequest("no transaction is open")
-        request = self._make_request(request_id, Commit())
+        request = self._make_request(request_id, Commit(), payload_bytes)
         try:
             if not self._clusters.can_answer(request):
                 self._rollback()
--- a/cardamomdrift/telemetry/recorder.py
+++ b/cardamomdrift/telemetry/recorder.py
@@ -99,6 +99,8 @@
             "floor": str(trace.floor) if trace.floor else None,
             "generation": trace.generation,
             "permission_ms": _milliseconds(self._permission.until - boot_clock()),
+            "payload_bytes": request.payload_bytes or None,
+            "sent_bytes": trace.sent_bytes,
             "attempts": trace.attempts,
             "waited_ms": _milliseconds(waited),
             "took_ms": _milliseconds(elapsed),
