Failing test: the last blank of an executed statement is cut

The stand-in for instances keeps what it receives byte by byte, takes lines up to the protocol's limit (64 KiB before) and bytes that are not valid text.

--- a/cardamomdrift/standins/lines.py
+++ b/cardamomdrift/standins/lines.py
@@ -13,6 +13,7 @@
 from cardamomdrift.util import keep_task
 
 PROMOTION_TIME = 0.05  # seconds until a promoted instance accepts writes
+MESSAGE_SIZE_LIMIT = 1024 * 1024  # bytes of one line, with its end
 
 
 @dataclass
@@ -40,6 +41,27 @@
     silent_to: set = field(default_factory=set)
 
 
+@dataclass(frozen=True)
+class ReceivedStatement:
+    """Read, write, execution or commit exactly as an instance received it.
+
+    Attributes
+    ----------
+    request_id : str
+    text : str
+        Without the position to wait for; bytes that are not valid text are escaped.
+    shape : str or None
+        Shape of the prepared statement that is executed.
+    values : dict of str to str
+        Values of the session.
+    """
+
+    request_id: str
+    text: str
+    shape: str | None
+    values: dict
+
+
 @dataclass
 class LineSession:
     """Server-side state of one connection to an instance.
@@ -50,8 +72,8 @@
         Name of the daemon that opened the connection.
     values : dict of str to str
         Session values that were set.
-    prepared : dict of str to str
-        Kind of each prepared statement, ``READ`` or ``WRITE``, by name.
+    prepared : dict of str to tuple
+        Kind, ``READ`` or ``WRITE``, and shape of each prepared statement, by name.
     state : str
         Transaction state of the READY line: I, T or E.
     read_only : bool
@@ -89,6 +111,8 @@
     committed : list of tuple
         Commits as (request id, empty text, own term, highest term of any
         primary).
+    received : list of ReceivedStatement
+        All that the caller's request id came with, whether it ran or not.
     connections_opened : int
         Number of connections since the instance was created.
     """
@@ -109,6 +133,7 @@
         self.faults = InstanceFaults()
         self.executed_statements = []
         self.committed = []
+        self.received = []
         self.connections_opened = 0
 
     @property
@@ -140,7 +165,9 @@
 
     async def start(self):
         """Start listening; a restarted instance keeps its port."""
-        self._server = await asyncio.start_server(self._serve, self._host, self.port)
+        self._server = await asyncio.start_server(
+            self._serve, self._host, self.port, limit=MESSAGE_SIZE_LIMIT - 2
+        )
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def crash(self):
@@ -175,6 +202,9 @@
                 line = await self._read(reader)
                 _, request_id, text = line.split(" ", 2)
                 await self._answer(writer, session, request_id, text)
+        except asyncio.LimitOverrunError:
+            # Instances close a connection on which a message is too large.
+            return
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             # Only the end of the event loop cancels this task; nothing awaits it.
             return
@@ -184,7 +214,8 @@
 
     @staticmethod
     async def _read(reader):
-        return (await reader.readuntil(b"\r\n")).decode()[:-2]
+        line = await reader.readuntil(b"\r\n")
+        return line[:-2].decode("utf-8", "surrogateescape")
 
     def _is_silent(self, session):
         return self.faults.silent or session.daemon in self.faults.silent_to
@@ -200,7 +231,8 @@
             self.faults.lose_answers -= 1
             return
         lines.append(f"READY {session.state} {self.position}")
-        writer.write("".join(f"{line}\r\n" for line in lines).encode())
+        answer = "".join(f"{line}\r\n" for line in lines)
+        writer.write(answer.encode("utf-8", "surrogateescape"))
 
     async def _run(self, session, request_id, text):
         word, _, rest = text.partition(" ")
@@ -213,6 +245,12 @@
         if handler is None:
             return [f"ERROR MALFORMED {word}"]
         is_data_statement = word in ("READ", "WRITE", "EXECUTE", "COMMIT")
+        if is_data_statement:
+            shape = None
+            if word == "EXECUTE":
+                _, shape = session.prepared.get(rest.partition(" ")[0], (None, None))
+            received = ReceivedStatement(request_id, text, shape, dict(session.values))
+            self.received.append(received)
         if is_data_statement and self.faults.busy > 0:
             self.faults.busy -= 1
             return [f"ERROR BUSY {self.name}"]
@@ -282,7 +320,8 @@
         name, _, arguments = rest.partition(" ")
         if name not in session.prepared:
             return [f"ERROR NOSUCHSTMT {name}"]
-        if session.prepared[name] == "WRITE":
+        kind, _shape = session.prepared[name]
+        if kind == "WRITE":
             return self._do_write(session, request_id, arguments)
         return self._do_read(session, request_id, arguments)
 
@@ -292,8 +331,8 @@
         return ["COMPLETE -"]
 
     def _do_parse(self, session, _request_id, rest):
-        name, kind, _shape = rest.split(" ", 2)
-        session.prepared[name] = kind
+        name, kind, shape = rest.split(" ", 2)
+        session.prepared[name] = (kind, shape)
         return ["COMPLETE -"]
 
     def _do_reset(self, session, _request_id, _rest):
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -122,6 +122,15 @@
                 )
             self.assertEqual(len(runs), 10)
 
+    async def test_a_blank_at_the_end_of_an_executed_statement_is_not_cut(self):
+        """UNASKED: an instance ran a text without the last blank of the caller's."""
+        async with Site(daemons=1) as site:
+            client = await site.caller("vm-1", "book")
+            await client.ask("PARSE s1 WRITE shape")
+            await client.ask("EXECUTE s1 item data ", "one")
+            [received] = site.group.primary.received
+            self.assertTrue(received.text.endswith(" item data "), received.text)
+
     async def test_a_transaction_keeps_its_connection(self):
         async with Site(daemons=1) as site:
             client = await site.caller("vm-1", "crew")
