The text of an executed statement reaches the instance unchanged

Cause: parsing split the text into a name and arguments, and rendering built it anew from these and then removed all blanks from the end, so that an EXECUTE without arguments would not end in one. Blanks of the caller went, too, and "EXECUTE s1 " could not be told from "EXECUTE s1".

Ruled out: reading, since the size at the arrival is that of the caller's text (payload_bytes=11, sent_bytes=10); retries, hedges and loans, since the first attempt over an own connection shows it.

Change: the command keeps what follows the name as the caller sent it, and rendering adds nothing and removes nothing.

--- a/cardamomdrift/platform/line_protocol.py
+++ b/cardamomdrift/platform/line_protocol.py
@@ -162,8 +162,10 @@
 
 
 def _parse_execute(_text, rest):
-    name, _, arguments = rest.partition(" ")
-    return Execute(name, arguments) if name else Malformed("EXECUTE needs a name")
+    name = rest.partition(" ")[0]
+    if not name:
+        return Malformed("EXECUTE needs a name")
+    return Execute(name, rest.removeprefix(name))
 
 
 _COMMANDS = {
@@ -189,8 +191,8 @@
     if text.startswith(WAIT_PREFIX):
         text = text.split(" ", 2)[-1]
     if text.startswith(EXECUTE_PREFIX):
-        name, separator, arguments = text.removeprefix(EXECUTE_PREFIX).partition(" ")
-        text = separator + arguments
+        arguments = text.removeprefix(EXECUTE_PREFIX)
+        text = arguments.removeprefix(arguments.partition(" ")[0])
     return len(_encode(text))
 
 
@@ -210,8 +212,8 @@
             return _render_wait_prefix(floor) + text
         case Write(text):
             return text
-        case Execute(name, arguments, floor):
-            return f"{_render_wait_prefix(floor)}EXECUTE {name} {arguments}".rstrip(" ")
+        case Execute(name, tail, floor):
+            return f"{_render_wait_prefix(floor)}{EXECUTE_PREFIX}{name}{tail}"
         case Begin(read_only, floor):
             return _render_wait_prefix(floor) + ("BEGIN READ" if read_only else "BEGIN")
         case Commit():
--- a/cardamomdrift/sessions/commands.py
+++ b/cardamomdrift/sessions/commands.py
@@ -63,10 +63,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Execute:
-    """Runs a prepared statement."""
+    """Runs a prepared statement.
+
+    Attributes
+    ----------
+    name : str
+    tail : str
+        The text after the name as the caller sent it, with the blank before its
+        arguments.
+    floor : Position or None
+    """
 
     name: str
-    arguments: str
+    tail: str
     floor: Position | None = None
 
 
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -107,7 +107,7 @@
         ("QUERY 5c ROLLBACK", Query("5c", Rollback())),
         ("QUERY 5c SET tz a b", Query("5c", SetValue("tz", "a b"))),
         ("QUERY 5c PARSE s1 WRITE q2 c", Query("5c", Prepare("s1", True, "q2 c"))),
-        ("QUERY 5c EXECUTE s1 1a4 x y", Query("5c", Execute("s1", "1a4 x y"))),
+        ("QUERY 5c EXECUTE s1 1a4 x y", Query("5c", Execute("s1", " 1a4 x y"))),
         ("QUERY 5c CLOSE s1", Query("5c", Discard("s1"))),
     )
     MALFORMED = (
@@ -145,7 +145,10 @@
         (Write("WRITE 1a4 x"), "WRITE 1a4 x"),
         (Begin(True, FLOOR), "WAITLSN 3.1207 BEGIN READ"),
         (Begin(False), "BEGIN"),
-        (Execute("r1", "1a4 x"), "EXECUTE r1 1a4 x"),
+        (Execute("r1", " 1a4 x"), "EXECUTE r1 1a4 x"),
+        (Execute("r1", " 1a4  "), "EXECUTE r1 1a4  "),
+        (Execute("r1", " "), "EXECUTE r1 "),
+        (Execute("r1", ""), "EXECUTE r1"),
         (SetValue("tz", "a b"), "SET tz a b"),
         (Prepare("r1", False, "q2"), "PARSE r1 READ q2"),
         (Reset(), "RESET"),
