Loans carry texts that are not valid UTF-8

What callers would see: a statement, request id, session value or prepared shape with bytes that are not valid UTF-8 was never served over a loan; a daemon without connections of its own answered BUSY. A connection that had loaded such values could not be lent: the loan ended. A reply with such bytes ended the stream after the statement had run, so a write that had taken effect was in doubt and a read failed.

Cause: texts are str with escaped bytes (surrogateescape), and msgspec encodes only str that is valid UTF-8. Ruled out: a changed text; msgspec raises UnicodeEncodeError before anything is sent.

Change: request ids, texts, session values and replies are carried as bytes, also the reason in LoanLost, which may quote an instance. Positions that an instance reports have no limit, so encoding can still raise OverflowError; it takes the same ways as UnicodeEncodeError did.

--- a/cardamomdrift/peers/loans.py
+++ b/cardamomdrift/peers/loans.py
@@ -4,7 +4,8 @@
 
 Two daemons exchange these messages while one lends the other a connection to an
 instance.  A stream carries one loan at a time, because the end of the stream must end
-the loan.  Each message is preceded by its length.
+the loan.  Each message is preceded by its length.  Texts of callers and instances are
+carried as bytes, because they may hold bytes that are not valid UTF-8.
 """
 
 import asyncio
@@ -12,7 +13,7 @@
 import msgspec
 
 from cardamomdrift.errors import PacketTooLarge
-from cardamomdrift.ports import Reply
+from cardamomdrift.ports import Refusal, Reply, TransactionState
 from cardamomdrift.position import Position
 from cardamomdrift.sessions.commands import (
     Begin,
@@ -32,15 +33,17 @@
 MESSAGE_SIZE_LIMIT = 8 * 1024 * 1024  # bytes; room for a few of the largest statements
 LOAN_PORT_OFFSET = 2  # from the heartbeat port; the port between is for queries
 
-# Errors that end a stream.  A message may hold bytes of callers or instances that are
-# not valid text, hence UnicodeEncodeError.
+# Errors on a message that cannot be encoded.  Positions that instances report have no
+# limit, hence OverflowError.
+ENCODE_ERRORS = (UnicodeEncodeError, OverflowError)
+# Errors that end a stream.
 STREAM_ERRORS = (
     OSError,
     TimeoutError,
     asyncio.IncompleteReadError,
     *DECODE_ERRORS,
+    *ENCODE_ERRORS,
     PacketTooLarge,
-    UnicodeEncodeError,
 )
 
 # Commands that a borrower may send, by name.
@@ -83,7 +86,7 @@
 
     Attributes
     ----------
-    values : dict of str to str
+    values : dict of bytes to bytes
         Session values that are set on the connection.
     prepared : list of str
         Names of the statements prepared on it.
@@ -91,7 +94,7 @@
         Position of the instance's log at its last answer.
     """
 
-    values: dict[str, str]
+    values: dict[bytes, bytes]
     prepared: list[str]
     position: Position | None
 
@@ -105,26 +108,39 @@
 class LoanSteps(msgspec.Struct, array_like=True, frozen=True, tag="steps"):
     """Statements to send in one write, as request id, command name and its fields."""
 
-    steps: list[tuple[str | None, str, dict]]
+    steps: list[tuple[bytes | None, str, dict]]
+
+
+class LoanReply(msgspec.Struct, array_like=True, frozen=True):
+    """A `Reply` as it is carried."""
+
+    rows: list[bytes]
+    signature: bytes
+    refusal: Refusal | None
+    code: bytes
+    detail: bytes
+    state: TransactionState
+    position: Position | None
+    sent_bytes: int | None
 
 
 class LoanReplies(msgspec.Struct, array_like=True, frozen=True, tag="replies"):
     """The instance's replies, in order."""
 
-    replies: list[Reply]
+    replies: list[LoanReply]
 
 
 class LoanLost(msgspec.Struct, array_like=True, frozen=True, tag="lost"):
     """The connection has failed; ``sent`` if a statement may have been sent."""
 
     sent: bool
-    reason: str
+    reason: bytes
 
 
 class LoanReturn(msgspec.Struct, array_like=True, frozen=True, tag="return"):
     """Returns the connection, with the session state that it holds now."""
 
-    values: dict[str, str]
+    values: dict[bytes, bytes]
     prepared: list[str]
 
 
@@ -142,14 +158,38 @@
 _DECODER = msgspec.msgpack.Decoder(Message)
 
 
+def pack_text(text):
+    """Return the bytes of a text; those that are not valid UTF-8 are unchanged."""
+    return text.encode("utf-8", "surrogateescape")
+
+
+def unpack_text(data):
+    """Return the text of which `pack_text` returned the bytes."""
+    return data.decode("utf-8", "surrogateescape")
+
+
+def pack_values(values):
+    """Return session values as they are carried."""
+    return {pack_text(name): pack_text(value) for name, value in values.items()}
+
+
+def unpack_values(values):
+    """Return the session values that were carried."""
+    return {unpack_text(name): unpack_text(value) for name, value in values.items()}
+
+
 def pack_steps(steps):
     """Return statements as LoanSteps."""
-    return LoanSteps(
-        [
-            (request_id, type(command).__name__, msgspec.to_builtins(command))
-            for request_id, command in steps
-        ]
-    )
+    return LoanSteps([_pack_step(*step) for step in steps])
+
+
+def _pack_step(request_id, command):
+    fields = {
+        name: pack_text(value) if isinstance(value, str) else value
+        for name, value in msgspec.to_builtins(command).items()
+    }
+    packed_id = None if request_id is None else pack_text(request_id)
+    return packed_id, type(command).__name__, fields
 
 
 def unpack_steps(message):
@@ -160,12 +200,54 @@
     msgspec.ValidationError
         A command that borrowers may not send, or fields that do not match it.
     """
-    steps = []
-    for request_id, name, fields in message.steps:
-        if name not in LOAN_COMMANDS:
-            raise msgspec.ValidationError(f"no command {name[:20]!r}")
-        steps.append((request_id, msgspec.convert(fields, LOAN_COMMANDS[name])))
-    return steps
+    return [_unpack_step(*step) for step in message.steps]
+
+
+def _unpack_step(request_id, name, packed_fields):
+    if name not in LOAN_COMMANDS:
+        raise msgspec.ValidationError(f"no command {name[:20]!r}")
+    fields = {
+        name: unpack_text(value) if isinstance(value, bytes) else value
+        for name, value in packed_fields.items()
+    }
+    command = msgspec.convert(fields, LOAN_COMMANDS[name])
+    return None if request_id is None else unpack_text(request_id), command
+
+
+def pack_replies(replies):
+    """Return an instance's replies as LoanReplies."""
+    return LoanReplies(
+        [
+            LoanReply(
+                [pack_text(row) for row in reply.rows],
+                pack_text(reply.signature),
+                reply.refusal,
+                pack_text(reply.code),
+                pack_text(reply.detail),
+                reply.state,
+                reply.position,
+                reply.sent_bytes,
+            )
+            for reply in replies
+        ]
+    )
+
+
+def unpack_replies(message):
+    """Return the replies of LoanReplies."""
+    return [
+        Reply(
+            [unpack_text(row) for row in reply.rows],
+            unpack_text(reply.signature),
+            reply.refusal,
+            unpack_text(reply.code),
+            unpack_text(reply.detail),
+            reply.state,
+            reply.position,
+            reply.sent_bytes,
+        )
+        for reply in message.replies
+    ]
 
 
 class LoanStream:
@@ -185,8 +267,8 @@
 
         Raises
         ------
-        UnicodeEncodeError
-            The message holds bytes that are not valid text; nothing was sent.
+        UnicodeEncodeError or OverflowError
+            The message cannot be encoded; nothing was sent.
         """
         data = _ENCODER.encode(message)
         self._writer.write(len(data).to_bytes(LENGTH_PREFIX_SIZE, "big") + data)
--- a/cardamomdrift/upstreams/borrower.py
+++ b/cardamomdrift/upstreams/borrower.py
@@ -16,6 +16,7 @@
 from cardamomdrift.errors import UpstreamLost, UpstreamUnreachable
 from cardamomdrift.membership.rendezvous import rank
 from cardamomdrift.peers.loans import (
+    ENCODE_ERRORS,
     LOAN_PORT_OFFSET,
     STREAM_ERRORS,
     LoanGranted,
@@ -25,6 +26,10 @@
     LoanReturn,
     LoanStream,
     pack_steps,
+    pack_values,
+    unpack_replies,
+    unpack_text,
+    unpack_values,
 )
 from cardamomdrift.ports import TransactionState
 from cardamomdrift.sessions.state import LoadedState
@@ -59,7 +64,7 @@
         self._awaiting_reply = False
         self._closed = False
         self.lender = lender
-        self.loaded = LoadedState(granted.values, set(granted.prepared))
+        self.loaded = LoadedState(unpack_values(granted.values), set(granted.prepared))
         self.state = TransactionState.IDLE
         self.position = granted.position
 
@@ -80,7 +85,9 @@
             return
         self._closed = True
         loaded = self.loaded
-        self._stream.write(LoanReturn(loaded.values, sorted(loaded.prepared)))
+        self._stream.write(
+            LoanReturn(pack_values(loaded.values), sorted(loaded.prepared))
+        )
         self._on_returned(self.lender, self._stream)
 
     async def exchange(self, steps):
@@ -90,9 +97,9 @@
         self._awaiting_reply = True
         try:
             self._stream.write(pack_steps(steps))
-        except UnicodeEncodeError as error:
+        except ENCODE_ERRORS as error:
             self.close()
-            raise UpstreamUnreachable(f"statement is no text: {error}") from error
+            raise UpstreamUnreachable(f"statement not encoded: {error}") from error
         try:
             answer = await self._stream.receive()
         except STREAM_ERRORS as error:
@@ -104,11 +111,11 @@
         self._awaiting_reply = False
         match answer:
             case LoanReplies(replies) if len(replies) == len(steps):
-                return self._apply_replies(replies)
+                return self._apply_replies(unpack_replies(answer))
             case LoanLost(sent, reason):
                 self.close()
                 failure = UpstreamLost if sent else UpstreamUnreachable
-                raise failure(f"{self.lender}: {reason}")
+                raise failure(f"{self.lender}: {unpack_text(reason)}")
         self.close()
         raise UpstreamLost(f"{self.lender} sent {type(answer).__name__}")
 
--- a/cardamomdrift/upstreams/lender.py
+++ b/cardamomdrift/upstreams/lender.py
@@ -15,12 +15,15 @@
     LoanGranted,
     LoanLost,
     LoanRefused,
-    LoanReplies,
     LoanRequest,
     LoanReturn,
     LoanSteps,
     LoanStream,
+    pack_replies,
+    pack_text,
+    pack_values,
     unpack_steps,
+    unpack_values,
 )
 from cardamomdrift.ports import TransactionState
 from cardamomdrift.sessions.state import LoadedState
@@ -140,7 +143,7 @@
         """Run the borrower's statements; return whether it returned the connection."""
         loaded = connection.loaded
         granted = LoanGranted(
-            loaded.values, sorted(loaded.prepared), connection.position
+            pack_values(loaded.values), sorted(loaded.prepared), connection.position
         )
         stream.write(granted)
         while True:
@@ -151,7 +154,9 @@
                     if not await self._run_steps(stream, runtime, connection, message):
                         return False
                 case LoanReturn(values, prepared):
-                    connection.loaded = LoadedState(values, set(prepared))
+                    connection.loaded = LoadedState(
+                        unpack_values(values), set(prepared)
+                    )
                     return connection.state is TransactionState.IDLE
                 case _:
                     return False
@@ -159,7 +164,7 @@
     async def _run_steps(self, stream, runtime, connection, message):
         """Run statements and pass the replies on; return False if there are none."""
         if self._finishing:
-            stream.write(LoanLost(False, "the daemon is shutting down"))
+            stream.write(LoanLost(False, b"the daemon is shutting down"))
             return False
         steps = unpack_steps(message)
         runtime.silence.record_request(self._clock())
@@ -170,10 +175,11 @@
         except (UpstreamError, TimeoutError) as error:
             runtime.record_failure()
             sent = not isinstance(error, UpstreamUnreachable)
-            stream.write(LoanLost(sent, f"{type(error).__name__} {error}"))
+            reason = pack_text(f"{type(error).__name__} {error}")
+            stream.write(LoanLost(sent, reason))
             return False
         finally:
             self._running_steps -= 1
         runtime.record_reply()
-        stream.write(LoanReplies(replies))
+        stream.write(pack_replies(replies))
         return True
