Daemons of different versions refuse each other's loans

What callers would see during a rolling upgrade: an older lender cuts the blanks at the end of an EXECUTE; a field that the other version does not know was passed over, and the rest of the command ran.

Cause: the tags of the messages were those of older versions, although Execute had changed its fields, and fields of a command that are unknown were ignored. Ruled out: an Execute of the other version itself, which lacks a field and was refused as not valid, but only after it had been sent, so a write was in doubt.

Change: the tags of LoanRequest and LoanGranted name a version. A lender closes the stream on a request of another version, a borrower logs "loan not answered" and uses other ways, both before any statement is sent. The fields of a command must be exactly those of this version.

Tests, all four failed before: an older borrower (nothing received by the instance, no loan granted), an older lender (no statement sent), a grant of an older lender, and commands with other fields.

--- a/cardamomdrift/peers/loans.py
+++ b/cardamomdrift/peers/loans.py
@@ -6,9 +6,14 @@
 instance.  A stream carries one loan at a time, because the end of the stream must end
 the loan.  Each message is preceded by its length.  Texts of callers and instances are
 carried as bytes, because they may hold bytes that are not valid UTF-8.
+
+The tags of LoanRequest and LoanGranted name the version of the messages.  They change
+with any message, with the fields of a command and with the meaning of a field, so that
+daemons of different versions refuse each other before a statement is sent.
 """
 
 import asyncio
+from dataclasses import fields
 
 import msgspec
 
@@ -62,9 +67,13 @@
         Write,
     )
 }
+_FIELD_NAMES = {
+    name: {field.name for field in fields(command)}
+    for name, command in LOAN_COMMANDS.items()
+}
 
 
-class LoanRequest(msgspec.Struct, array_like=True, frozen=True, tag="loan?"):
+class LoanRequest(msgspec.Struct, array_like=True, frozen=True, tag="loan 2?"):
     """Asks for a connection.
 
     Attributes
@@ -81,7 +90,7 @@
     pinned: bool
 
 
-class LoanGranted(msgspec.Struct, array_like=True, frozen=True, tag="loan!"):
+class LoanGranted(msgspec.Struct, array_like=True, frozen=True, tag="loan 2!"):
     """Lends a connection.
 
     Attributes
@@ -203,14 +212,16 @@
     return [_unpack_step(*step) for step in message.steps]
 
 
-def _unpack_step(request_id, name, packed_fields):
-    if name not in LOAN_COMMANDS:
-        raise msgspec.ValidationError(f"no command {name[:20]!r}")
-    fields = {
+def _unpack_step(request_id, command_name, packed_fields):
+    if command_name not in LOAN_COMMANDS:
+        raise msgspec.ValidationError(f"no command {command_name[:20]!r}")
+    if packed_fields.keys() != _FIELD_NAMES[command_name]:
+        raise msgspec.ValidationError(f"other fields of {command_name}")
+    command_fields = {
         name: unpack_text(value) if isinstance(value, bytes) else value
         for name, value in packed_fields.items()
     }
-    command = msgspec.convert(fields, LOAN_COMMANDS[name])
+    command = msgspec.convert(command_fields, LOAN_COMMANDS[command_name])
     return None if request_id is None else unpack_text(request_id), command
 
 
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -57,6 +57,12 @@
 RAW_TEXT = b"a\xff\xed\xa0\x80 \xc3\xa4".decode("utf-8", "surrogateescape")
 
 
+def older_message(*fields):
+    """Return a message as daemons sent it that carried texts as text."""
+    data = msgspec.msgpack.encode(fields)
+    return len(data).to_bytes(4, "big") + data
+
+
 class FakeLog:
     """Logger that discards everything."""
 
@@ -165,6 +171,17 @@
         with self.assertRaises(ValueError):
             unpack_steps(pack_steps([(None, StepDown(9))]))
 
+    def test_a_command_with_other_fields_is_not_unpacked(self):
+        """A field of another version was passed over, and the rest was run."""
+        for name, fields in (
+            ("Write", {"text": b"WRITE x", "key": b"a"}),
+            ("Begin", {"read_only": False}),
+            ("Execute", {"name": b"w1", "arguments": b"x", "floor": None}),
+            ("Write", {"text": None}),
+        ):
+            with self.subTest(name), self.assertRaises(msgspec.ValidationError):
+                unpack_steps(LoanSteps([(None, name, fields)]))
+
 
 class PoolTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
@@ -339,7 +356,10 @@
         self.script = []
         self.stream_count = 0
         self.port = free_port("127.0.0.1")
-        server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.serve_stream = self.serve
+        server = await asyncio.start_server(
+            lambda *streams: self.serve_stream(*streams), "127.0.0.1", self.port
+        )
         self.addCleanup(server.close)
 
     async def serve(self, reader, writer):
@@ -414,6 +434,38 @@
         self.assertIsNone(connection)
         self.assertEqual(borrower.counts, {"borrowed": 0, "nobody": 1})
 
+    async def test_a_lender_of_an_older_version_gets_no_statement(self):
+        """Older lenders cut blanks from the end of a statement."""
+        received = []
+
+        async def serve(reader, writer):
+            size = int.from_bytes(await reader.readexactly(4), "big")
+            received.append(msgspec.msgpack.decode(await reader.readexactly(size)))
+            if received[-1][0] == "loan?":
+                writer.write(older_message("loan!", {}, [], None))
+                received.append(await reader.read())
+            writer.close()
+
+        self.serve_stream = serve
+        with mock.patch.object(FakeLog, "info", create=True) as info:
+            _, connection = await self.borrow()
+        self.assertIsNone(connection)
+        self.assertEqual(
+            [call.args for call in info.mock_calls], [("loan not answered",)]
+        )
+        self.assertEqual([message[0] for message in received], ["loan 2?"])
+
+    async def test_a_grant_of_an_older_version_is_not_used(self):
+        async def serve(reader, writer):
+            await reader.readexactly(4)
+            writer.write(older_message("loan!", {}, [], None))
+            await reader.read()
+            writer.close()
+
+        self.serve_stream = serve
+        _, connection = await self.borrow()
+        self.assertIsNone(connection)
+
     async def test_a_lender_lost_in_a_statement_leaves_it_in_doubt(self):
         self.script = [LoanGranted({}, [], None), None]
         _, connection = await self.borrow()
@@ -595,6 +647,19 @@
         client, _ = await LineClient.open(site.front("vm-1"), "book")
         self.assertIn("COMPLETE", (await client.ask("READ x"))[-1])
 
+    async def test_a_borrower_of_an_older_version_runs_nothing(self):
+        site = await self.start()
+        primary = site.group.primary
+        port = site.ports[2] + 2
+        reader, writer = await asyncio.open_connection(site.host("vm-1"), port)
+        writer.write(older_message("loan?", "vm-9", primary.name, False))
+        steps = [("id", "Write", {"text": "WRITE x 1"})]
+        writer.write(older_message("steps", steps))
+        self.assertEqual(await asyncio.wait_for(reader.read(), 3), b"")
+        writer.close()
+        self.assertEqual((primary.received, primary.log), ([], []))
+        self.assertEqual(site.daemons["vm-1"].lender.counts["granted"], 0)
+
     async def test_a_loan_of_an_unknown_instance_is_refused(self):
         site = await self.start()
         port = site.ports[2] + 2
