A borrowed connection is released without an error

What callers would see: if the state of a borrowed connection cannot be encoded, its release raised, and the error replaced the answer of a statement that had run.

Cause: BorrowedConnection.give_back encoded the state and let the error through InstancePool.release. Ruled out: the lender, whose errors of encoding end the stream, and which closes and releases its connection in every case (test_a_connection_whose_position_cannot_be_encoded_is_closed); the borrower's request and its statements, where the error counts as not sent.

Change: give_back ends the loan instead; the lender closes the connection.

test_a_state_that_cannot_be_encoded_ends_the_loan_at_its_release failed before with UnicodeEncodeError.

--- a/cardamomdrift/upstreams/borrower.py
+++ b/cardamomdrift/upstreams/borrower.py
@@ -79,17 +79,23 @@
         self._stream.abort()
 
     def give_back(self):
-        """Return the connection, or close it if it is not reusable."""
-        if not self.reusable:
+        """Return the connection, or close it if it cannot be returned."""
+        if not (self.reusable and self._write_return()):
             self.close()
             return
         self._closed = True
-        loaded = self.loaded
-        self._stream.write(
-            LoanReturn(pack_values(loaded.values), sorted(loaded.prepared))
-        )
         self._on_returned(self.lender, self._stream)
 
+    def _write_return(self):
+        """Send the loaded state; return False if it cannot be encoded."""
+        loaded = self.loaded
+        try:
+            values = pack_values(loaded.values)
+            self._stream.write(LoanReturn(values, sorted(loaded.prepared)))
+        except ENCODE_ERRORS:
+            return False
+        return True
+
     async def exchange(self, steps):
         """Send statements in one write and return their replies in order."""
         if not self.reusable:
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -491,6 +491,18 @@
         with self.assertRaises(UpstreamUnreachable):
             await connection.exchange([("id", Read("READ x", Position(1, 2**64)))])
 
+    async def test_a_state_that_cannot_be_encoded_ends_the_loan_at_its_release(self):
+        """The error reached the request, after its statement had run."""
+        self.script = [LoanGranted({}, [], None), LoanRefused("returned")]
+        borrower, connection = await self.borrow()
+        connection.loaded.values["zone"] = "\ud800"
+        pool = InstancePool(mock.Mock(), mock.Mock(), mock.AsyncMock())
+        pool._borrowed.add(connection)
+        pool.release(connection)
+        self.assertFalse(connection.reusable)
+        self.assertTrue(connection._stream.ended)
+        self.assertEqual(borrower._streams, {})
+
     async def test_a_connection_is_not_reusable_while_an_answer_is_outstanding(self):
         self.script = [LoanGranted({}, [], None)]
         _, connection = await self.borrow()
