A command that the lender refuses as not valid is not in doubt

What callers would see: INDOUBT for a write that the lender had not run, because the borrower had sent a command that it does not know or that has other fields.

Cause: the error ended the stream, which the borrower cannot tell from a lender that was lost after the statement was sent.

Change: the lender answers LoanLost with sent=False before it ends the loan.

test_a_command_that_is_not_valid_is_not_in_doubt failed before with IncompleteReadError.

--- a/cardamomdrift/upstreams/lender.py
+++ b/cardamomdrift/upstreams/lender.py
@@ -9,6 +9,8 @@
 
 import asyncio
 
+import msgspec
+
 from cardamomdrift.errors import UpstreamError, UpstreamUnreachable
 from cardamomdrift.peers.loans import (
     STREAM_ERRORS,
@@ -166,7 +168,11 @@
         if self._finishing:
             stream.write(LoanLost(False, b"the daemon is shutting down"))
             return False
-        steps = unpack_steps(message)
+        try:
+            steps = unpack_steps(message)
+        except msgspec.ValidationError as error:
+            stream.write(LoanLost(False, pack_text(str(error))))
+            return False
         runtime.silence.record_request(self._clock())
         self._running_steps += 1
         try:
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -294,6 +294,15 @@
         self.stream.write(LoanRequest("vm-2", "i", False))
         return await self.stream.receive()
 
+    async def test_a_command_that_is_not_valid_is_not_in_doubt(self):
+        """The stream just ended, so the borrower did not know that nothing ran."""
+        await self.request_loan()
+        self.stream.write(LoanSteps([(b"x", "Write", {})]))
+        answer = await self.stream.receive()
+        self.assertEqual((type(answer), answer.sent), (LoanLost, False))
+        self.assertEqual(self.connection.steps, [])
+        self.assertFalse(self.connection.reusable)
+
     async def test_a_connection_whose_position_cannot_be_encoded_is_closed(self):
         self.connection.position = Position(1, 2**64)
         with self.assertRaises(asyncio.IncompleteReadError):
