Statements larger than a loan message are sent in parts

What callers saw: INDOUBT for a write of 1 MiB in a session with nine values of 1 MiB over a loan, although nothing had been sent to the instance.

Cause: a message was written whatever its size. The lender refuses one above 8 MiB and ends the stream, which the borrower cannot tell from a lender that was lost after the statement was sent.

Change: statements are sent in parts of at most 4 MiB of texts, or one text. If a part before the last one fails, the caller's statement was not sent. A message above the limit is refused before it is sent, as not run.

Tests: test_a_statement_larger_than_a_message_runs_over_a_loan failed before with INDOUBT; test_a_loan_that_is_lost_before_the_last_part_is_not_in_doubt failed before with UpstreamLost. test_a_statement_that_cannot_be_encoded_is_not_sent is now test_a_statement_that_cannot_be_sent_is_not_in_doubt, with a second case, a text larger than a message. That case did not end on the code before: the text was sent, and the test's lender does not answer.

--- a/cardamomdrift/peers/loans.py
+++ b/cardamomdrift/peers/loans.py
@@ -35,12 +35,15 @@
 from cardamomdrift.util import DECODE_ERRORS
 
 LENGTH_PREFIX_SIZE = 4  # bytes of the length before a message
-MESSAGE_SIZE_LIMIT = 8 * 1024 * 1024  # bytes; room for a few of the largest statements
+MESSAGE_SIZE_LIMIT = 8 * 1024 * 1024  # bytes
+# Bytes of texts in one message.  A single text is at most a line of a caller or an
+# instance; what is larger together is carried in several messages.
+TEXT_SIZE_LIMIT = MESSAGE_SIZE_LIMIT // 2
 LOAN_PORT_OFFSET = 2  # from the heartbeat port; the port between is for queries
 
 # Errors on a message that cannot be encoded.  Positions that instances report have no
 # limit, hence OverflowError.
-ENCODE_ERRORS = (UnicodeEncodeError, OverflowError)
+ENCODE_ERRORS = (UnicodeEncodeError, OverflowError, PacketTooLarge)
 # Errors that end a stream.
 STREAM_ERRORS = (
     OSError,
@@ -48,7 +51,6 @@
     asyncio.IncompleteReadError,
     *DECODE_ERRORS,
     *ENCODE_ERRORS,
-    PacketTooLarge,
 )
 
 # Commands that a borrower may send, by name.
@@ -188,17 +190,21 @@
 
 
 def pack_steps(steps):
-    """Return statements as LoanSteps."""
-    return LoanSteps([_pack_step(*step) for step in steps])
-
-
-def _pack_step(request_id, command):
-    fields = {
-        name: pack_text(value) if isinstance(value, str) else value
-        for name, value in msgspec.to_builtins(command).items()
-    }
-    packed_id = None if request_id is None else pack_text(request_id)
-    return packed_id, type(command).__name__, fields
+    """Yield statements as one or more LoanSteps of limited size."""
+    part, part_size = [], 0
+    for request_id, command in steps:
+        packed_id = None if request_id is None else pack_text(request_id)
+        command_fields, size = msgspec.to_builtins(command), 0
+        for name, value in command_fields.items():
+            if isinstance(value, str):
+                command_fields[name] = data = pack_text(value)
+                size += len(data)
+        if part and part_size + size > TEXT_SIZE_LIMIT:
+            yield LoanSteps(part)
+            part, part_size = [], 0
+        part.append((packed_id, type(command).__name__, command_fields))
+        part_size += size
+    yield LoanSteps(part)
 
 
 def unpack_steps(message):
@@ -278,10 +284,12 @@
 
         Raises
         ------
-        UnicodeEncodeError or OverflowError
-            The message cannot be encoded; nothing was sent.
+        UnicodeEncodeError or OverflowError or PacketTooLarge
+            The message cannot be sent; nothing was.
         """
         data = _ENCODER.encode(message)
+        if len(data) > MESSAGE_SIZE_LIMIT:
+            raise PacketTooLarge(f"message of {len(data)} bytes")
         self._writer.write(len(data).to_bytes(LENGTH_PREFIX_SIZE, "big") + data)
 
     async def receive(self):
--- a/cardamomdrift/upstreams/borrower.py
+++ b/cardamomdrift/upstreams/borrower.py
@@ -97,32 +97,44 @@
         return True
 
     async def exchange(self, steps):
-        """Send statements in one write and return their replies in order."""
+        """Send statements and return their replies in order.
+
+        They are sent in one write unless they are larger than a message.  The last one
+        is the caller's: if a part before it fails, nothing of the caller was sent.
+        """
         if not self.reusable:
             raise UpstreamUnreachable(f"loan of {self.lender} has ended")
         self._awaiting_reply = True
+        replies = []
         try:
-            self._stream.write(pack_steps(steps))
+            for part in pack_steps(steps):
+                replies.extend(await self._exchange_part(part))
         except ENCODE_ERRORS as error:
             self.close()
             raise UpstreamUnreachable(f"statement not encoded: {error}") from error
-        try:
-            answer = await self._stream.receive()
-        except STREAM_ERRORS as error:
+        except UpstreamLost as error:
             self.close()
-            raise UpstreamLost(f"{self.lender} lost: {error}") from error
+            if len(replies) + len(part.steps) < len(steps):
+                raise UpstreamUnreachable(str(error)) from error
+            raise
         except BaseException:
             self.close()
             raise
         self._awaiting_reply = False
+        return replies
+
+    async def _exchange_part(self, part):
+        self._stream.write(part)
+        try:
+            answer = await self._stream.receive()
+        except STREAM_ERRORS as error:
+            raise UpstreamLost(f"{self.lender} lost: {error}") from error
         match answer:
-            case LoanReplies(replies) if len(replies) == len(steps):
+            case LoanReplies(replies) if len(replies) == len(part.steps):
                 return self._apply_replies(unpack_replies(answer))
             case LoanLost(sent, reason):
-                self.close()
                 failure = UpstreamLost if sent else UpstreamUnreachable
                 raise failure(f"{self.lender}: {unpack_text(reason)}")
-        self.close()
         raise UpstreamLost(f"{self.lender} sent {type(answer).__name__}")
 
     def _apply_replies(self, replies):
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -20,6 +20,7 @@
     share_with_loans,
 )
 from cardamomdrift.peers.loans import (
+    MESSAGE_SIZE_LIMIT,
     LoanGranted,
     LoanLost,
     LoanRefused,
@@ -55,6 +56,7 @@
 REPLACEMENT_TIMEOUT = 7.0  # seconds within which a replacement has to end
 # A text with bytes that are not valid UTF-8, and with others that are.
 RAW_TEXT = b"a\xff\xed\xa0\x80 \xc3\xa4".decode("utf-8", "surrogateescape")
+LARGE_TEXT = "a" * (1024 * 1024 - 100)  # nearly the largest line of a caller
 
 
 def older_message(*fields):
@@ -163,13 +165,14 @@
             (None, Prepare("w1", True, RAW_TEXT)),
             (RAW_TEXT, Execute("w1", f" {RAW_TEXT} ", Position(3, 7))),
         ]
-        data = msgspec.msgpack.encode(pack_steps(steps))
+        [message] = pack_steps(steps)
+        data = msgspec.msgpack.encode(message)
         message = msgspec.msgpack.decode(data, type=LoanSteps)
         self.assertEqual(unpack_steps(message), steps)
 
     def test_only_session_commands_are_unpacked(self):
         with self.assertRaises(ValueError):
-            unpack_steps(pack_steps([(None, StepDown(9))]))
+            unpack_steps(*pack_steps([(None, StepDown(9))]))
 
     def test_a_command_with_other_fields_is_not_unpacked(self):
         """A field of another version was passed over, and the rest was run."""
@@ -317,7 +320,7 @@
         granted = await self.request_loan()
         self.assertEqual(unpack_values(granted.values), {"zone": RAW_TEXT})
         self.connection.rows = [RAW_TEXT]
-        self.stream.write(pack_steps([(RAW_TEXT, Read(RAW_TEXT))]))
+        self.stream.write(*pack_steps([(RAW_TEXT, Read(RAW_TEXT))]))
         [reply] = unpack_replies(await self.stream.receive())
         self.assertEqual(reply, self.connection.make_reply())
         self.stream.write(LoanReturn(granted.values, []))
@@ -331,11 +334,11 @@
         """The borrower's statement was in doubt, although it ran to its end."""
         self.assertIsInstance(await self.request_loan(), LoanGranted)
         self.connection.delay = 0.1
-        self.stream.write(pack_steps([("x", Read("k"))]))
+        self.stream.write(*pack_steps([("x", Read("k"))]))
         await asyncio.sleep(0.02)
         await self.lender.finish()
         self.assertIsInstance(await self.stream.receive(), LoanReplies)
-        self.stream.write(pack_steps([("y", Read("k"))]))
+        self.stream.write(*pack_steps([("y", Read("k"))]))
         answer = await self.stream.receive()
         self.assertEqual((type(answer), answer.sent), (LoanLost, False))
 
@@ -494,11 +497,24 @@
         with self.assertRaises(UpstreamLost):
             await connection.exchange([("id", Write("WRITE x 1"))])
 
-    async def test_a_statement_that_cannot_be_encoded_is_not_sent(self):
+    async def test_a_statement_that_cannot_be_sent_is_not_in_doubt(self):
         self.script = [LoanGranted({}, [], None)]
+        for command in (
+            Read("READ x", Position(1, 2**64)),
+            Write("a" * MESSAGE_SIZE_LIMIT),
+        ):
+            _, connection = await self.borrow()
+            with self.assertRaises(UpstreamUnreachable):
+                await connection.exchange([("id", command)])
+            self.assertFalse(connection.reusable)
+
+    async def test_a_loan_that_is_lost_before_the_last_part_is_not_in_doubt(self):
+        self.script = [LoanGranted({}, [], None), None]
         _, connection = await self.borrow()
+        steps = [(None, SetValue(f"v{index}", LARGE_TEXT)) for index in range(9)]
         with self.assertRaises(UpstreamUnreachable):
-            await connection.exchange([("id", Read("READ x", Position(1, 2**64)))])
+            await connection.exchange([*steps, ("id", Write("WRITE x 1"))])
+        self.assertFalse(connection.reusable)
 
     async def test_a_state_that_cannot_be_encoded_ends_the_loan_at_its_release(self):
         """The error reached the request, after its statement had run."""
@@ -600,6 +616,25 @@
         lenders = [daemon.lender for daemon in site.daemons.values()]
         self.assertEqual([lender.counts["lost"] for lender in lenders], [0, 0])
 
+    async def set_large_values(self, client):
+        """Set values that are larger than a loan message together."""
+        for index in range(9):
+            await client.ask(f"SET v{index} {LARGE_TEXT}")
+
+    async def test_a_statement_larger_than_a_message_runs_over_a_loan(self):
+        """Its outcome was unknown, although nothing had been sent."""
+        site = await self.start()
+        client, _ = await LineClient.open(site.front("vm-2"), "book")
+        await self.set_large_values(client)
+        for index in range(2):
+            [answer] = await client.ask(f"WRITE x {index}{LARGE_TEXT}")
+            self.assertTrue(answer.startswith("COMPLETE sig"), answer)
+        runs = site.group.primary.executed_statements
+        self.assertEqual([len(run[1]) for run in runs], [len(LARGE_TEXT) + 9] * 2)
+        self.assertEqual(
+            [list(run[2].values()) for run in runs], [[LARGE_TEXT] * 9] * 2
+        )
+
     async def test_values_do_not_pass_to_the_lenders_callers(self):
         site = await self.start()
         borrower, _ = await LineClient.open(site.front("vm-2"), "book")
