A connection with a large state is cleared before it is lent

What callers would see: a daemon without connections of its own got no loan of a connection that had loaded more than 8 MiB of session values.

Cause: the lender sent these values in one LoanGranted above the limit for messages, which the borrower refuses ("loan not answered").

Change: values above 4 MiB are not packed. The lender then clears the connection's state at the instance and lends it empty; if that fails, it closes the connection.

test_a_connection_with_a_state_larger_than_a_message_is_lent failed before with "loan not answered" in the log; test_a_large_state_that_cannot_be_cleared_is_not_lent is new.

--- a/cardamomdrift/peers/loans.py
+++ b/cardamomdrift/peers/loans.py
@@ -180,8 +180,21 @@
 
 
 def pack_values(values):
-    """Return session values as they are carried."""
-    return {pack_text(name): pack_text(value) for name, value in values.items()}
+    """Return session values as they are carried.
+
+    Raises
+    ------
+    PacketTooLarge
+        They do not fit into a message.
+    """
+    packed, size = {}, 0
+    for name, value in values.items():
+        packed_name, packed_value = pack_text(name), pack_text(value)
+        size += len(packed_name) + len(packed_value)
+        if size > TEXT_SIZE_LIMIT:
+            raise PacketTooLarge(f"values of more than {TEXT_SIZE_LIMIT} bytes")
+        packed[packed_name] = packed_value
+    return packed
 
 
 def unpack_values(values):
--- a/cardamomdrift/upstreams/lender.py
+++ b/cardamomdrift/upstreams/lender.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from cardamomdrift.errors import UpstreamError, UpstreamUnreachable
+from cardamomdrift.errors import PacketTooLarge, UpstreamError, UpstreamUnreachable
 from cardamomdrift.peers.loans import (
     STREAM_ERRORS,
     LoanGranted,
@@ -28,6 +28,7 @@
     unpack_values,
 )
 from cardamomdrift.ports import TransactionState
+from cardamomdrift.sessions.commands import Reset
 from cardamomdrift.sessions.state import LoadedState
 
 # Seconds to the next request; borrowers keep an unused stream for 2 s.
@@ -143,11 +144,14 @@
 
     async def _serve_loan(self, stream, runtime, connection):
         """Run the borrower's statements; return whether it returned the connection."""
-        loaded = connection.loaded
-        granted = LoanGranted(
-            pack_values(loaded.values), sorted(loaded.prepared), connection.position
-        )
-        stream.write(granted)
+        try:
+            values = pack_values(connection.loaded.values)
+        except PacketTooLarge:
+            if not await self._reset(runtime, connection):
+                return False
+            values = {}
+        prepared = sorted(connection.loaded.prepared)
+        stream.write(LoanGranted(values, prepared, connection.position))
         while True:
             async with asyncio.timeout(EXCHANGE_TIMEOUT + self._idle_limit()):
                 message = await stream.receive()
@@ -163,6 +167,19 @@
                 case _:
                     return False
 
+    async def _reset(self, runtime, connection):
+        """Clear a connection's state; return whether the instance did so."""
+        runtime.silence.record_request(self._clock())
+        try:
+            async with asyncio.timeout(EXCHANGE_TIMEOUT):
+                [reply] = await connection.exchange([(None, Reset())])
+        except (UpstreamError, TimeoutError):
+            runtime.record_failure()
+            return False
+        runtime.record_reply()
+        connection.loaded = LoadedState()
+        return reply.refusal is None
+
     async def _run_steps(self, stream, runtime, connection, message):
         """Run statements and pass the replies on; return False if there are none."""
         if self._finishing:
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -43,6 +43,7 @@
     Execute,
     Prepare,
     Read,
+    Reset,
     SetValue,
     StepDown,
     Write,
@@ -297,6 +298,15 @@
         self.stream.write(LoanRequest("vm-2", "i", False))
         return await self.stream.receive()
 
+    async def test_a_large_state_that_cannot_be_cleared_is_not_lent(self):
+        self.connection.loaded.values = {f"v{index}": LARGE_TEXT for index in range(9)}
+        self.connection.exchange = mock.AsyncMock(side_effect=UpstreamLost)
+        with self.assertRaises(asyncio.IncompleteReadError):
+            await self.request_loan()
+        self.connection.exchange.assert_awaited_once_with([(None, Reset())])
+        self.assertFalse(self.connection.reusable)
+        self.assertEqual((self.lender.active_loans, self.runtime.pool.size), (0, 0))
+
     async def test_a_command_that_is_not_valid_is_not_in_doubt(self):
         """The stream just ended, so the borrower did not know that nothing ran."""
         await self.request_loan()
@@ -635,6 +645,18 @@
             [list(run[2].values()) for run in runs], [[LARGE_TEXT] * 9] * 2
         )
 
+    async def test_a_connection_with_a_state_larger_than_a_message_is_lent(self):
+        """The borrower got no answer until the connection was closed."""
+        site = await self.start()
+        lender, _ = await LineClient.open(site.front("vm-1"), "book")
+        await self.set_large_values(lender)
+        await self.write(lender, "WRITE x 1", "of-lender")
+        client, _ = await LineClient.open(site.front("vm-2"), "book")
+        [answer] = await client.ask("WRITE x 2", "of-borrower")
+        self.assertTrue(answer.startswith("COMPLETE sig"), answer)
+        self.assertEqual(site.group.primary.executed_statements[-1][2], {})
+        self.assertEqual(site.logged("loan not answered"), [])
+
     async def test_values_do_not_pass_to_the_lenders_callers(self):
         site = await self.start()
         borrower, _ = await LineClient.open(site.front("vm-2"), "book")
