Answers larger than a loan message are passed on in parts

What callers saw: INDOUBT for a write over a loan that had taken effect and answered with 9 MB of rows.

Cause: the lender sent the replies in one message above the limit of 8 MiB, which the borrower refuses, so the statement was in doubt.

Change: the lender sends rows in parts of at most 4 MiB, each after most of the one before has been sent, and the reply with the last rows. The daemon that shuts down waits for these parts as it did for the reply.

Tests: test_an_answer_larger_than_a_message_is_passed_on (a write, a read, and a transaction that wrote) failed before with INDOUBT at the write; the read and the transaction were not run over a loan on the code before, since the daemon had opened connections of its own by then. test_no_message_with_many_short_rows_is_too_large is new.

--- a/cardamomdrift/peers/loans.py
+++ b/cardamomdrift/peers/loans.py
@@ -39,6 +39,7 @@
 # Bytes of texts in one message.  A single text is at most a line of a caller or an
 # instance; what is larger together is carried in several messages.
 TEXT_SIZE_LIMIT = MESSAGE_SIZE_LIMIT // 2
+ROW_HEADER_SIZE = 5  # bytes before a row in a message, at most
 LOAN_PORT_OFFSET = 2  # from the heartbeat port; the port between is for queries
 
 # Errors on a message that cannot be encoded.  Positions that instances report have no
@@ -135,6 +136,12 @@
     sent_bytes: int | None
 
 
+class LoanRows(msgspec.Struct, array_like=True, frozen=True, tag="rows"):
+    """First rows of the last reply in the LoanReplies that follows."""
+
+    rows: list[bytes]
+
+
 class LoanReplies(msgspec.Struct, array_like=True, frozen=True, tag="replies"):
     """The instance's replies, in order."""
 
@@ -160,6 +167,7 @@
     | LoanGranted
     | LoanRefused
     | LoanSteps
+    | LoanRows
     | LoanReplies
     | LoanLost
     | LoanReturn
@@ -245,27 +253,39 @@
 
 
 def pack_replies(replies):
-    """Return an instance's replies as LoanReplies."""
-    return LoanReplies(
-        [
-            LoanReply(
-                [pack_text(row) for row in reply.rows],
-                pack_text(reply.signature),
-                reply.refusal,
-                pack_text(reply.code),
-                pack_text(reply.detail),
-                reply.state,
-                reply.position,
-                reply.sent_bytes,
-            )
-            for reply in replies
-        ]
+    """Yield an instance's replies as LoanReplies, after LoanRows if they are large."""
+    rows, size = [], 0
+    for row in replies[-1].rows:
+        data = pack_text(row)
+        row_size = len(data) + ROW_HEADER_SIZE
+        if rows and size + row_size > TEXT_SIZE_LIMIT:
+            yield LoanRows(rows)
+            rows, size = [], 0
+        rows.append(data)
+        size += row_size
+    packed = [
+        _pack_reply(reply, [pack_text(row) for row in reply.rows])
+        for reply in replies[:-1]
+    ]
+    yield LoanReplies([*packed, _pack_reply(replies[-1], rows)])
+
+
+def _pack_reply(reply, rows):
+    return LoanReply(
+        rows,
+        pack_text(reply.signature),
+        reply.refusal,
+        pack_text(reply.code),
+        pack_text(reply.detail),
+        reply.state,
+        reply.position,
+        reply.sent_bytes,
     )
 
 
-def unpack_replies(message):
-    """Return the replies of LoanReplies."""
-    return [
+def unpack_replies(message, first_rows=()):
+    """Return the replies of LoanReplies, with the rows that were carried before."""
+    replies = [
         Reply(
             [unpack_text(row) for row in reply.rows],
             unpack_text(reply.signature),
@@ -278,6 +298,9 @@
         )
         for reply in message.replies
     ]
+    if first_rows:
+        replies[-1].rows[:0] = map(unpack_text, first_rows)
+    return replies
 
 
 class LoanStream:
@@ -320,6 +343,16 @@
             raise PacketTooLarge(f"message of {size} bytes")
         return _DECODER.decode(await self._reader.readexactly(size))
 
+    async def drain(self):
+        """Wait until most of what was written has been sent.
+
+        Raises
+        ------
+        OSError
+            The stream has ended.
+        """
+        await self._writer.drain()
+
     def close(self):
         """Close the stream after everything written has been sent."""
         self._writer.close()
--- a/cardamomdrift/upstreams/borrower.py
+++ b/cardamomdrift/upstreams/borrower.py
@@ -24,6 +24,7 @@
     LoanReplies,
     LoanRequest,
     LoanReturn,
+    LoanRows,
     LoanStream,
     pack_steps,
     pack_values,
@@ -125,13 +126,15 @@
 
     async def _exchange_part(self, part):
         self._stream.write(part)
+        first_rows = []
         try:
-            answer = await self._stream.receive()
+            while isinstance(answer := await self._stream.receive(), LoanRows):
+                first_rows.extend(answer.rows)
         except STREAM_ERRORS as error:
             raise UpstreamLost(f"{self.lender} lost: {error}") from error
         match answer:
             case LoanReplies(replies) if len(replies) == len(part.steps):
-                return self._apply_replies(unpack_replies(answer))
+                return self._apply_replies(unpack_replies(answer, first_rows))
             case LoanLost(sent, reason):
                 failure = UpstreamLost if sent else UpstreamUnreachable
                 raise failure(f"{self.lender}: {unpack_text(reason)}")
--- a/cardamomdrift/upstreams/lender.py
+++ b/cardamomdrift/upstreams/lender.py
@@ -19,6 +19,7 @@
     LoanRefused,
     LoanRequest,
     LoanReturn,
+    LoanRows,
     LoanSteps,
     LoanStream,
     pack_replies,
@@ -192,6 +193,12 @@
             return False
         runtime.silence.record_request(self._clock())
         self._running_steps += 1
+        try:
+            return await self._exchange(stream, runtime, connection, steps)
+        finally:
+            self._running_steps -= 1
+
+    async def _exchange(self, stream, runtime, connection, steps):
         try:
             async with asyncio.timeout(EXCHANGE_TIMEOUT):
                 replies = await connection.exchange(steps)
@@ -201,8 +208,10 @@
             reason = pack_text(f"{type(error).__name__} {error}")
             stream.write(LoanLost(sent, reason))
             return False
-        finally:
-            self._running_steps -= 1
         runtime.record_reply()
-        stream.write(pack_replies(replies))
+        for message in pack_replies(replies):
+            stream.write(message)
+            if isinstance(message, LoanRows):
+                async with asyncio.timeout(EXCHANGE_TIMEOUT):
+                    await stream.drain()
         return True
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -171,6 +171,16 @@
         message = msgspec.msgpack.decode(data, type=LoanSteps)
         self.assertEqual(unpack_steps(message), steps)
 
+    def test_no_message_with_many_short_rows_is_too_large(self):
+        replies = [Reply([]), Reply(["", "a"] * 1_000_000, "sig")]
+        messages = list(pack_replies(replies))
+        self.assertGreater(len(messages), 1)
+        for message in messages:
+            size = len(msgspec.msgpack.encode(message))
+            self.assertLessEqual(size, MESSAGE_SIZE_LIMIT)
+        first_rows = [row for part in messages[:-1] for row in part.rows]
+        self.assertEqual(unpack_replies(messages[-1], first_rows), replies)
+
     def test_only_session_commands_are_unpacked(self):
         with self.assertRaises(ValueError):
             unpack_steps(*pack_steps([(None, StepDown(9))]))
@@ -405,7 +415,7 @@
         """A returned connection leaves the stream open for the next request."""
         self.script = [
             LoanGranted({}, [], None),
-            pack_replies([Reply([], "sig")]),
+            *pack_replies([Reply([], "sig")]),
             LoanRefused("returned"),
             LoanGranted({b"a": b"b"}, [], None),
         ]
@@ -657,6 +667,24 @@
         self.assertEqual(site.group.primary.executed_statements[-1][2], {})
         self.assertEqual(site.logged("loan not answered"), [])
 
+    async def test_an_answer_larger_than_a_message_is_passed_on(self):
+        """A write that had taken effect was in doubt, a read failed."""
+        site = await self.start()
+        client, _ = await LineClient.open(site.front("vm-2"), "book")
+        rows = [f"ROW {index} {'a' * 60_000}" for index in range(150)]
+        primary = site.group.primary
+        for run in (primary._do_read, primary._do_write):
+            setattr(primary, run.__name__, lambda *args, run=run: [*rows, *run(*args)])
+        for text in ("WRITE x 1", "READ x", "BEGIN", "WRITE x 2", "READ x", "COMMIT"):
+            with self.subTest(text):
+                lines = await client.ask(text)
+                self.assertTrue(lines[-1].startswith("COMPLETE"), lines[-1])
+                if text.startswith(("READ", "WRITE")):
+                    self.assertEqual(lines[: len(rows)], rows)
+        self.assertEqual([entry[1:] for entry in primary.log], [("x", "1"), ("x", "2")])
+        self.assertGreater(site.daemons["vm-2"].borrower.counts["borrowed"], 0)
+        self.assertEqual(site.daemons["vm-1"].lender.counts["lost"], 0)
+
     async def test_values_do_not_pass_to_the_lenders_callers(self):
         site = await self.start()
         borrower, _ = await LineClient.open(site.front("vm-2"), "book")
