Failing tests: a blank after COMMIT, SET without a value, ERROR without a text

Three tests of test_texts fail on this code: test_a_forwarded_statement_keeps_its_bytes ("COMMIT " is rendered as "COMMIT"), test_a_value_that_is_missing_gains_no_blank ("SET zone" is rendered as "SET zone ") and test_an_error_without_a_text_gains_no_blank ("ERROR EXECFAIL" of an instance reaches the caller as "ERROR EXECFAIL ").

--- a/tests/test_texts.py
+++ b/tests/test_texts.py
@@ -71,7 +71,7 @@
 forwarded = st.one_of(
     st.tuples(kinds, tails).map(b"".join),
     st.tuples(st.just(b"EXECUTE "), odd_words, tails).map(b"".join),
-    st.just(b"COMMIT"),
+    st.sampled_from((b"COMMIT", b"COMMIT ")),
 )
 # Statements whose content an instance receives without the caller's id.
 kept = st.one_of(
@@ -133,6 +133,11 @@
             command = replace(command, name=name.decode())
         self.assertEqual(render_line("5c", command), expected_line(b"5c", text, name))
 
+    def test_a_value_that_is_missing_gains_no_blank(self):
+        command = parse(b"QUERY 5c SET zone").command
+        if not isinstance(command, Malformed):
+            self.assertEqual(render_line("5c", command), b"QUERY 5c SET zone\r\n")
+
     @STEADY
     @given(anything)
     def test_what_is_not_valid_is_malformed(self, line):
@@ -210,6 +215,12 @@
         rendered = render_failure(error, TransactionState.IDLE, reply.position)
         self.assertEqual(rendered, answer)
 
+    def test_an_error_without_a_text_gains_no_blank(self):
+        reply = asyncio.run(exchange(b"ERROR EXECFAIL\r\nREADY I -\r\n", ()))
+        error = RefusedByInstance(reply.code, reply.detail)
+        rendered = render_failure(error, TransactionState.IDLE, None)
+        self.assertEqual(rendered, b"ERROR EXECFAIL\r\nREADY I -\r\n")
+
 
 if __name__ == "__main__":
     unittest.main()
