Shapes that are not valid text can be executed

What callers saw: PARSE of a shape with bytes that are not valid UTF-8 was acknowledged; the first EXECUTE ended the session with an internal error.

Cause: such bytes are escaped as lone surrogates, and the hash that gives the name for the instances encoded the text strictly (UnicodeEncodeError).

Change: the hashes take lone surrogates; the hash of valid text is the same.

test_a_shape_that_is_not_valid_text_does_not_end_the_session failed before.

--- a/cardamomdrift/util.py
+++ b/cardamomdrift/util.py
@@ -24,12 +24,17 @@
 
 def hash_number(*parts):
     """Return a 64-bit hash of some strings."""
-    return xxhash.xxh3_64_intdigest("\0".join(parts).encode())
+    return xxhash.xxh3_64_intdigest(_to_bytes("\0".join(parts)))
 
 
 def hash_text(text):
     """Return a 128-bit hash of a text, in hex."""
-    return xxhash.xxh3_128_hexdigest(text.encode())
+    return xxhash.xxh3_128_hexdigest(_to_bytes(text))
+
+
+def _to_bytes(text):
+    # Texts of callers may hold escaped bytes, which are lone surrogates.
+    return text.encode("utf-8", "surrogatepass")
 
 
 def validation_error_lines(error, place):
--- a/tests/site.py
+++ b/tests/site.py
@@ -68,18 +68,21 @@
     async def open(cls, address, database, user="u"):
         """Return a client that has sent START, and the daemon's first line."""
         client = cls(*await asyncio.open_connection(*address))
-        client._writer.write(f"START {database} {user}\r\n".encode())
+        client._send(f"START {database} {user}")
         return client, await client._line()
 
+    def _send(self, line):
+        self._writer.write(f"{line}\r\n".encode("utf-8", "surrogateescape"))
+
     async def _line(self):
         line = await asyncio.wait_for(self._reader.readuntil(b"\r\n"), 5)
-        return line.decode()[:-2]
+        return line[:-2].decode("utf-8", "surrogateescape")
 
     async def ask(self, text, request_id=None):
         """Send a statement; return the lines of its answer before READY."""
         self._count += 1
         request_id = request_id or f"id{id(self) % 9999}x{self._count}"
-        self._writer.write(f"QUERY {request_id} {text}\r\n".encode())
+        self._send(f"QUERY {request_id} {text}")
         lines = []
         while True:
             line = await self._line()
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -132,6 +132,16 @@
             [received] = site.group.primary.received
             self.assertTrue(received.text.endswith(" item data "), received.text)
 
+    async def test_a_shape_that_is_not_valid_text_does_not_end_the_session(self):
+        """The session ended with an internal error at the first EXECUTE."""
+        shape = b"shape-\xff".decode("utf-8", "surrogateescape")
+        async with Site(daemons=1) as site:
+            client = await site.caller("vm-1", "book")
+            await client.ask(f"PARSE s1 WRITE {shape}")
+            [answer] = await client.ask("EXECUTE s1 item data")
+            self.assertTrue(answer.startswith("COMPLETE sig"), answer)
+            self.assertEqual(site.group.primary.received[-1].shape, shape)
+
     async def test_a_transaction_keeps_its_connection(self):
         async with Site(daemons=1) as site:
             client = await site.caller("vm-1", "crew")
