A COMMIT reaches the instance as the caller sent it

What callers would see: "COMMIT " with a blank at its end ran as "COMMIT", which is a text that nobody sent.

test_a_blank_at_the_end_of_a_commit_is_not_cut failed before.

--- a/cardamomdrift/platform/line_protocol.py
+++ b/cardamomdrift/platform/line_protocol.py
@@ -170,8 +170,8 @@
 
 _COMMANDS = {
     "BEGIN": _parse_begin,
-    "COMMIT": lambda _text, rest: (
-        Malformed("COMMIT takes nothing") if rest else Commit()
+    "COMMIT": lambda text, rest: (
+        Malformed("COMMIT takes nothing") if rest else Commit(text)
     ),
     "ROLLBACK": lambda _text, _rest: Rollback(),
     "READ": lambda text, _rest: Read(text),
@@ -216,8 +216,8 @@
             return f"{_render_wait_prefix(floor)}{EXECUTE_PREFIX}{name}{tail}"
         case Begin(read_only, floor):
             return _render_wait_prefix(floor) + ("BEGIN READ" if read_only else "BEGIN")
-        case Commit():
-            return "COMMIT"
+        case Commit(text):
+            return text
         case Rollback():
             return "ROLLBACK"
         case SetValue(name, value):
--- a/cardamomdrift/routing/pinned.py
+++ b/cardamomdrift/routing/pinned.py
@@ -34,7 +34,7 @@
     send_with_setup,
 )
 from cardamomdrift.routing.dispatch import ForRead, ForTransaction
-from cardamomdrift.sessions.commands import Begin, Commit, Execute, Rollback, Write
+from cardamomdrift.sessions.commands import Begin, Execute, Rollback, Write
 from cardamomdrift.sessions.state import plan_setup
 
 ROLLBACK_TIMEOUT = 0.5  # seconds; a rollback needs no slot of the instance
@@ -244,7 +244,11 @@
         """Send the commit; repeat it while the instance refuses it as busy."""
         while True:
             reply = await run_command(
-                self._cluster, self._connection, self._placement.name, request, Commit()
+                self._cluster,
+                self._connection,
+                self._placement.name,
+                request,
+                request.command,
             )
             if reply.refusal is not Refusal.BUSY:
                 return reply
--- a/cardamomdrift/sessions/commands.py
+++ b/cardamomdrift/sessions/commands.py
@@ -23,6 +23,8 @@
 class Commit:
     """Commits the transaction."""
 
+    text: str = "COMMIT"
+
 
 @dataclass(frozen=True, slots=True)
 class Rollback:
--- a/cardamomdrift/sessions/handler.py
+++ b/cardamomdrift/sessions/handler.py
@@ -122,7 +122,7 @@
             case Begin(read_only):
                 return self._begin(read_only)
             case Commit():
-                return await self._commit(request_id, payload_bytes)
+                return await self._commit(request_id, command, payload_bytes)
             case Rollback():
                 return self._rollback()
             case SetValue(name, value):
@@ -270,11 +270,11 @@
             self.position = reply.position
         return Answer(reply.rows, reply.signature, reply.position)
 
-    async def _commit(self, request_id, payload_bytes):
+    async def _commit(self, request_id, command, payload_bytes):
         transaction = self._transaction
         if transaction is None:
             raise BadRequest("no transaction is open")
-        request = self._make_request(request_id, Commit(), payload_bytes)
+        request = self._make_request(request_id, command, payload_bytes)
         try:
             if not self._clusters.can_answer(request):
                 self._rollback()
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -142,6 +142,14 @@
             self.assertTrue(answer.startswith("COMPLETE sig"), answer)
             self.assertEqual(site.group.primary.received[-1].shape, shape)
 
+    async def test_a_blank_at_the_end_of_a_commit_is_not_cut(self):
+        async with Site(daemons=1) as site:
+            client = await site.caller("vm-1", "book")
+            await client.ask("BEGIN")
+            await client.ask("WRITE item data")
+            await client.ask("COMMIT ")
+            self.assertEqual(site.group.primary.received[-1].text, "COMMIT ")
+
     async def test_a_transaction_keeps_its_connection(self):
         async with Site(daemons=1) as site:
             client = await site.caller("vm-1", "crew")
