Names of prepared statements at the instances resist collisions

Sessions share connections, and a shape is known there by a hash. It was the first half of a hash that is not made to resist collisions, so a caller could look for two shapes with one name, and another caller's EXECUTE would run the wrong one. No such pair was built; this is from reading. The name now has 128 bits of BLAKE2b.

--- a/cardamomdrift/sessions/state.py
+++ b/cardamomdrift/sessions/state.py
@@ -9,14 +9,14 @@
 """
 
 from dataclasses import dataclass, field
+from hashlib import blake2b
 
 from cardamomdrift.sessions.commands import Prepare, Reset, SetValue
-from cardamomdrift.util import hash_text
 
 VALUES_LIMIT = 256  # values of one session; bounds its memory
 PREPARED_LIMIT = 256  # prepared statements of one session; bounds its memory
 CONNECTION_PREPARED_LIMIT = 512  # shapes prepared on one connection before it is reset
-UPSTREAM_NAME_DIGITS = 16  # hex digits of a prepared statement's upstream name
+UPSTREAM_NAME_BYTES = 16  # of the hash in a prepared statement's upstream name
 
 
 @dataclass(slots=True)
@@ -50,9 +50,14 @@
 
 
 def upstream_name(prepared):
-    """Return the name that a prepared statement has at the instances."""
+    """Return the name that a prepared statement has at the instances.
+
+    Callers choose the shapes, and sessions share connections, so the hash must resist
+    collisions.
+    """
     prefix = "w" if prepared.writes else "r"
-    return prefix + hash_text(prepared.shape)[:UPSTREAM_NAME_DIGITS]
+    shape = prepared.shape.encode("utf-8", "surrogateescape")
+    return prefix + blake2b(shape, digest_size=UPSTREAM_NAME_BYTES).hexdigest()
 
 
 def plan_setup(loaded, values, prepared):
