Statements of the largest size reach an instance within the size of a message

What callers would see: a READ, WRITE or EXECUTE of 1 MiB, which the protocol allows, ended with BUSY, INDOUBT or TIMEOUT, since the instance closed the connection.

Cause: a daemon adds the position to wait for and a longer name of a prepared statement, and the message then exceeds 1 MiB.

Change: where the message has no room, a read runs at the primary without a position, and the statement is prepared anew under a name of one character, which no caller's name is shorter than. The stand-in knows CLOSE.

test_statements_of_the_largest_size_reach_an_instance_unchanged failed before.

--- a/cardamomdrift/platform/line_protocol.py
+++ b/cardamomdrift/platform/line_protocol.py
@@ -26,6 +26,7 @@
 from cardamomdrift.ports import InstanceStatus, Refusal, TransactionState
 from cardamomdrift.position import parse_position
 from cardamomdrift.sessions.commands import (
+    MESSAGE_SIZE_LIMIT,
     Begin,
     Commit,
     Discard,
@@ -39,11 +40,11 @@
     StepDown,
     Write,
 )
+from cardamomdrift.util import text_size
 
 LINE_END = b"\r\n"
 # A line with one of these inside may be read by another program as several lines.
 LINE_BREAKS = frozenset("\r\n\0")
-MAX_LINE_BYTES = 1024 * 1024  # of one message
 MISSING_FIELD = "-"  # in place of a missing request id or VM name
 NO_POSITION = "-"
 POSITION_SEPARATOR = "."
@@ -193,7 +194,7 @@
     if text.startswith(EXECUTE_PREFIX):
         arguments = text.removeprefix(EXECUTE_PREFIX)
         text = arguments.removeprefix(arguments.partition(" ")[0])
-    return len(_encode(text))
+    return text_size(text)
 
 
 def _render_wait_prefix(floor):
@@ -224,6 +225,8 @@
             return f"SET {name} {value}"
         case Prepare(name, writes, shape):
             return f"PARSE {name} {'WRITE' if writes else 'READ'} {shape}"
+        case Discard(name):
+            return f"CLOSE {name}"
         case Reset():
             return "RESET"
         case StepDown(term):
@@ -294,7 +297,8 @@
 
 def render_error(error):
     """Return the ERROR line of an error, whose text includes any retry delay."""
-    return _encode(f"ERROR {error_code(error)} {error}\r\n")
+    line = _encode(f"ERROR {error_code(error)} {error}")
+    return line[:MESSAGE_SIZE_LIMIT] + LINE_END
 
 
 def render_failure(error, state, position):
--- a/cardamomdrift/platform/stream.py
+++ b/cardamomdrift/platform/stream.py
@@ -11,7 +11,8 @@
 from collections import deque
 
 from cardamomdrift.errors import PacketTooLarge, UpstreamLost
-from cardamomdrift.platform.line_protocol import LINE_END, MAX_LINE_BYTES
+from cardamomdrift.platform.line_protocol import LINE_END
+from cardamomdrift.sessions.commands import MESSAGE_SIZE_LIMIT
 
 MAX_BUFFERED_LINES = 64  # unread lines above which the socket is not read
 TCP_USER_TIMEOUT_MS = 3000  # of unacknowledged data; instances use the same value
@@ -76,8 +77,8 @@
             *lines, rest = buffer.split(LINE_END)
             self._lines.extend(lines)
             self._buffer = rest
-        if len(self._buffer) > MAX_LINE_BYTES:
-            self._fail(PacketTooLarge(f"a line is longer than {MAX_LINE_BYTES} bytes"))
+        if len(self._buffer) > MESSAGE_SIZE_LIMIT:
+            self._fail(PacketTooLarge(f"a line is longer than {MESSAGE_SIZE_LIMIT} bytes"))
             return
         if len(self._lines) > MAX_BUFFERED_LINES and not self._reading_paused:
             self._reading_paused = True
--- a/cardamomdrift/routing/attempt.py
+++ b/cardamomdrift/routing/attempt.py
@@ -75,8 +75,8 @@
     """Return the floor of a read, or None if only the primary may serve it.
 
     Only the primary may serve reads of routes to the primary, reads without a maximum
-    age, and reads for which no sample is recent enough.  The floor is also recorded in
-    the request's trace.
+    age, reads for which no sample is recent enough, and reads whose message has no room
+    for the floor.  The floor is also recorded in the request's trace.
 
     Parameters
     ----------
@@ -86,6 +86,8 @@
     route = request.route
     if route.kind is RouteKind.PRIMARY or route.max_age is None:
         return None
+    if not request.extensible:
+        return None
     last_write = request.last_write or ORIGIN
     since = request.arrived_boot - route.max_age
     floor = cluster.find_floor(since, last_write)
@@ -111,8 +113,8 @@
     """
     prepared = request.prepared
     if isinstance(command, Execute) and prepared is not None:
-        command = replace(command, name=upstream_name(prepared))
-    setup = plan_setup(connection.loaded, request.values, prepared)
+        command = replace(command, name=upstream_name(prepared, request.extensible))
+    setup = plan_setup(connection.loaded, request.values, prepared, request.extensible)
     step = (request.request_id, command)
     reply = await send_with_setup(cluster, connection, instance_name, setup, step)
     request.trace.sent_bytes = reply.sent_bytes
--- a/cardamomdrift/routing/request.py
+++ b/cardamomdrift/routing/request.py
@@ -9,6 +9,11 @@
 
 from cardamomdrift.deployment import Route
 from cardamomdrift.position import Position
+from cardamomdrift.sessions.commands import (
+    MESSAGE_OVERHEAD_LIMIT,
+    MESSAGE_SIZE_LIMIT,
+)
+from cardamomdrift.util import text_size
 
 
 @dataclass(slots=True)
@@ -57,6 +62,12 @@
         """Priority of the route; requests with a higher value go first."""
         return self.route.priority
 
+    @property
+    def extensible(self):
+        """Whether a daemon may add to its text within the size of a message."""
+        size = self.payload_bytes + text_size(self.request_id)
+        return size + MESSAGE_OVERHEAD_LIMIT <= MESSAGE_SIZE_LIMIT
+
     @property
     def aim_at(self):
         """When it should be answered, in seconds of the loop's clock."""
--- a/cardamomdrift/sessions/commands.py
+++ b/cardamomdrift/sessions/commands.py
@@ -10,6 +10,11 @@
 
 from cardamomdrift.position import Position
 
+MESSAGE_SIZE_LIMIT = 1024 * 1024  # bytes of a message
+# Bytes of a statement's message besides the caller's text and id: keywords, the
+# position to wait for, and the name of a prepared statement.
+MESSAGE_OVERHEAD_LIMIT = 128
+
 
 @dataclass(frozen=True, slots=True)
 class Begin:
--- a/cardamomdrift/sessions/state.py
+++ b/cardamomdrift/sessions/state.py
@@ -11,11 +11,21 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
-from cardamomdrift.sessions.commands import Prepare, Reset, SetValue
+from cardamomdrift.sessions.commands import (
+    MESSAGE_OVERHEAD_LIMIT,
+    MESSAGE_SIZE_LIMIT,
+    Discard,
+    Prepare,
+    Reset,
+    SetValue,
+)
+from cardamomdrift.util import text_size
 
 VALUES_LIMIT = 256  # values of one session; bounds its memory
 PREPARED_LIMIT = 256  # prepared statements of one session; bounds its memory
 CONNECTION_PREPARED_LIMIT = 512  # shapes prepared on one connection before it is reset
+# Upstream name of statements whose messages have no room for a longer one.
+SHORT_NAME = "x"
 UPSTREAM_NAME_BYTES = 16  # of the hash in a prepared statement's upstream name
 
 
@@ -49,18 +59,28 @@
     prepared: set = field(default_factory=set)
 
 
-def upstream_name(prepared):
+def upstream_name(prepared, extensible=True):
     """Return the name that a prepared statement has at the instances.
 
     Callers choose the shapes, and sessions share connections, so the hash must resist
     collisions.
+
+    Parameters
+    ----------
+    prepared : Prepare
+    extensible : bool
+        Whether the message that executes it has room for a longer name.
     """
+    if not extensible:
+        return SHORT_NAME
+    if text_size(prepared.shape) + MESSAGE_OVERHEAD_LIMIT > MESSAGE_SIZE_LIMIT:
+        return SHORT_NAME
     prefix = "w" if prepared.writes else "r"
     shape = prepared.shape.encode("utf-8", "surrogateescape")
     return prefix + blake2b(shape, digest_size=UPSTREAM_NAME_BYTES).hexdigest()
 
 
-def plan_setup(loaded, values, prepared):
+def plan_setup(loaded, values, prepared, extensible=True):
     """Return the commands that load a session's state into a connection.
 
     Parameters
@@ -70,6 +90,8 @@
         Values of the session.
     prepared : Prepare or None
         Prepared statement that is to run.
+    extensible : bool
+        See `upstream_name`.
     """
     steps = []
     loaded_values, loaded_names = loaded.values, loaded.prepared
@@ -85,8 +107,11 @@
         if loaded_values.get(name) != value
     )
     if prepared is not None:
-        name = upstream_name(prepared)
-        if name not in loaded_names:
+        name = upstream_name(prepared, extensible)
+        if name == SHORT_NAME and name in loaded_names:
+            # It may stand for the statement of another session.
+            steps.append(Discard(name))
+        if name == SHORT_NAME or name not in loaded_names:
             steps.append(Prepare(name, prepared.writes, prepared.shape))
     return steps
 
@@ -100,5 +125,7 @@
                 loaded.prepared = set()
             case SetValue(name, value):
                 loaded.values[name] = value
+            case Discard(name):
+                loaded.prepared.discard(name)
             case Prepare(name):
                 loaded.prepared.add(name)
--- a/cardamomdrift/standins/lines.py
+++ b/cardamomdrift/standins/lines.py
@@ -335,6 +335,10 @@
         session.prepared[name] = (kind, shape)
         return ["COMPLETE -"]
 
+    def _do_close(self, session, _request_id, rest):
+        session.prepared.pop(rest, None)
+        return ["COMPLETE -"]
+
     def _do_reset(self, session, _request_id, _rest):
         session.values.clear()
         session.prepared.clear()
--- a/cardamomdrift/util.py
+++ b/cardamomdrift/util.py
@@ -32,6 +32,11 @@
     return xxhash.xxh3_128_hexdigest(_to_bytes(text))
 
 
+def text_size(text):
+    """Return the bytes that a text of the line protocol takes on the wire."""
+    return len(text) if text.isascii() else len(text.encode("utf-8", "surrogateescape"))
+
+
 def _to_bytes(text):
     # Texts of callers may hold escaped bytes, which are lone surrogates.
     return text.encode("utf-8", "surrogatepass")
--- a/tests/site.py
+++ b/tests/site.py
@@ -17,6 +17,7 @@
 
 from cardamomdrift.platform.daemon import PlatformDaemon
 from cardamomdrift.platform.settings import load_platform_settings
+from cardamomdrift.sessions.commands import MESSAGE_SIZE_LIMIT
 from cardamomdrift.standins.entries import (
     configuration,
     instance_entry,
@@ -67,7 +68,9 @@
     @classmethod
     async def open(cls, address, database, user="u"):
         """Return a client that has sent START, and the daemon's first line."""
-        client = cls(*await asyncio.open_connection(*address))
+        client = cls(
+            *await asyncio.open_connection(*address, limit=2 * MESSAGE_SIZE_LIMIT)
+        )
         client._send(f"START {database} {user}")
         return client, await client._line()
 
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -44,7 +44,6 @@
 from cardamomdrift.platform.catalog import decode_deployment, decode_instance
 from cardamomdrift.platform.connection import make_connector
 from cardamomdrift.platform.line_protocol import (
-    MAX_LINE_BYTES,
     Query,
     Start,
     Terminate,
@@ -68,6 +67,7 @@
 )
 from cardamomdrift.position import Position
 from cardamomdrift.sessions.commands import (
+    MESSAGE_SIZE_LIMIT,
     Begin,
     Commit,
     Discard,
@@ -605,7 +605,7 @@
 
     async def test_an_endless_greeting(self):
         async def greet(_reader, writer):
-            writer.write(b"x" * (MAX_LINE_BYTES + 100))
+            writer.write(b"x" * (MESSAGE_SIZE_LIMIT + 100))
             with suppress(OSError):
                 await writer.drain()
             writer.close()
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -22,7 +22,13 @@
 from cardamomdrift.peers.messages import JsonReply, StatusQuery
 from cardamomdrift.platform.daemon import PlatformDaemon
 from cardamomdrift.routing.connections import INITIAL_SHARE
-from cardamomdrift.sessions.commands import Commit, Read, SetValue, Write
+from cardamomdrift.sessions.commands import (
+    MESSAGE_SIZE_LIMIT,
+    Commit,
+    Read,
+    SetValue,
+    Write,
+)
 from cardamomdrift.sessions.handler import SessionHandler
 from cardamomdrift.standins.entries import instance_entry, route
 from tests.site import LineClient, Site, leadership_row
@@ -150,6 +156,24 @@
             await client.ask("COMMIT ")
             self.assertEqual(site.group.primary.received[-1].text, "COMMIT ")
 
+    async def test_statements_of_the_largest_size_reach_an_instance_unchanged(self):
+        """A name or position made them too large, and the instance closed."""
+        async with Site(daemons=1) as site:
+            client = await site.caller("vm-1", "crew")
+            await client.ask("PARSE s WRITE small", "a")
+            await client.ask("PARSE r READ " + "z" * (MESSAGE_SIZE_LIMIT - 23), "b")
+            texts = ["READ ", "WRITE item ", "EXECUTE s item ", "EXECUTE r item "]
+            for turn, text in enumerate(texts * 2):
+                text += "d" * (MESSAGE_SIZE_LIMIT - 10 - len(text) - turn // 4 * 30)
+                [*_, answer] = await client.ask(text, "c")
+                self.assertTrue(answer.startswith("COMPLETE sig"), answer[:80])
+                received = [
+                    statement.text.partition("item")[2] or statement.text
+                    for instance in site.group.instances.values()
+                    for statement in instance.received
+                ]
+                self.assertIn(text.partition("item")[2] or text, received)
+
     async def test_a_transaction_keeps_its_connection(self):
         async with Site(daemons=1) as site:
             client = await site.caller("vm-1", "crew")
