A message above the limit is refused however it arrives, and its caller is told

What callers would see: a line up to 256 KiB above 1 MiB was taken if its end came in the same read as the bytes above the limit, and reset the connection without a word otherwise.

Cause: only the rest of the buffer was measured, not the lines in it, and the transport was aborted.

Change: each line is measured; the lines before are read, the caller gets MALFORMED, and its session ends.

test_a_line_above_the_limit_is_refused_however_it_arrives and test_a_caller_whose_message_is_too_large_is_told_so failed before.

--- a/cardamomdrift/platform/callers.py
+++ b/cardamomdrift/platform/callers.py
@@ -117,6 +117,7 @@
             return
         except PacketTooLarge as error:
             self._log.warning("caller's message too large", error=str(error))
+            session.stream.write(render_error(BadRequest(str(error))))
         except Exception as error:
             self._log.error(
                 "session failed", error=f"{type(error).__name__} {error}", exc_info=True
--- a/cardamomdrift/platform/stream.py
+++ b/cardamomdrift/platform/stream.py
@@ -48,7 +48,7 @@
     @property
     def has_unread_data(self):
         """Whether received data, even part of a line, is still unread."""
-        return bool(self._lines or self._buffer)
+        return bool(self._lines or self._buffer or self._error)
 
     @property
     def peer_address(self):
@@ -71,14 +71,21 @@
 
     def data_received(self, data):
         """Split received data into lines; pause reading if too many are unread."""
+        if self._error is not None:
+            return
         buffer = self._buffer
         buffer += data
         if LINE_END in buffer:
             *lines, rest = buffer.split(LINE_END)
-            self._lines.extend(lines)
             self._buffer = rest
-        if len(self._buffer) > MESSAGE_SIZE_LIMIT:
-            self._fail(PacketTooLarge(f"a line is longer than {MESSAGE_SIZE_LIMIT} bytes"))
+            for line in lines:
+                if len(line) > MESSAGE_SIZE_LIMIT:
+                    self._refuse_line()
+                    return
+                self._lines.append(line)
+        # The end of the line may have come in part.
+        if len(self._buffer) >= MESSAGE_SIZE_LIMIT + len(LINE_END):
+            self._refuse_line()
             return
         if len(self._lines) > MAX_BUFFERED_LINES and not self._reading_paused:
             self._reading_paused = True
@@ -107,9 +114,12 @@
 
     # Reading and writing
 
-    def _fail(self, error):
-        self._error = error
-        self._transport.abort()
+    def _refuse_line(self):
+        """Let the reader fail after the lines before; ignore what follows."""
+        reason = f"a line is longer than {MESSAGE_SIZE_LIMIT} bytes"
+        self._error = PacketTooLarge(reason)
+        self._buffer = bytearray()
+        self._wake_reader()
 
     def _wake_reader(self):
         if self._waiter is not None and not self._waiter.done():
@@ -126,9 +136,9 @@
             The other end sent a line longer than the limit.
         """
         while not self._lines:
+            if isinstance(self._error, PacketTooLarge):
+                raise self._error
             if self._closed:
-                if isinstance(self._error, PacketTooLarge):
-                    raise self._error
                 raise UpstreamLost(str(self._error))
             self._waiter = asyncio.get_running_loop().create_future()
             try:
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -215,6 +215,23 @@
         self.assertIn(b"retry_after_ms=200", line)
 
 
+class LineStreamTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_line_above_the_limit_is_refused_however_it_arrives(self):
+        """It was accepted if its end came with the bytes above the limit."""
+        good = b"x" * MESSAGE_SIZE_LIMIT + b"\r\n"
+        for chunk_size in (1 << 16, 1 << 18, 1 << 22):
+            with self.subTest(chunk_size):
+                stream = LineStream()
+                stream.connection_made(mock.MagicMock())
+                data = b"a\r\n" + good + b"x" + good + b"b\r\n"
+                for start in range(0, len(data), chunk_size):
+                    stream.data_received(data[start : start + chunk_size])
+                self.assertEqual(await stream.read_line(), "a")
+                self.assertEqual(len(await stream.read_line()), MESSAGE_SIZE_LIMIT)
+                with self.assertRaises(PacketTooLarge):
+                    await stream.read_line()
+
+
 class CatalogTest(unittest.TestCase):
     def test_valid_configuration(self):
         body = configuration(
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -174,6 +174,15 @@
                 ]
                 self.assertIn(text.partition("item")[2] or text, received)
 
+    async def test_a_caller_whose_message_is_too_large_is_told_so(self):
+        """Its connection was reset without an answer."""
+        async with Site(daemons=1) as site:
+            client = await site.caller("vm-1", "book")
+            text = b"QUERY a WRITE item " + b"d" * MESSAGE_SIZE_LIMIT + b"\r\n"
+            answer = await client.send_raw(text)
+            self.assertTrue(answer.startswith(b"ERROR MALFORMED"), answer)
+            self.assertEqual(site.group.primary.received, [])
+
     async def test_a_transaction_keeps_its_connection(self):
         async with Site(daemons=1) as site:
             client = await site.caller("vm-1", "crew")
