--- a/cardamomdrift/platform/line_protocol.py
+++ b/cardamomdrift/platform/line_protocol.py
@@ -26,6 +26,7 @@
 from cardamomdrift.ports import InstanceStatus, Refusal, TransactionState
 from cardamomdrift.position import parse_position
 from cardamomdrift.sessions.commands import (
+    MESSAGE_SIZE_LIMIT,
     Begin,
     Commit,
     Discard,
@@ -39,11 +40,11 @@
     StepDown,
     Write,
 )
+from cardamomdrift.util import text_size
 
 LINE_END = b"\r\n"
 # A line with one of these inside may be read by another program as several lines.
 LINE_BREAKS = frozenset("\r\n\0")
-MAX_LINE_BYTES = 1024 * 1024  # of one message
 MISSING_FIELD = "-"  # in place of a missing request id or VM name
 NO_POSITION = "-"
 POSITION_SEPARATOR = "."
@@ -170,8 +171,8 @@
 
 _COMMANDS = {
     "BEGIN": _parse_begin,
-    "COMMIT": lambda _text, rest: (
-        Malformed("COMMIT takes nothing") if rest else Commit()
+    "COMMIT": lambda text, rest: (
+        Malformed("COMMIT takes nothing") if rest else Commit(text)
     ),
     "ROLLBACK": lambda _text, _rest: Rollback(),
     "READ": lambda text, _rest: Read(text),
@@ -193,7 +194,7 @@
     if text.startswith(EXECUTE_PREFIX):
         arguments = text.removeprefix(EXECUTE_PREFIX)
         text = arguments.removeprefix(arguments.partition(" ")[0])
-    return len(_encode(text))
+    return text_size(text)
 
 
 def _render_wait_prefix(floor):
@@ -216,14 +217,16 @@
             return f"{_render_wait_prefix(floor)}{EXECUTE_PREFIX}{name}{tail}"
         case Begin(read_only, floor):
             return _render_wait_prefix(floor) + ("BEGIN READ" if read_only else "BEGIN")
-        case Commit():
-            return "COMMIT"
+        case Commit(text):
+            return text
         case Rollback():
             return "ROLLBACK"
         case SetValue(name, value):
             return f"SET {name} {value}"
         case Prepare(name, writes, shape):
             return f"PARSE {name} {'WRITE' if writes else 'READ'} {shape}"
+        case Discard(name):
+            return f"CLOSE {name}"
         case Reset():
             return "RESET"
         case StepDown(term):
@@ -294,7 +297,8 @@
 
 def render_error(error):
     """Return the ERROR line of an error, whose text includes any retry delay."""
-    return _encode(f"ERROR {error_code(error)} {error}\r\n")
+    line = _encode(f"ERROR {error_code(error)} {error}")
+    return line[:MESSAGE_SIZE_LIMIT] + LINE_END
 
 
 def render_failure(error, state, position):
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -22,7 +22,13 @@
 from cardamomdrift.peers.messages import JsonReply, StatusQuery
 from cardamomdrift.platform.daemon import PlatformDaemon
 from cardamomdrift.routing.connections import INITIAL_SHARE
-from cardamomdrift.sessions.commands import Commit, Read, SetValue, Write
+from cardamomdrift.sessions.commands import (
+    MESSAGE_SIZE_LIMIT,
+    Commit,
+    Read,
+    SetValue,
+    Write,
+)
 from cardamomdrift.sessions.handler import SessionHandler
 from cardamomdrift.standins.entries import instance_entry, route
 from tests.site import LineClient, Site, leadership_row
@@ -132,6 +138,51 @@
             [received] = site.group.primary.received
             self.assertTrue(received.text.endswith(" item data "), received.text)
 
+    async def test_a_shape_that_is_not_valid_text_does_not_end_the_session(self):
+        """The session ended with an internal error at the first EXECUTE."""
+        shape = b"shape-\xff".decode("utf-8", "surrogateescape")
+        async with Site(daemons=1) as site:
+            client = await site.caller("vm-1", "book")
+            await client.ask(f"PARSE s1 WRITE {shape}")
+            [answer] = await client.ask("EXECUTE s1 item data")
+            self.assertTrue(answer.startswith("COMPLETE sig"), answer)
+            self.assertEqual(site.group.primary.received[-1].shape, shape)
+
+    async def test_a_blank_at_the_end_of_a_commit_is_not_cut(self):
+        async with Site(daemons=1) as site:
+            client = await site.caller("vm-1", "book")
+            await client.ask("BEGIN")
+            await client.ask("WRITE item data")
+            await client.ask("COMMIT ")
+            self.assertEqual(site.group.primary.received[-1].text, "COMMIT ")
+
+    async def test_statements_of_the_largest_size_reach_an_instance_unchanged(self):
+        """A name or position made them too large, and the instance closed."""
+        async with Site(daemons=1) as site:
+            client = await site.caller("vm-1", "crew")
+            await client.ask("PARSE s WRITE small", "a")
+            await client.ask("PARSE r READ " + "z" * (MESSAGE_SIZE_LIMIT - 23), "b")
+            texts = ["READ ", "WRITE item ", "EXECUTE s item ", "EXECUTE r item "]
+            for turn, text in enumerate(texts * 2):
+                text += "d" * (MESSAGE_SIZE_LIMIT - 10 - len(text) - turn // 4 * 30)
+                [*_, answer] = await client.ask(text, "c")
+                self.assertTrue(answer.startswith("COMPLETE sig"), answer[:80])
+                received = [
+                    statement.text.partition("item")[2] or statement.text
+                    for instance in site.group.instances.values()
+                    for statement in instance.received
+                ]
+                self.assertIn(text.partition("item")[2] or text, received)
+
+    async def test_a_caller_whose_message_is_too_large_is_told_so(self):
+        """Its connection was reset without an answer."""
+        async with Site(daemons=1) as site:
+            client = await site.caller("vm-1", "book")
+            text = b"QUERY a WRITE item " + b"d" * MESSAGE_SIZE_LIMIT + b"\r\n"
+            answer = await client.send_raw(text)
+            self.assertTrue(answer.startswith(b"ERROR MALFORMED"), answer)
+            self.assertEqual(site.group.primary.received, [])
+
     async def test_a_transaction_keeps_its_connection(self):
         async with Site(daemons=1) as site:
             client = await site.caller("vm-1", "crew")
