--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -912,7 +912,9 @@
                 (site.host("vm-1"), site.ports[0]), "look"
             )
             try:
-                self.assertEqual(await client.send_raw(b"x" * (2 * 1024 * 1024)), b"")
+                answer = await client.send_raw(b"x" * (2 * MESSAGE_SIZE_LIMIT))
+                self.assertTrue(answer.startswith(b"ERROR MALFORMED"), answer)
+                self.assertTrue(await client.at_eof())
             except ConnectionError:
                 pass
             self.assertTrue((await other.ask("READ a"))[0].startswith("ROW"))
