SET without a value is refused

What callers would see: "SET zone" was acknowledged, and the instances got "SET zone ", another text, which has no room in the largest message.

The protocol gives SET a name and a value; an empty value follows a blank. A SET without one is MALFORMED now, as PARSE and EXECUTE without their fields.

test_malformed_commands_keep_their_id has the case and failed before.

--- a/cardamomdrift/platform/line_protocol.py
+++ b/cardamomdrift/platform/line_protocol.py
@@ -151,8 +151,10 @@
 
 
 def _parse_set(_text, rest):
-    name, _, value = rest.partition(" ")
-    return SetValue(name, value) if name else Malformed("SET needs a name")
+    name, separator, value = rest.partition(" ")
+    if not name or not separator:
+        return Malformed("SET needs a name and a value")
+    return SetValue(name, value)
 
 
 def _parse_prepare(_text, rest):
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -120,7 +120,14 @@
         "QUERY 5c READ a\rb",
         "START d\0 u",
     )
-    BAD_COMMANDS = ("BEGIN WRITE", "PARSE s1", "PARSE s1 READS q", "JUMP", "SET")
+    BAD_COMMANDS = (
+        "BEGIN WRITE",
+        "PARSE s1",
+        "PARSE s1 READS q",
+        "JUMP",
+        "SET",
+        "SET zone",
+    )
 
     def test_messages(self):
         for line, expected in self.MESSAGES:
