--- a/tests/test_texts.py
+++ b/tests/test_texts.py
@@ -409,6 +409,19 @@
         await site.start("vm-2")
         await site.until(lambda: site.usable("vm-2"))
 
+    async def find_borrower(self):
+        """Return the name of a daemon that has no connection to the primary."""
+        opener, _ = await LineClient.open(self.site.front("vm-1"), "book")
+        await RecordingCaller(opener, self.sent).run(["READ a"], self.make_id)
+        opener.close()
+        primary = self.site.group.primary.name
+        pools = {
+            name: daemon.clusters.get("g").instances[primary].pool
+            for name, daemon in self.site.daemons.items()
+        }
+        await self.site.until(lambda: sum(pool.size for pool in pools.values()) == 1)
+        return next(name for name, pool in pools.items() if pool.size == 0)
+
     def loan_count(self):
         daemons = self.site.daemons.values()
         return sum(daemon.borrower.counts["borrowed"] for daemon in daemons)
@@ -429,6 +442,14 @@
             with self.subTest(text, missing=missing):
                 self.run_async(self.send_large("vm-1", text, missing))
 
+    def test_messages_of_the_largest_size_over_loans_do_not_change(self):
+        self.open_lending_site()
+        for text, missing in itertools.product(self.LARGE, (0, 1, 40)):
+            with self.subTest(text, missing=missing):
+                daemon = self.run_async(self.find_borrower())
+                self.run_async(self.send_large(daemon, text, missing))
+        self.assertGreaterEqual(self.loan_count(), 18)
+
     async def send_large(self, daemon, text, missing):
         """Send a message that has so many bytes less than the limit, then another."""
         client, _ = await LineClient.open(self.site.front(daemon), "book")
