Failing test: a message one or two bytes above the limit is in doubt

test_a_message_just_above_the_limit_is_served_or_refused fails for 5 of 9 messages: a daemon takes a line whose text without CR LF has up to 1 MiB, the stand-in counts CR LF and closes the connection. Writes end with INDOUBT, reads with BUSY after they have used up the budget for retries, other messages' too. Whether the instances of the platform count CR LF is not known.

--- a/tests/test_texts.py
+++ b/tests/test_texts.py
@@ -450,6 +450,23 @@
                 self.run_async(self.send_large(daemon, text, missing))
         self.assertGreaterEqual(self.loan_count(), 18)
 
+    def test_a_message_just_above_the_limit_is_served_or_refused(self):
+        """A write that an instance refuses to read must not end in doubt."""
+        self.open_site(Site(daemons=1))
+        for text, extra in itertools.product(self.LARGE[:3], (1, 2, 3)):
+            with self.subTest(text, extra=extra):
+                answer = self.run_async(self.send_too_large(text, extra))
+                self.assertRegex(answer[:80], b"^(ERROR MALFORMED|COMPLETE sig|ROW)")
+
+    async def send_too_large(self, text, extra):
+        """Send a message of so many bytes more than the limit; return the answer."""
+        client, _ = await LineClient.open(self.site.front("vm-1"), "book")
+        self.addCleanup(client.close)
+        await client.ask("PARSE s1 WRITE shape")
+        head = f"QUERY a {text}".encode()
+        size = MESSAGE_SIZE_LIMIT - len(head) - len(b"\r\n") + extra
+        return await client.send_raw(head + b"x" * size + b"\r\n")
+
     async def send_large(self, daemon, text, missing):
         """Send a message that has so many bytes less than the limit, then another."""
         client, _ = await LineClient.open(self.site.front(daemon), "book")
