A success without the instance's signature is not passed on

What callers would see: an instance's READY without COMPLETE, or COMPLETE "-", in answer to a write was passed on as success with the signature "-" (MIXED).

Cause: a reply without an error counted as success.

Change: such a reply ends the connection like a lost one.

test_an_answer_without_a_signature_is_no_success failed before.

--- a/cardamomdrift/platform/connection.py
+++ b/cardamomdrift/platform/connection.py
@@ -17,6 +17,7 @@
 )
 from cardamomdrift.platform.line_protocol import (
     MISSING_FIELD,
+    NO_SIGNATURE,
     REFUSALS_BY_CODE,
     STATUS,
     parse_ready,
@@ -96,6 +97,10 @@
         except BaseException:
             self.close()
             raise
+        for (request_id, _), reply in zip(queries, replies, strict=True):
+            if request_id is not None and not reply.proven:
+                self.close()
+                raise UpstreamLost("an answer without a signature")
         self._awaiting_reply = False
         replies[-1].sent_bytes = payload_size(queries[-1][1])
         return replies
@@ -108,7 +113,7 @@
                 case "ROW":
                     reply.rows.append(rest)
                 case "COMPLETE":
-                    reply.signature = rest
+                    reply.signature = "" if rest == NO_SIGNATURE else rest
                 case "ERROR":
                     reply.code, _, reply.detail = rest.partition(" ")
                     reply.refusal = REFUSALS_BY_CODE.get(reply.code, Refusal.OTHER)
--- a/cardamomdrift/platform/line_protocol.py
+++ b/cardamomdrift/platform/line_protocol.py
@@ -47,6 +47,7 @@
 LINE_BREAKS = frozenset("\r\n\0")
 MISSING_FIELD = "-"  # in place of a missing request id or VM name
 NO_POSITION = "-"
+NO_SIGNATURE = "-"  # in answers to statements that no instance has to run
 POSITION_SEPARATOR = "."
 STATUS = "STATUS"
 WAIT_PREFIX = "WAITLSN "
@@ -281,7 +282,7 @@
 def render_answer(rows, signature, state, position):
     """Return the lines of a successful answer to a caller."""
     lines = [f"ROW {row}\r\n" for row in rows]
-    lines.append(f"COMPLETE {signature or '-'}\r\n")
+    lines.append(f"COMPLETE {signature or NO_SIGNATURE}\r\n")
     lines.append(f"READY {STATE_CODES[state]} {_render_position(position)}\r\n")
     return _encode("".join(lines))
 
--- a/cardamomdrift/ports.py
+++ b/cardamomdrift/ports.py
@@ -83,6 +83,11 @@
     position: Position | None = None
     sent_bytes: int | None = None
 
+    @property
+    def proven(self):
+        """Whether it is a refusal, or carries the instance's signature."""
+        return self.refusal is not None or bool(self.signature)
+
     @property
     def not_run(self):
         """Whether the refusal proves that the statement had no effect."""
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -31,6 +31,7 @@
 )
 from cardamomdrift.sessions.handler import SessionHandler
 from cardamomdrift.standins.entries import instance_entry, route
+from cardamomdrift.standins.lines import LineInstance
 from tests.site import LineClient, Site, leadership_row
 
 RECOVERY_TIME = 12.0  # seconds after a loss of all daemons until writes are served
@@ -250,6 +251,18 @@
 
 
 class InstanceFaultTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_answer_without_a_signature_is_no_success(self):
+        """MIXED: it was passed on as a success of the statement."""
+        for lines in [], ["COMPLETE -"]:
+            with self.subTest(lines):
+                async with Site(daemons=1) as site:
+                    client = await site.caller("vm-1", "book")
+                    with mock.patch.object(
+                        LineInstance, "_do_write", lambda *_args: list(lines)
+                    ):
+                        [answer] = await client.ask("WRITE item data")
+                    self.assertTrue(answer.startswith("ERROR INDOUBT"), answer)
+
     async def test_a_read_with_a_lost_answer_is_retried_on_another_instance(self):
         async with Site(daemons=1) as site:
             look = await site.caller("vm-1", "look")
