--- a/cardamomdrift/sessions/handler.py
+++ b/cardamomdrift/sessions/handler.py
@@ -195,7 +195,7 @@
         self._last_route = route
         return route
 
-    def _make_request(self, request_id, command, payload_bytes):
+    def _make_request(self, request_id, command, payload_bytes=0):
         prepared = None
         if isinstance(command, Execute):
             prepared = self._session.prepared.get(command.name)
