A caller is told of a message far above the limit

What callers would see: a reset connection instead of ERROR MALFORMED, where the message was 2 MiB or more (4 MiB and 16 MiB: ConnectionResetError).

Cause: the session was closed while data was unread, which resets it.

Change: the sending side ends, and what comes is discarded for a second or until the caller closes.

--- a/cardamomdrift/platform/callers.py
+++ b/cardamomdrift/platform/callers.py
@@ -36,6 +36,7 @@
 # Seconds for which a session that opens before the first configuration waits for it.
 FIRST_CONFIGURATION_TIMEOUT = 1.8
 UNCONFIGURED_RETRY_AFTER = 0.5  # seconds, sent to a caller that waited in vain
+REFUSAL_TIMEOUT = 1.0  # seconds to read on after a message that is too large
 FINISH_TIMEOUT = 0.2  # seconds to send the last answers at a shutdown
 LISTEN_BACKLOG = 1024  # connections that wait to be accepted
 
@@ -118,6 +119,7 @@
         except PacketTooLarge as error:
             self._log.warning("caller's message too large", error=str(error))
             session.stream.write(render_error(BadRequest(str(error))))
+            await session.stream.finish(REFUSAL_TIMEOUT)
         except Exception as error:
             self._log.error(
                 "session failed", error=f"{type(error).__name__} {error}", exc_info=True
--- a/cardamomdrift/platform/stream.py
+++ b/cardamomdrift/platform/stream.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 from collections import deque
+from contextlib import suppress
 
 from cardamomdrift.errors import PacketTooLarge, UpstreamLost
 from cardamomdrift.platform.line_protocol import LINE_END
@@ -125,6 +126,13 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    async def _wait_for_change(self):
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
     async def read_line(self):
         """Return the next line as text.
 
@@ -140,11 +148,7 @@
                 raise self._error
             if self._closed:
                 raise UpstreamLost(str(self._error))
-            self._waiter = asyncio.get_running_loop().create_future()
-            try:
-                await self._waiter
-            finally:
-                self._waiter = None
+            await self._wait_for_change()
         line = self._lines.popleft()
         if self._reading_paused and not self._lines:
             self._reading_paused = False
@@ -161,6 +165,25 @@
         """Wait while the write buffer is above its limit."""
         await self._writable.wait()
 
+    async def finish(self, timeout):
+        """End the sending side; discard what comes until the other end closes.
+
+        A close with unread data would reset the connection, and the other end might
+        not see what was written last.  To be used only after PacketTooLarge.
+
+        Parameters
+        ----------
+        timeout : float
+            Seconds to wait at most.
+        """
+        if self.closed:
+            return
+        self._transport.write_eof()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout):
+                while not self._closed:
+                    await self._wait_for_change()
+
     def close(self):
         """Close once everything written has been sent."""
         self._transport.close()
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -924,10 +924,10 @@
             client, _ = await LineClient.open(
                 (site.host("vm-1"), site.ports[0]), "look"
             )
-            try:
-                self.assertEqual(await client.send_raw(b"x" * (2 * 1024 * 1024)), b"")
-            except ConnectionError:
-                pass
+            answer = await client.send_raw(b"x" * (16 * MESSAGE_SIZE_LIMIT))
+            self.assertTrue(answer.startswith(b"ERROR MALFORMED"), answer)
+            self.assertTrue(await client.at_eof())
+            client.close()
             self.assertTrue((await other.ask("READ a"))[0].startswith("ROW"))
 
 
