Failing test: a message within the limit of a daemon is too large for an instance

What callers would see: INDOUBT for a WRITE whose line has 1 MiB - 1 or 1 MiB without its end, and the primary out of use until its next probe.

Cause: a daemon measures a line without its end, the stand-in with it.

--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -175,6 +175,16 @@
                 ]
                 self.assertIn(text.partition("item")[2] or text, received)
 
+    async def test_a_message_that_is_accepted_is_not_too_large_for_an_instance(self):
+        """It ended with INDOUBT: the limit held with and without the line's end."""
+        for size in range(MESSAGE_SIZE_LIMIT - 2, MESSAGE_SIZE_LIMIT + 1):
+            with self.subTest(size):
+                async with Site(daemons=1) as site:
+                    client = await site.caller("vm-1", "book")
+                    line = b"QUERY a WRITE item ".ljust(size, b"d") + b"\r\n"
+                    answer = await client.send_raw(line)
+                    self.assertRegex(answer, rb"^(COMPLETE sig|ERROR MALFORMED)")
+
     async def test_a_caller_whose_message_is_too_large_is_told_so(self):
         """Its connection was reset without an answer."""
         async with Site(daemons=1) as site:
