Failing test: a write runs although a value of its session was refused

What callers would see: INDOUBT, while the write took effect without the session's values (PINNED).

Cause: the values and the statement go in one write, so that the statement runs whatever the instance answered to the values. No fix here: it would take a round trip more where values change.

--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -261,6 +261,19 @@
 
 
 class InstanceFaultTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_write_does_not_run_without_the_values_of_its_session(self):
+        """PINNED: it ran although the instance had refused a value before it."""
+
+        def refuse(_instance, _session, _request_id, _rest):
+            return ["ERROR BUSY g-0"]
+
+        async with Site(daemons=1) as site:
+            client = await site.caller("vm-1", "book")
+            await client.ask("SET lang de")
+            with mock.patch.object(LineInstance, "_do_set", refuse):
+                await client.ask("WRITE item data")
+            self.assertEqual(site.group.primary.log, [])
+
     async def test_an_answer_without_a_signature_is_no_success(self):
         """MIXED: it was passed on as a success of the statement."""
         for lines in [], ["COMPLETE -"]:
