Failing test: a refused value or shape takes the instance out of use

What callers would see: the instance, for all callers, gets no new requests until its next probe, because a value or shape of one session was refused.

Cause: the refusal is raised as UpstreamLost, which counts as no answer.

--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -274,6 +274,20 @@
                 await client.ask("WRITE item data")
             self.assertEqual(site.group.primary.log, [])
 
+    async def test_a_refused_value_does_not_take_the_instance_out_of_use(self):
+        """An instance that answered was treated as one that does not answer."""
+
+        def refuse(_instance, _session, _request_id, _rest):
+            return ["ERROR MALFORMED name"]
+
+        async with Site(daemons=1) as site:
+            client = await site.caller("vm-1", "book")
+            await client.ask("SET lang de")
+            with mock.patch.object(LineInstance, "_do_set", refuse):
+                await client.ask("WRITE item data")
+            cluster = site.daemons["vm-1"].clusters.get("g")
+            self.assertTrue(cluster.instances["g-0"].usable)
+
     async def test_an_answer_without_a_signature_is_no_success(self):
         """MIXED: it was passed on as a success of the statement."""
         for lines in [], ["COMPLETE -"]:
