No connection is reset inside a transaction

What callers would see: where a connection reached its limit of prepared statements, RESET was sent inside the open transaction of a caller; what an instance does then is not specified.

Change: the limit applies again after the transaction, whose statements are few.

test_a_connection_is_not_reset_inside_a_transaction failed before.

--- a/cardamomdrift/routing/attempt.py
+++ b/cardamomdrift/routing/attempt.py
@@ -114,7 +114,10 @@
     prepared = request.prepared
     if isinstance(command, Execute) and prepared is not None:
         command = replace(command, name=upstream_name(prepared, request.extensible))
-    setup = plan_setup(connection.loaded, request.values, prepared, request.extensible)
+    in_transaction = connection.state is not TransactionState.IDLE
+    setup = plan_setup(
+        connection.loaded, request.values, prepared, request.extensible, in_transaction
+    )
     step = (request.request_id, command)
     reply = await send_with_setup(cluster, connection, instance_name, setup, step)
     request.trace.sent_bytes = reply.sent_bytes
--- a/cardamomdrift/sessions/state.py
+++ b/cardamomdrift/sessions/state.py
@@ -80,7 +80,7 @@
     return prefix + blake2b(shape, digest_size=UPSTREAM_NAME_BYTES).hexdigest()
 
 
-def plan_setup(loaded, values, prepared, extensible=True):
+def plan_setup(loaded, values, prepared, extensible=True, in_transaction=False):
     """Return the commands that load a session's state into a connection.
 
     Parameters
@@ -92,13 +92,14 @@
         Prepared statement that is to run.
     extensible : bool
         See `upstream_name`.
+    in_transaction : bool
+        Whether a transaction is open there, inside which no reset makes room for
+        prepared statements.
     """
     steps = []
     loaded_values, loaded_names = loaded.values, loaded.prepared
-    if (
-        not loaded_values.keys() <= values.keys()
-        or len(loaded_names) >= CONNECTION_PREPARED_LIMIT
-    ):
+    is_full = len(loaded_names) >= CONNECTION_PREPARED_LIMIT
+    if not loaded_values.keys() <= values.keys() or (is_full and not in_transaction):
         steps.append(Reset())
         loaded_values, loaded_names = {}, ()
     steps.extend(
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -22,6 +22,7 @@
 from cardamomdrift.peers.messages import JsonReply, StatusQuery
 from cardamomdrift.platform.daemon import PlatformDaemon
 from cardamomdrift.routing.connections import INITIAL_SHARE
+from cardamomdrift.sessions import state
 from cardamomdrift.sessions.commands import (
     MESSAGE_SIZE_LIMIT,
     Commit,
@@ -175,6 +176,25 @@
                 ]
                 self.assertIn(text.partition("item")[2] or text, received)
 
+    async def test_a_connection_is_not_reset_inside_a_transaction(self):
+        """RESET went out where a connection reached its limit of statements."""
+        with (
+            mock.patch.object(state, "CONNECTION_PREPARED_LIMIT", 2),
+            mock.patch.object(
+                LineInstance, "_do_reset", return_value=["COMPLETE -"]
+            ) as reset,
+        ):
+            async with Site(daemons=1) as site:
+                client = await site.caller("vm-1", "book")
+                await client.ask("BEGIN")
+                for turn in range(4):
+                    await client.ask(f"PARSE s{turn} READ shape-{turn}")
+                    await client.ask(f"EXECUTE s{turn} item")
+                reset.assert_not_called()
+                await client.ask("COMMIT")
+                await client.ask("READ item")
+                reset.assert_called_once()
+
     async def test_a_message_that_is_accepted_is_not_too_large_for_an_instance(self):
         """It ended with INDOUBT: the limit held with and without the line's end."""
         for size in range(MESSAGE_SIZE_LIMIT - 2, MESSAGE_SIZE_LIMIT + 1):
