Tests of hedged reads: requests have room for a floor

Six tests of test_statements failed with an AttributeError since reads without room for a floor go to the primary: their stand-in for a request had no such property. What they check is unchanged.

--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -73,6 +73,7 @@
         route=route,
         arrived_boot=0.0,
         last_write=None,
+        extensible=True,
         deadline_at=asyncio.get_running_loop().time() + 1.0,
         trace=SimpleNamespace(events=[], sent=False, floor=None),
     )
