A long line in small segments costs little processor time

What callers would see: delay for all callers of a daemon while one sends a text near 1 MiB over a link with small segments: 385 ms of processor time for segments of 1448 bytes (4 ms now; one run each, on a development machine).

Cause: all that had come of a line was searched again for its end at each segment.

test_a_long_line_in_small_segments_costs_little_processor_time failed before (2.2 s for segments of 256 bytes).

--- a/cardamomdrift/platform/stream.py
+++ b/cardamomdrift/platform/stream.py
@@ -75,8 +75,10 @@
         if self._error is not None:
             return
         buffer = self._buffer
+        # The end of the line may have come in part.
+        search_from = max(0, len(buffer) - 1)
         buffer += data
-        if LINE_END in buffer:
+        if buffer.find(LINE_END, search_from) >= 0:
             *lines, rest = buffer.split(LINE_END)
             self._buffer = rest
             for line in lines:
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -10,6 +10,7 @@
 import json
 import socket
 import tempfile
+import time
 import unittest
 from contextlib import suppress
 from pathlib import Path
@@ -231,6 +232,20 @@
                 with self.assertRaises(PacketTooLarge):
                     await stream.read_line()
 
+    async def test_a_long_line_in_small_segments_costs_little_processor_time(self):
+        """All that had come of a line was searched again at each segment."""
+        for segment_size, size in ((1, 100), (2, 100), (256, MESSAGE_SIZE_LIMIT)):
+            with self.subTest(segment_size):
+                stream = LineStream()
+                stream.connection_made(mock.MagicMock())
+                data = b"x" * size + b"\r\nb\r\n"
+                started = time.process_time()
+                for start in range(0, len(data), segment_size):
+                    stream.data_received(data[start : start + segment_size])
+                self.assertLess(time.process_time() - started, 0.5)
+                self.assertEqual(len(await stream.read_line()), size)
+                self.assertEqual(await stream.read_line(), "b")
+
 
 class CatalogTest(unittest.TestCase):
     def test_valid_configuration(self):
