Request log: no size of an attempt that was refused for one that was lost

What operators saw: sent_bytes=15 attempts=2 for a write whose first attempt was refused as busy and whose second was not answered, so that the log seemed to tell what the second had sent.

test_the_size_of_a_refused_attempt_is_not_logged_for_a_lost_one failed before.

--- a/cardamomdrift/routing/attempt.py
+++ b/cardamomdrift/routing/attempt.py
@@ -119,6 +119,7 @@
         connection.loaded, request.values, prepared, request.extensible, in_transaction
     )
     step = (request.request_id, command)
+    request.trace.sent_bytes = None
     reply = await send_with_setup(cluster, connection, instance_name, setup, step)
     request.trace.sent_bytes = reply.sent_bytes
     if reply.refusal is Refusal.NO_SUCH_STATEMENT:
--- a/cardamomdrift/routing/request.py
+++ b/cardamomdrift/routing/request.py
@@ -98,7 +98,8 @@
     sent : bool
         Whether anything was sent that may have run.
     sent_bytes : int or None
-        Size of the caller's text in the last statement that was answered.
+        Size of the caller's text in the last statement that was sent; None if it was
+        not answered.
     events : list of str
         Failed attempts and hedges, in order.
     """
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -402,6 +402,16 @@
             ]
             self.assertEqual(ids.count("doubt"), 1)
 
+    async def test_the_size_of_a_refused_attempt_is_not_logged_for_a_lost_one(self):
+        async with Site(daemons=1) as site:
+            client = await site.caller("vm-1", "book")
+            faults = site.group.primary.faults
+            faults.busy, faults.lose_answers = 1, 1
+            [answer] = await client.ask("WRITE item data")
+            self.assertTrue(answer.startswith("ERROR INDOUBT"), answer)
+            [line] = site.logged("request failed")
+            self.assertIn(" sent_bytes= attempts=2 ", line)
+
     async def test_a_write_refused_as_busy_is_retried(self):
         async with Site(daemons=1) as site:
             book = await site.caller("vm-1", "book")
