Stand-in: the size of a message is measured as in the daemon, without its end

The daemon measured a line without CR LF, the stand-in with it, so a WRITE of 1 MiB was accepted and then in doubt. Both leave the line's end out now, which serves every caller that keeps the limit by either reading; what an instance does with the two bytes more is not known.

--- a/cardamomdrift/sessions/commands.py
+++ b/cardamomdrift/sessions/commands.py
@@ -10,7 +10,7 @@
 
 from cardamomdrift.position import Position
 
-MESSAGE_SIZE_LIMIT = 1024 * 1024  # bytes of a message
+MESSAGE_SIZE_LIMIT = 1024 * 1024  # bytes of a message, without the end of its line
 # Bytes of a statement's message besides the caller's text and id: keywords, the
 # position to wait for, and the name of a prepared statement.
 MESSAGE_OVERHEAD_LIMIT = 128
