An instance that refused a session's state stays in use

What callers would see: where an instance refuses a shape or a value, it got no new requests from that daemon until its next probe, for all callers, and an EXECUTE that did not run was in doubt.

Cause: the refusal was raised as a lost connection, which counts as no answer.

Change: the refusal has an error of its own; if the statement did not run either, its caller gets the instance's error.

test_a_refused_value_does_not_take_the_instance_out_of_use failed before, and test_a_statement_whose_shape_was_refused_is_not_in_doubt, too.

--- a/cardamomdrift/errors.py
+++ b/cardamomdrift/errors.py
@@ -76,6 +76,10 @@
     """A connection broke or timed out after bytes may have been sent."""
 
 
+class SessionStateRefused(UpstreamLost):
+    """The instance refused a session's value before a statement that may have run."""
+
+
 class StatementRefused(UpstreamError):
     """The instance answered the statement with an error.
 
--- a/cardamomdrift/routing/attempt.py
+++ b/cardamomdrift/routing/attempt.py
@@ -13,8 +13,8 @@
 from cardamomdrift.deployment import RouteKind
 from cardamomdrift.errors import (
     RefusedByInstance,
+    SessionStateRefused,
     UpstreamBusy,
-    UpstreamLost,
     UpstreamUnreachable,
 )
 from cardamomdrift.limits.admission import make_ticket
@@ -143,6 +143,8 @@
     Raises
     ------
     UpstreamError
+    RefusedByInstance
+        The instance refused the setup, and the final step did not run.
     """
     steps = [(None, command) for command in setup]
     steps.append(step)
@@ -154,11 +156,15 @@
     replies = await connection.exchange(steps)
     reply = replies[-1]
     cluster.record_reply(instance_name, reply.position, begun_boot, direct)
-    if any(setup_reply.refusal is not None for setup_reply in replies[:-1]):
-        connection.close()
-        raise UpstreamLost("the instance refused the session's state")
-    record_setup(connection.loaded, setup)
-    return reply
+    refused = [reply for reply in replies[:-1] if reply.refusal is not None]
+    if not refused:
+        record_setup(connection.loaded, setup)
+        return reply
+    connection.close()
+    if reply.not_run:
+        raise RefusedByInstance(refused[0].code, refused[0].detail)
+    reason = f"the session's state was refused: {refused[0].code}"
+    raise SessionStateRefused(reason)
 
 
 def make_session_filter(request):
@@ -233,9 +239,12 @@
             runtime.pool.release(connection)
 
 
-def record_unanswered(runtime, connection):
-    """Record an unanswered statement, unless the connection is borrowed."""
-    if not connection.lender:
+def record_unanswered(runtime, connection, error):
+    """Record an unanswered statement, unless the connection is borrowed.
+
+    An instance that refused the session's state has answered.
+    """
+    if not connection.lender and not isinstance(error, SessionStateRefused):
         # On a borrowed connection the lender may be the one that failed; the pings over
         # the detour tell whether the instance answers.
         runtime.record_failure()
--- a/cardamomdrift/routing/pinned.py
+++ b/cardamomdrift/routing/pinned.py
@@ -165,7 +165,7 @@
                     self._cluster, connection, placement.name, setup, step
                 )
         except (UpstreamError, TimeoutError) as error:
-            record_unanswered(runtime, connection)
+            record_unanswered(runtime, connection, error)
             raise TryElsewhere(
                 placement.name, f"no answer to BEGIN: {error}"
             ) from error
@@ -192,7 +192,7 @@
                     request.command,
                 )
         except (UpstreamError, TimeoutError) as error:
-            record_unanswered(self._runtime, self._connection)
+            record_unanswered(self._runtime, self._connection, error)
             await self._fail(f"{self._placement.name} did not answer: {error}", error)
         if reply.refusal is None:
             return reply
@@ -234,7 +234,7 @@
         except UpstreamUnreachable as error:
             await self._fail(f"{placement.name} was not reached for the commit", error)
         except (UpstreamError, TimeoutError) as error:
-            record_unanswered(self._runtime, self._connection)
+            record_unanswered(self._runtime, self._connection, error)
             await self._handle_unanswered_commit(placement, error)
         await self._stack.aclose()
         self._check_commit(placement, reply)
--- a/cardamomdrift/routing/statements.py
+++ b/cardamomdrift/routing/statements.py
@@ -98,10 +98,10 @@
                             request.command,
                         )
             except UpstreamUnreachable as error:
-                record_unanswered(runtime, connection)
+                record_unanswered(runtime, connection, error)
                 raise TryElsewhere(placement.name, str(error)) from error
             except (UpstreamLost, TimeoutError) as error:
-                record_unanswered(runtime, connection)
+                record_unanswered(runtime, connection, error)
                 reason = f"{placement.name} did not answer the write"
                 raise OutcomeUnknown(reason) from error
             check_reply(placement, reply)
@@ -305,10 +305,10 @@
                     cluster, connection, placement.name, request, command
                 )
         except UpstreamUnreachable as error:
-            record_unanswered(runtime, connection)
+            record_unanswered(runtime, connection, error)
             raise TryElsewhere(placement.name, str(error)) from error
         except (UpstreamLost, TimeoutError) as error:
-            record_unanswered(runtime, connection)
+            record_unanswered(runtime, connection, error)
             raise TryElsewhere(placement.name, f"no answer: {error}") from error
         self._record_time(request, started)
         return reply
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -308,6 +308,19 @@
             cluster = site.daemons["vm-1"].clusters.get("g")
             self.assertTrue(cluster.instances["g-0"].usable)
 
+    async def test_a_statement_whose_shape_was_refused_is_not_in_doubt(self):
+        def refuse(_instance, _session, _request_id, _rest):
+            return ["ERROR MALFORMED shape"]
+
+        async with Site(daemons=1) as site:
+            client = await site.caller("vm-1", "book")
+            await client.ask("PARSE s1 WRITE shape")
+            with mock.patch.object(LineInstance, "_do_parse", refuse):
+                answer = await client.ask("EXECUTE s1 item data")
+            self.assertEqual(answer, ["ERROR MALFORMED shape"])
+            cluster = site.daemons["vm-1"].clusters.get("g")
+            self.assertTrue(cluster.instances["g-0"].usable)
+
     async def test_an_answer_without_a_signature_is_no_success(self):
         """MIXED: it was passed on as a success of the statement."""
         for lines in [], ["COMPLETE -"]:
