The short name stays known after an unknown statement

Seen by reading: after NOSUCHSTMT a daemon forgot that the short name is in use on the connection, so the next large statement would have been prepared under it without closing the one before.

--- a/cardamomdrift/routing/attempt.py
+++ b/cardamomdrift/routing/attempt.py
@@ -21,7 +21,12 @@
 from cardamomdrift.ports import Refusal, TransactionState
 from cardamomdrift.position import ORIGIN
 from cardamomdrift.sessions.commands import Execute
-from cardamomdrift.sessions.state import plan_setup, record_setup, upstream_name
+from cardamomdrift.sessions.state import (
+    SHORT_NAME,
+    plan_setup,
+    record_setup,
+    upstream_name,
+)
 
 RETRY_PAUSE = 0.02  # seconds; about one statement's time, after which a slot is free
 # Seconds.  The pause doubles up to this limit each time that all instances have refused
@@ -123,7 +128,8 @@
     reply = await send_with_setup(cluster, connection, instance_name, setup, step)
     request.trace.sent_bytes = reply.sent_bytes
     if reply.refusal is Refusal.NO_SUCH_STATEMENT:
-        connection.loaded.prepared.clear()
+        # The short name is closed before its next use, which needs it to be known.
+        connection.loaded.prepared &= {SHORT_NAME}
     return reply
 
 
--- a/cardamomdrift/sessions/handler.py
+++ b/cardamomdrift/sessions/handler.py
@@ -107,7 +107,7 @@
         request_id : str
         command : object
         payload_bytes : int
-            Size of the text that must reach the instance unchanged, for the log.
+            Size of the text that must reach the instance unchanged.
 
         Raises
         ------
