--- a/cardamomdrift/routing/attempt.py
+++ b/cardamomdrift/routing/attempt.py
@@ -13,15 +13,20 @@
 from cardamomdrift.deployment import RouteKind
 from cardamomdrift.errors import (
     RefusedByInstance,
+    SessionStateRefused,
     UpstreamBusy,
-    UpstreamLost,
     UpstreamUnreachable,
 )
 from cardamomdrift.limits.admission import make_ticket
 from cardamomdrift.ports import Refusal, TransactionState
 from cardamomdrift.position import ORIGIN
 from cardamomdrift.sessions.commands import Execute
-from cardamomdrift.sessions.state import plan_setup, record_setup, upstream_name
+from cardamomdrift.sessions.state import (
+    SHORT_NAME,
+    plan_setup,
+    record_setup,
+    upstream_name,
+)
 
 RETRY_PAUSE = 0.02  # seconds; about one statement's time, after which a slot is free
 # Seconds.  The pause doubles up to this limit each time that all instances have refused
@@ -114,12 +119,17 @@
     prepared = request.prepared
     if isinstance(command, Execute) and prepared is not None:
         command = replace(command, name=upstream_name(prepared, request.extensible))
-    setup = plan_setup(connection.loaded, request.values, prepared, request.extensible)
+    in_transaction = connection.state is not TransactionState.IDLE
+    setup = plan_setup(
+        connection.loaded, request.values, prepared, request.extensible, in_transaction
+    )
     step = (request.request_id, command)
+    request.trace.sent_bytes = None
     reply = await send_with_setup(cluster, connection, instance_name, setup, step)
     request.trace.sent_bytes = reply.sent_bytes
     if reply.refusal is Refusal.NO_SUCH_STATEMENT:
-        connection.loaded.prepared.clear()
+        # The short name is closed before its next use, which needs it to be known.
+        connection.loaded.prepared &= {SHORT_NAME}
     return reply
 
 
@@ -139,6 +149,8 @@
     Raises
     ------
     UpstreamError
+    RefusedByInstance
+        The instance refused the setup, and the final step did not run.
     """
     steps = [(None, command) for command in setup]
     steps.append(step)
@@ -150,11 +162,15 @@
     replies = await connection.exchange(steps)
     reply = replies[-1]
     cluster.record_reply(instance_name, reply.position, begun_boot, direct)
-    if any(setup_reply.refusal is not None for setup_reply in replies[:-1]):
-        connection.close()
-        raise UpstreamLost("the instance refused the session's state")
-    record_setup(connection.loaded, setup)
-    return reply
+    refused = [reply for reply in replies[:-1] if reply.refusal is not None]
+    if not refused:
+        record_setup(connection.loaded, setup)
+        return reply
+    connection.close()
+    if reply.not_run:
+        raise RefusedByInstance(refused[0].code, refused[0].detail)
+    reason = f"the session's state was refused: {refused[0].code}"
+    raise SessionStateRefused(reason)
 
 
 def make_session_filter(request):
@@ -229,9 +245,12 @@
             runtime.pool.release(connection)
 
 
-def record_unanswered(runtime, connection):
-    """Record an unanswered statement, unless the connection is borrowed."""
-    if not connection.lender:
+def record_unanswered(runtime, connection, error):
+    """Record an unanswered statement, unless the connection is borrowed.
+
+    An instance that refused the session's state has answered.
+    """
+    if not connection.lender and not isinstance(error, SessionStateRefused):
         # On a borrowed connection the lender may be the one that failed; the pings over
         # the detour tell whether the instance answers.
         runtime.record_failure()
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -294,6 +294,15 @@
         self.stream.write(LoanRequest("vm-2", "i", False))
         return await self.stream.receive()
 
+    async def test_a_command_that_is_not_valid_is_not_in_doubt(self):
+        """The stream just ended, so the borrower did not know that nothing ran."""
+        await self.request_loan()
+        self.stream.write(LoanSteps([(b"x", "Write", {})]))
+        answer = await self.stream.receive()
+        self.assertEqual((type(answer), answer.sent), (LoanLost, False))
+        self.assertEqual(self.connection.steps, [])
+        self.assertFalse(self.connection.reusable)
+
     async def test_a_connection_whose_position_cannot_be_encoded_is_closed(self):
         self.connection.position = Position(1, 2**64)
         with self.assertRaises(asyncio.IncompleteReadError):
@@ -491,6 +500,18 @@
         with self.assertRaises(UpstreamUnreachable):
             await connection.exchange([("id", Read("READ x", Position(1, 2**64)))])
 
+    async def test_a_state_that_cannot_be_encoded_ends_the_loan_at_its_release(self):
+        """The error reached the request, after its statement had run."""
+        self.script = [LoanGranted({}, [], None), LoanRefused("returned")]
+        borrower, connection = await self.borrow()
+        connection.loaded.values["zone"] = "\ud800"
+        pool = InstancePool(mock.Mock(), mock.Mock(), mock.AsyncMock())
+        pool._borrowed.add(connection)
+        pool.release(connection)
+        self.assertFalse(connection.reusable)
+        self.assertTrue(connection._stream.ended)
+        self.assertEqual(borrower._streams, {})
+
     async def test_a_connection_is_not_reusable_while_an_answer_is_outstanding(self):
         self.script = [LoanGranted({}, [], None)]
         _, connection = await self.borrow()
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -22,6 +22,7 @@
 from cardamomdrift.peers.messages import JsonReply, StatusQuery
 from cardamomdrift.platform.daemon import PlatformDaemon
 from cardamomdrift.routing.connections import INITIAL_SHARE
+from cardamomdrift.sessions import state
 from cardamomdrift.sessions.commands import (
     MESSAGE_SIZE_LIMIT,
     Commit,
@@ -31,6 +32,7 @@
 )
 from cardamomdrift.sessions.handler import SessionHandler
 from cardamomdrift.standins.entries import instance_entry, route
+from cardamomdrift.standins.lines import LineInstance
 from tests.site import LineClient, Site, leadership_row
 
 RECOVERY_TIME = 12.0  # seconds after a loss of all daemons until writes are served
@@ -161,10 +163,10 @@
         async with Site(daemons=1) as site:
             client = await site.caller("vm-1", "crew")
             await client.ask("PARSE s WRITE small", "a")
-            await client.ask("PARSE r READ " + "z" * (MESSAGE_SIZE_LIMIT - 23), "b")
+            await client.ask("PARSE r READ " + "z" * (MESSAGE_SIZE_LIMIT - 21), "b")
             texts = ["READ ", "WRITE item ", "EXECUTE s item ", "EXECUTE r item "]
             for turn, text in enumerate(texts * 2):
-                text += "d" * (MESSAGE_SIZE_LIMIT - 10 - len(text) - turn // 4 * 30)
+                text += "d" * (MESSAGE_SIZE_LIMIT - 8 - len(text) - turn // 4 * 30)
                 [*_, answer] = await client.ask(text, "c")
                 self.assertTrue(answer.startswith("COMPLETE sig"), answer[:80])
                 received = [
@@ -174,6 +176,35 @@
                 ]
                 self.assertIn(text.partition("item")[2] or text, received)
 
+    async def test_a_connection_is_not_reset_inside_a_transaction(self):
+        """RESET went out where a connection reached its limit of statements."""
+        with (
+            mock.patch.object(state, "CONNECTION_PREPARED_LIMIT", 2),
+            mock.patch.object(
+                LineInstance, "_do_reset", return_value=["COMPLETE -"]
+            ) as reset,
+        ):
+            async with Site(daemons=1) as site:
+                client = await site.caller("vm-1", "book")
+                await client.ask("BEGIN")
+                for turn in range(4):
+                    await client.ask(f"PARSE s{turn} READ shape-{turn}")
+                    await client.ask(f"EXECUTE s{turn} item")
+                reset.assert_not_called()
+                await client.ask("COMMIT")
+                await client.ask("READ item")
+                reset.assert_called_once()
+
+    async def test_a_message_that_is_accepted_is_not_too_large_for_an_instance(self):
+        """It ended with INDOUBT: the limit held with and without the line's end."""
+        for size in range(MESSAGE_SIZE_LIMIT - 2, MESSAGE_SIZE_LIMIT + 1):
+            with self.subTest(size):
+                async with Site(daemons=1) as site:
+                    client = await site.caller("vm-1", "book")
+                    line = b"QUERY a WRITE item ".ljust(size, b"d") + b"\r\n"
+                    answer = await client.send_raw(line)
+                    self.assertRegex(answer, rb"^(COMPLETE sig|ERROR MALFORMED)")
+
     async def test_a_caller_whose_message_is_too_large_is_told_so(self):
         """Its connection was reset without an answer."""
         async with Site(daemons=1) as site:
@@ -250,6 +281,58 @@
 
 
 class InstanceFaultTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_write_does_not_run_without_the_values_of_its_session(self):
+        """PINNED: it ran although the instance had refused a value before it."""
+
+        def refuse(_instance, _session, _request_id, _rest):
+            return ["ERROR BUSY g-0"]
+
+        async with Site(daemons=1) as site:
+            client = await site.caller("vm-1", "book")
+            await client.ask("SET lang de")
+            with mock.patch.object(LineInstance, "_do_set", refuse):
+                await client.ask("WRITE item data")
+            self.assertEqual(site.group.primary.log, [])
+
+    async def test_a_refused_value_does_not_take_the_instance_out_of_use(self):
+        """An instance that answered was treated as one that does not answer."""
+
+        def refuse(_instance, _session, _request_id, _rest):
+            return ["ERROR MALFORMED name"]
+
+        async with Site(daemons=1) as site:
+            client = await site.caller("vm-1", "book")
+            await client.ask("SET lang de")
+            with mock.patch.object(LineInstance, "_do_set", refuse):
+                await client.ask("WRITE item data")
+            cluster = site.daemons["vm-1"].clusters.get("g")
+            self.assertTrue(cluster.instances["g-0"].usable)
+
+    async def test_a_statement_whose_shape_was_refused_is_not_in_doubt(self):
+        def refuse(_instance, _session, _request_id, _rest):
+            return ["ERROR MALFORMED shape"]
+
+        async with Site(daemons=1) as site:
+            client = await site.caller("vm-1", "book")
+            await client.ask("PARSE s1 WRITE shape")
+            with mock.patch.object(LineInstance, "_do_parse", refuse):
+                answer = await client.ask("EXECUTE s1 item data")
+            self.assertEqual(answer, ["ERROR MALFORMED shape"])
+            cluster = site.daemons["vm-1"].clusters.get("g")
+            self.assertTrue(cluster.instances["g-0"].usable)
+
+    async def test_an_answer_without_a_signature_is_no_success(self):
+        """MIXED: it was passed on as a success of the statement."""
+        for lines in [], ["COMPLETE -"]:
+            with self.subTest(lines):
+                async with Site(daemons=1) as site:
+                    client = await site.caller("vm-1", "book")
+                    with mock.patch.object(
+                        LineInstance, "_do_write", lambda *_args: list(lines)
+                    ):
+                        [answer] = await client.ask("WRITE item data")
+                    self.assertTrue(answer.startswith("ERROR INDOUBT"), answer)
+
     async def test_a_read_with_a_lost_answer_is_retried_on_another_instance(self):
         async with Site(daemons=1) as site:
             look = await site.caller("vm-1", "look")
@@ -332,6 +415,16 @@
             ]
             self.assertEqual(ids.count("doubt"), 1)
 
+    async def test_the_size_of_a_refused_attempt_is_not_logged_for_a_lost_one(self):
+        async with Site(daemons=1) as site:
+            client = await site.caller("vm-1", "book")
+            faults = site.group.primary.faults
+            faults.busy, faults.lose_answers = 1, 1
+            [answer] = await client.ask("WRITE item data")
+            self.assertTrue(answer.startswith("ERROR INDOUBT"), answer)
+            [line] = site.logged("request failed")
+            self.assertIn(" sent_bytes= attempts=2 ", line)
+
     async def test_a_write_refused_as_busy_is_retried(self):
         async with Site(daemons=1) as site:
             book = await site.caller("vm-1", "book")
@@ -911,12 +1004,10 @@
             client, _ = await LineClient.open(
                 (site.host("vm-1"), site.ports[0]), "look"
             )
-            try:
-                answer = await client.send_raw(b"x" * (2 * MESSAGE_SIZE_LIMIT))
-                self.assertTrue(answer.startswith(b"ERROR MALFORMED"), answer)
-                self.assertTrue(await client.at_eof())
-            except ConnectionError:
-                pass
+            answer = await client.send_raw(b"x" * (16 * MESSAGE_SIZE_LIMIT))
+            self.assertTrue(answer.startswith(b"ERROR MALFORMED"), answer)
+            self.assertTrue(await client.at_eof())
+            client.close()
             self.assertTrue((await other.ask("READ a"))[0].startswith("ROW"))
 
 
