An error of an instance without a text reaches the caller without one

What callers would see: "ERROR EXECFAIL" of an instance came with a blank at its end. The protocol gives ERROR a text, so this is an answer outside of it.

--- a/cardamomdrift/errors.py
+++ b/cardamomdrift/errors.py
@@ -227,11 +227,19 @@
 
 
 class RefusedByInstance(CallerError):
-    """Error of the upstream, passed on with its number and text."""
+    """Error of the upstream, passed on with its number and text.
+
+    Attributes
+    ----------
+    code : int or str
+    has_text : bool
+        Whether the upstream gave a text, which may be empty.
+    """
 
     def __init__(self, code, message):
-        super().__init__(message)
+        super().__init__(message or "")
         self.code = code
+        self.has_text = message is not None
 
     def __str__(self):
         return self.reason
--- a/cardamomdrift/peers/loans.py
+++ b/cardamomdrift/peers/loans.py
@@ -127,7 +127,7 @@
     signature: bytes
     refusal: Refusal | None
     code: bytes
-    detail: bytes
+    detail: bytes | None
     state: TransactionState
     position: Position | None
     sent_bytes: int | None
@@ -234,7 +234,7 @@
                 pack_text(reply.signature),
                 reply.refusal,
                 pack_text(reply.code),
-                pack_text(reply.detail),
+                None if reply.detail is None else pack_text(reply.detail),
                 reply.state,
                 reply.position,
                 reply.sent_bytes,
@@ -252,7 +252,7 @@
             unpack_text(reply.signature),
             reply.refusal,
             unpack_text(reply.code),
-            unpack_text(reply.detail),
+            None if reply.detail is None else unpack_text(reply.detail),
             reply.state,
             reply.position,
             reply.sent_bytes,
--- a/cardamomdrift/platform/connection.py
+++ b/cardamomdrift/platform/connection.py
@@ -115,7 +115,8 @@
                 case "COMPLETE":
                     reply.signature = "" if rest == NO_SIGNATURE else rest
                 case "ERROR":
-                    reply.code, _, reply.detail = rest.partition(" ")
+                    reply.code, separator, detail = rest.partition(" ")
+                    reply.detail = detail if separator else None
                     reply.refusal = REFUSALS_BY_CODE.get(reply.code, Refusal.OTHER)
                 case "READY":
                     reply.state, reply.position = parse_ready(rest)
--- a/cardamomdrift/platform/line_protocol.py
+++ b/cardamomdrift/platform/line_protocol.py
@@ -300,8 +300,10 @@
 
 def render_error(error):
     """Return the ERROR line of an error, whose text includes any retry delay."""
-    line = _encode(f"ERROR {error_code(error)} {error}")
-    return line[:MESSAGE_SIZE_LIMIT] + LINE_END
+    line = f"ERROR {error_code(error)}"
+    if not isinstance(error, RefusedByInstance) or error.has_text:
+        line += f" {error}"
+    return _encode(line)[:MESSAGE_SIZE_LIMIT] + LINE_END
 
 
 def render_failure(error, state, position):
--- a/cardamomdrift/ports.py
+++ b/cardamomdrift/ports.py
@@ -65,8 +65,8 @@
     refusal : Refusal or None
     code : str
         Error code of the instance.
-    detail : str
-        Error text of the instance.
+    detail : str or None
+        Error text of the instance; None if the error has no text.
     state : TransactionState
     position : Position or None
         Last entry of the instance's log.
@@ -78,7 +78,7 @@
     signature: str = ""
     refusal: Refusal | None = None
     code: str = ""
-    detail: str = ""
+    detail: str | None = ""
     state: TransactionState = TransactionState.IDLE
     position: Position | None = None
     sent_bytes: int | None = None
