--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -20,6 +20,7 @@
     share_with_loans,
 )
 from cardamomdrift.peers.loans import (
+    MESSAGE_SIZE_LIMIT,
     LoanGranted,
     LoanLost,
     LoanRefused,
@@ -42,6 +43,7 @@
     Execute,
     Prepare,
     Read,
+    Reset,
     SetValue,
     StepDown,
     Write,
@@ -55,6 +57,7 @@
 REPLACEMENT_TIMEOUT = 7.0  # seconds within which a replacement has to end
 # A text with bytes that are not valid UTF-8, and with others that are.
 RAW_TEXT = b"a\xff\xed\xa0\x80 \xc3\xa4".decode("utf-8", "surrogateescape")
+LARGE_TEXT = "a" * (1024 * 1024 - 100)  # nearly the largest line of a caller
 
 
 def older_message(*fields):
@@ -163,13 +166,14 @@
             (None, Prepare("w1", True, RAW_TEXT)),
             (RAW_TEXT, Execute("w1", f" {RAW_TEXT} ", Position(3, 7))),
         ]
-        data = msgspec.msgpack.encode(pack_steps(steps))
+        [message] = pack_steps(steps)
+        data = msgspec.msgpack.encode(message)
         message = msgspec.msgpack.decode(data, type=LoanSteps)
         self.assertEqual(unpack_steps(message), steps)
 
     def test_only_session_commands_are_unpacked(self):
         with self.assertRaises(ValueError):
-            unpack_steps(pack_steps([(None, StepDown(9))]))
+            unpack_steps(*pack_steps([(None, StepDown(9))]))
 
     def test_a_command_with_other_fields_is_not_unpacked(self):
         """A field of another version was passed over, and the rest was run."""
@@ -294,6 +298,15 @@
         self.stream.write(LoanRequest("vm-2", "i", False))
         return await self.stream.receive()
 
+    async def test_a_large_state_that_cannot_be_cleared_is_not_lent(self):
+        self.connection.loaded.values = {f"v{index}": LARGE_TEXT for index in range(9)}
+        self.connection.exchange = mock.AsyncMock(side_effect=UpstreamLost)
+        with self.assertRaises(asyncio.IncompleteReadError):
+            await self.request_loan()
+        self.connection.exchange.assert_awaited_once_with([(None, Reset())])
+        self.assertFalse(self.connection.reusable)
+        self.assertEqual((self.lender.active_loans, self.runtime.pool.size), (0, 0))
+
     async def test_a_command_that_is_not_valid_is_not_in_doubt(self):
         """The stream just ended, so the borrower did not know that nothing ran."""
         await self.request_loan()
@@ -317,7 +330,7 @@
         granted = await self.request_loan()
         self.assertEqual(unpack_values(granted.values), {"zone": RAW_TEXT})
         self.connection.rows = [RAW_TEXT]
-        self.stream.write(pack_steps([(RAW_TEXT, Read(RAW_TEXT))]))
+        self.stream.write(*pack_steps([(RAW_TEXT, Read(RAW_TEXT))]))
         [reply] = unpack_replies(await self.stream.receive())
         self.assertEqual(reply, self.connection.make_reply())
         self.stream.write(LoanReturn(granted.values, []))
@@ -331,11 +344,11 @@
         """The borrower's statement was in doubt, although it ran to its end."""
         self.assertIsInstance(await self.request_loan(), LoanGranted)
         self.connection.delay = 0.1
-        self.stream.write(pack_steps([("x", Read("k"))]))
+        self.stream.write(*pack_steps([("x", Read("k"))]))
         await asyncio.sleep(0.02)
         await self.lender.finish()
         self.assertIsInstance(await self.stream.receive(), LoanReplies)
-        self.stream.write(pack_steps([("y", Read("k"))]))
+        self.stream.write(*pack_steps([("y", Read("k"))]))
         answer = await self.stream.receive()
         self.assertEqual((type(answer), answer.sent), (LoanLost, False))
 
@@ -494,11 +507,24 @@
         with self.assertRaises(UpstreamLost):
             await connection.exchange([("id", Write("WRITE x 1"))])
 
-    async def test_a_statement_that_cannot_be_encoded_is_not_sent(self):
+    async def test_a_statement_that_cannot_be_sent_is_not_in_doubt(self):
         self.script = [LoanGranted({}, [], None)]
+        for command in (
+            Read("READ x", Position(1, 2**64)),
+            Write("a" * MESSAGE_SIZE_LIMIT),
+        ):
+            _, connection = await self.borrow()
+            with self.assertRaises(UpstreamUnreachable):
+                await connection.exchange([("id", command)])
+            self.assertFalse(connection.reusable)
+
+    async def test_a_loan_that_is_lost_before_the_last_part_is_not_in_doubt(self):
+        self.script = [LoanGranted({}, [], None), None]
         _, connection = await self.borrow()
+        steps = [(None, SetValue(f"v{index}", LARGE_TEXT)) for index in range(9)]
         with self.assertRaises(UpstreamUnreachable):
-            await connection.exchange([("id", Read("READ x", Position(1, 2**64)))])
+            await connection.exchange([*steps, ("id", Write("WRITE x 1"))])
+        self.assertFalse(connection.reusable)
 
     async def test_a_state_that_cannot_be_encoded_ends_the_loan_at_its_release(self):
         """The error reached the request, after its statement had run."""
@@ -600,6 +626,37 @@
         lenders = [daemon.lender for daemon in site.daemons.values()]
         self.assertEqual([lender.counts["lost"] for lender in lenders], [0, 0])
 
+    async def set_large_values(self, client):
+        """Set values that are larger than a loan message together."""
+        for index in range(9):
+            await client.ask(f"SET v{index} {LARGE_TEXT}")
+
+    async def test_a_statement_larger_than_a_message_runs_over_a_loan(self):
+        """Its outcome was unknown, although nothing had been sent."""
+        site = await self.start()
+        client, _ = await LineClient.open(site.front("vm-2"), "book")
+        await self.set_large_values(client)
+        for index in range(2):
+            [answer] = await client.ask(f"WRITE x {index}{LARGE_TEXT}")
+            self.assertTrue(answer.startswith("COMPLETE sig"), answer)
+        runs = site.group.primary.executed_statements
+        self.assertEqual([len(run[1]) for run in runs], [len(LARGE_TEXT) + 9] * 2)
+        self.assertEqual(
+            [list(run[2].values()) for run in runs], [[LARGE_TEXT] * 9] * 2
+        )
+
+    async def test_a_connection_with_a_state_larger_than_a_message_is_lent(self):
+        """The borrower got no answer until the connection was closed."""
+        site = await self.start()
+        lender, _ = await LineClient.open(site.front("vm-1"), "book")
+        await self.set_large_values(lender)
+        await self.write(lender, "WRITE x 1", "of-lender")
+        client, _ = await LineClient.open(site.front("vm-2"), "book")
+        [answer] = await client.ask("WRITE x 2", "of-borrower")
+        self.assertTrue(answer.startswith("COMPLETE sig"), answer)
+        self.assertEqual(site.group.primary.executed_statements[-1][2], {})
+        self.assertEqual(site.logged("loan not answered"), [])
+
     async def test_values_do_not_pass_to_the_lenders_callers(self):
         site = await self.start()
         borrower, _ = await LineClient.open(site.front("vm-2"), "book")
