--- a/cardamomdrift/platform/line_protocol.py
+++ b/cardamomdrift/platform/line_protocol.py
@@ -26,6 +26,7 @@
 from cardamomdrift.ports import InstanceStatus, Refusal, TransactionState
 from cardamomdrift.position import parse_position
 from cardamomdrift.sessions.commands import (
+    MESSAGE_SIZE_LIMIT,
     Begin,
     Commit,
     Discard,
@@ -39,13 +40,14 @@
     StepDown,
     Write,
 )
+from cardamomdrift.util import text_size
 
 LINE_END = b"\r\n"
 # A line with one of these inside may be read by another program as several lines.
 LINE_BREAKS = frozenset("\r\n\0")
-MAX_LINE_BYTES = 1024 * 1024  # of one message
 MISSING_FIELD = "-"  # in place of a missing request id or VM name
 NO_POSITION = "-"
+NO_SIGNATURE = "-"  # in answers to statements that no instance has to run
 POSITION_SEPARATOR = "."
 STATUS = "STATUS"
 WAIT_PREFIX = "WAITLSN "
@@ -150,8 +152,10 @@
 
 
 def _parse_set(_text, rest):
-    name, _, value = rest.partition(" ")
-    return SetValue(name, value) if name else Malformed("SET needs a name")
+    name, separator, value = rest.partition(" ")
+    if not name or not separator:
+        return Malformed("SET needs a name and a value")
+    return SetValue(name, value)
 
 
 def _parse_prepare(_text, rest):
@@ -170,8 +174,8 @@
 
 _COMMANDS = {
     "BEGIN": _parse_begin,
-    "COMMIT": lambda _text, rest: (
-        Malformed("COMMIT takes nothing") if rest else Commit()
+    "COMMIT": lambda text, rest: (
+        Malformed("COMMIT takes nothing") if rest else Commit(text)
     ),
     "ROLLBACK": lambda _text, _rest: Rollback(),
     "READ": lambda text, _rest: Read(text),
@@ -193,7 +197,7 @@
     if text.startswith(EXECUTE_PREFIX):
         arguments = text.removeprefix(EXECUTE_PREFIX)
         text = arguments.removeprefix(arguments.partition(" ")[0])
-    return len(_encode(text))
+    return text_size(text)
 
 
 def _render_wait_prefix(floor):
@@ -216,14 +220,16 @@
             return f"{_render_wait_prefix(floor)}{EXECUTE_PREFIX}{name}{tail}"
         case Begin(read_only, floor):
             return _render_wait_prefix(floor) + ("BEGIN READ" if read_only else "BEGIN")
-        case Commit():
-            return "COMMIT"
+        case Commit(text):
+            return text
         case Rollback():
             return "ROLLBACK"
         case SetValue(name, value):
             return f"SET {name} {value}"
         case Prepare(name, writes, shape):
             return f"PARSE {name} {'WRITE' if writes else 'READ'} {shape}"
+        case Discard(name):
+            return f"CLOSE {name}"
         case Reset():
             return "RESET"
         case StepDown(term):
@@ -278,7 +284,7 @@
 def render_answer(rows, signature, state, position):
     """Return the lines of a successful answer to a caller."""
     lines = [f"ROW {row}\r\n" for row in rows]
-    lines.append(f"COMPLETE {signature or '-'}\r\n")
+    lines.append(f"COMPLETE {signature or NO_SIGNATURE}\r\n")
     lines.append(f"READY {STATE_CODES[state]} {_render_position(position)}\r\n")
     return _encode("".join(lines))
 
@@ -294,7 +300,10 @@
 
 def render_error(error):
     """Return the ERROR line of an error, whose text includes any retry delay."""
-    return _encode(f"ERROR {error_code(error)} {error}\r\n")
+    line = f"ERROR {error_code(error)}"
+    if not isinstance(error, RefusedByInstance) or error.has_text:
+        line += f" {error}"
+    return _encode(line)[:MESSAGE_SIZE_LIMIT] + LINE_END
 
 
 def render_failure(error, state, position):
--- a/cardamomdrift/platform/stream.py
+++ b/cardamomdrift/platform/stream.py
@@ -9,9 +9,11 @@
 import socket
 import struct
 from collections import deque
+from contextlib import suppress
 
 from cardamomdrift.errors import PacketTooLarge, UpstreamLost
-from cardamomdrift.platform.line_protocol import LINE_END, MAX_LINE_BYTES
+from cardamomdrift.platform.line_protocol import LINE_END
+from cardamomdrift.sessions.commands import MESSAGE_SIZE_LIMIT
 
 MAX_BUFFERED_LINES = 64  # unread lines above which the socket is not read
 TCP_USER_TIMEOUT_MS = 3000  # of unacknowledged data; instances use the same value
@@ -47,7 +49,7 @@
     @property
     def has_unread_data(self):
         """Whether received data, even part of a line, is still unread."""
-        return bool(self._lines or self._buffer)
+        return bool(self._lines or self._buffer or self._error)
 
     @property
     def peer_address(self):
@@ -70,14 +72,23 @@
 
     def data_received(self, data):
         """Split received data into lines; pause reading if too many are unread."""
+        if self._error is not None:
+            return
         buffer = self._buffer
+        # The end of the line may have come in part.
+        search_from = max(0, len(buffer) - 1)
         buffer += data
-        if LINE_END in buffer:
+        if buffer.find(LINE_END, search_from) >= 0:
             *lines, rest = buffer.split(LINE_END)
-            self._lines.extend(lines)
             self._buffer = rest
-        if len(self._buffer) > MAX_LINE_BYTES:
-            self._fail(PacketTooLarge(f"a line is longer than {MAX_LINE_BYTES} bytes"))
+            for line in lines:
+                if len(line) > MESSAGE_SIZE_LIMIT:
+                    self._refuse_line()
+                    return
+                self._lines.append(line)
+        # The end of the line may have come in part.
+        if len(self._buffer) >= MESSAGE_SIZE_LIMIT + len(LINE_END):
+            self._refuse_line()
             return
         if len(self._lines) > MAX_BUFFERED_LINES and not self._reading_paused:
             self._reading_paused = True
@@ -106,14 +117,24 @@
 
     # Reading and writing
 
-    def _fail(self, error):
-        self._error = error
-        self._transport.abort()
+    def _refuse_line(self):
+        """Let the reader fail after the lines before; ignore what follows."""
+        reason = f"a line is longer than {MESSAGE_SIZE_LIMIT} bytes"
+        self._error = PacketTooLarge(reason)
+        self._buffer = bytearray()
+        self._wake_reader()
 
     def _wake_reader(self):
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    async def _wait_for_change(self):
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
     async def read_line(self):
         """Return the next line as text.
 
@@ -125,15 +146,11 @@
             The other end sent a line longer than the limit.
         """
         while not self._lines:
+            if isinstance(self._error, PacketTooLarge):
+                raise self._error
             if self._closed:
-                if isinstance(self._error, PacketTooLarge):
-                    raise self._error
                 raise UpstreamLost(str(self._error))
-            self._waiter = asyncio.get_running_loop().create_future()
-            try:
-                await self._waiter
-            finally:
-                self._waiter = None
+            await self._wait_for_change()
         line = self._lines.popleft()
         if self._reading_paused and not self._lines:
             self._reading_paused = False
@@ -150,6 +167,25 @@
         """Wait while the write buffer is above its limit."""
         await self._writable.wait()
 
+    async def finish(self, timeout):
+        """End the sending side; discard what comes until the other end closes.
+
+        A close with unread data would reset the connection, and the other end might
+        not see what was written last.  To be used only after PacketTooLarge.
+
+        Parameters
+        ----------
+        timeout : float
+            Seconds to wait at most.
+        """
+        if self.closed:
+            return
+        self._transport.write_eof()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout):
+                while not self._closed:
+                    await self._wait_for_change()
+
     def close(self):
         """Close once everything written has been sent."""
         self._transport.close()
--- a/cardamomdrift/ports.py
+++ b/cardamomdrift/ports.py
@@ -65,8 +65,8 @@
     refusal : Refusal or None
     code : str
         Error code of the instance.
-    detail : str
-        Error text of the instance.
+    detail : str or None
+        Error text of the instance; None if the error has no text.
     state : TransactionState
     position : Position or None
         Last entry of the instance's log.
@@ -78,11 +78,16 @@
     signature: str = ""
     refusal: Refusal | None = None
     code: str = ""
-    detail: str = ""
+    detail: str | None = ""
     state: TransactionState = TransactionState.IDLE
     position: Position | None = None
     sent_bytes: int | None = None
 
+    @property
+    def proven(self):
+        """Whether it is a refusal, or carries the instance's signature."""
+        return self.refusal is not None or bool(self.signature)
+
     @property
     def not_run(self):
         """Whether the refusal proves that the statement had no effect."""
--- a/cardamomdrift/routing/pinned.py
+++ b/cardamomdrift/routing/pinned.py
@@ -34,7 +34,7 @@
     send_with_setup,
 )
 from cardamomdrift.routing.dispatch import ForRead, ForTransaction
-from cardamomdrift.sessions.commands import Begin, Commit, Execute, Rollback, Write
+from cardamomdrift.sessions.commands import Begin, Execute, Rollback, Write
 from cardamomdrift.sessions.state import plan_setup
 
 ROLLBACK_TIMEOUT = 0.5  # seconds; a rollback needs no slot of the instance
@@ -165,7 +165,7 @@
                     self._cluster, connection, placement.name, setup, step
                 )
         except (UpstreamError, TimeoutError) as error:
-            record_unanswered(runtime, connection)
+            record_unanswered(runtime, connection, error)
             raise TryElsewhere(
                 placement.name, f"no answer to BEGIN: {error}"
             ) from error
@@ -192,7 +192,7 @@
                     request.command,
                 )
         except (UpstreamError, TimeoutError) as error:
-            record_unanswered(self._runtime, self._connection)
+            record_unanswered(self._runtime, self._connection, error)
             await self._fail(f"{self._placement.name} did not answer: {error}", error)
         if reply.refusal is None:
             return reply
@@ -234,7 +234,7 @@
         except UpstreamUnreachable as error:
             await self._fail(f"{placement.name} was not reached for the commit", error)
         except (UpstreamError, TimeoutError) as error:
-            record_unanswered(self._runtime, self._connection)
+            record_unanswered(self._runtime, self._connection, error)
             await self._handle_unanswered_commit(placement, error)
         await self._stack.aclose()
         self._check_commit(placement, reply)
@@ -244,7 +244,11 @@
         """Send the commit; repeat it while the instance refuses it as busy."""
         while True:
             reply = await run_command(
-                self._cluster, self._connection, self._placement.name, request, Commit()
+                self._cluster,
+                self._connection,
+                self._placement.name,
+                request,
+                request.command,
             )
             if reply.refusal is not Refusal.BUSY:
                 return reply
--- a/cardamomdrift/sessions/handler.py
+++ b/cardamomdrift/sessions/handler.py
@@ -107,7 +107,7 @@
         request_id : str
         command : object
         payload_bytes : int
-            Size of the text that must reach the instance unchanged, for the log.
+            Size of the text that must reach the instance unchanged.
 
         Raises
         ------
@@ -122,7 +122,7 @@
             case Begin(read_only):
                 return self._begin(read_only)
             case Commit():
-                return await self._commit(request_id, payload_bytes)
+                return await self._commit(request_id, command, payload_bytes)
             case Rollback():
                 return self._rollback()
             case SetValue(name, value):
@@ -195,7 +195,7 @@
         self._last_route = route
         return route
 
-    def _make_request(self, request_id, command, payload_bytes):
+    def _make_request(self, request_id, command, payload_bytes=0):
         prepared = None
         if isinstance(command, Execute):
             prepared = self._session.prepared.get(command.name)
@@ -270,11 +270,11 @@
             self.position = reply.position
         return Answer(reply.rows, reply.signature, reply.position)
 
-    async def _commit(self, request_id, payload_bytes):
+    async def _commit(self, request_id, command, payload_bytes):
         transaction = self._transaction
         if transaction is None:
             raise BadRequest("no transaction is open")
-        request = self._make_request(request_id, Commit(), payload_bytes)
+        request = self._make_request(request_id, command, payload_bytes)
         try:
             if not self._clusters.can_answer(request):
                 self._rollback()
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -10,6 +10,7 @@
 import json
 import socket
 import tempfile
+import time
 import unittest
 from contextlib import suppress
 from pathlib import Path
@@ -44,7 +45,6 @@
 from cardamomdrift.platform.catalog import decode_deployment, decode_instance
 from cardamomdrift.platform.connection import make_connector
 from cardamomdrift.platform.line_protocol import (
-    MAX_LINE_BYTES,
     Query,
     Start,
     Terminate,
@@ -68,6 +68,7 @@
 )
 from cardamomdrift.position import Position
 from cardamomdrift.sessions.commands import (
+    MESSAGE_SIZE_LIMIT,
     Begin,
     Commit,
     Discard,
@@ -120,7 +121,14 @@
         "QUERY 5c READ a\rb",
         "START d\0 u",
     )
-    BAD_COMMANDS = ("BEGIN WRITE", "PARSE s1", "PARSE s1 READS q", "JUMP", "SET")
+    BAD_COMMANDS = (
+        "BEGIN WRITE",
+        "PARSE s1",
+        "PARSE s1 READS q",
+        "JUMP",
+        "SET",
+        "SET zone",
+    )
 
     def test_messages(self):
         for line, expected in self.MESSAGES:
@@ -215,6 +223,37 @@
         self.assertIn(b"retry_after_ms=200", line)
 
 
+class LineStreamTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_line_above_the_limit_is_refused_however_it_arrives(self):
+        """It was accepted if its end came with the bytes above the limit."""
+        good = b"x" * MESSAGE_SIZE_LIMIT + b"\r\n"
+        for chunk_size in (1 << 16, 1 << 18, 1 << 22):
+            with self.subTest(chunk_size):
+                stream = LineStream()
+                stream.connection_made(mock.MagicMock())
+                data = b"a\r\n" + good + b"x" + good + b"b\r\n"
+                for start in range(0, len(data), chunk_size):
+                    stream.data_received(data[start : start + chunk_size])
+                self.assertEqual(await stream.read_line(), "a")
+                self.assertEqual(len(await stream.read_line()), MESSAGE_SIZE_LIMIT)
+                with self.assertRaises(PacketTooLarge):
+                    await stream.read_line()
+
+    async def test_a_long_line_in_small_segments_costs_little_processor_time(self):
+        """All that had come of a line was searched again at each segment."""
+        for segment_size, size in ((1, 100), (2, 100), (256, MESSAGE_SIZE_LIMIT)):
+            with self.subTest(segment_size):
+                stream = LineStream()
+                stream.connection_made(mock.MagicMock())
+                data = b"x" * size + b"\r\nb\r\n"
+                started = time.process_time()
+                for start in range(0, len(data), segment_size):
+                    stream.data_received(data[start : start + segment_size])
+                self.assertLess(time.process_time() - started, 0.5)
+                self.assertEqual(len(await stream.read_line()), size)
+                self.assertEqual(await stream.read_line(), "b")
+
+
 class CatalogTest(unittest.TestCase):
     def test_valid_configuration(self):
         body = configuration(
@@ -605,7 +644,7 @@
 
     async def test_an_endless_greeting(self):
         async def greet(_reader, writer):
-            writer.write(b"x" * (MAX_LINE_BYTES + 100))
+            writer.write(b"x" * (MESSAGE_SIZE_LIMIT + 100))
             with suppress(OSError):
                 await writer.drain()
             writer.close()
