--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -629,10 +629,15 @@
         # The connection holds the value now, when it is lent and when it is not.
         self.assertEqual(await client.ask("READ x"), [f"ROW x={RAW_TEXT}", mock.ANY])
         self.assertEqual(await other.ask("READ x"), [f"ROW x={RAW_TEXT}", mock.ANY])
+        await client.ask(f"PARSE s1 WRITE {RAW_TEXT}")
+        await self.write(client, f"EXECUTE s1 y {RAW_TEXT} ", "id-2")
+        received = site.group.primary.received[-1]
+        self.assertEqual(received.shape, RAW_TEXT)
+        self.assertEqual(received.text.split(" ", 2)[2], f"y {RAW_TEXT} ")
         runs = site.group.primary.executed_statements
         values = {RAW_TEXT.split()[0]: RAW_TEXT}
         self.assertEqual(runs[0], ("id\udcfe", f"WRITE x {RAW_TEXT}", values))
-        self.assertEqual([run[2] for run in runs], [values, values, {}])
+        self.assertEqual([run[2] for run in runs], [values, values, {}, values])
         lenders = [daemon.lender for daemon in site.daemons.values()]
         self.assertEqual([lender.counts["lost"] for lender in lenders], [0, 0])
 
