A parameter is bound only where it is certain to be a value

Callers that prepare a text with an open string or comment ("SELECT 'a ?") were told of a parameter, and its value was inserted into the string, where a quote in the value ends the string: the instance ran a text that the caller had not written. A question mark behind "--" and a control character was counted although MySQL skips it; one in a version comment was not counted although MySQL counts it.

Cause: the pattern had no case for a text without an end, knew one form of "--", and nothing looked at the neighbours of a parameter.

Ruled out: backslashes, doubled quotes, quoted names and comments of the usual forms were split correctly before.

Change: the tokens are those of MySQL's lexer, in a module of their own; what is not certain is refused with BadRequest when it is prepared. A text without a question mark is never refused.

--- a/cardamomdrift/sessions/parameters.py
+++ b/cardamomdrift/sessions/parameters.py
@@ -11,31 +11,77 @@
 from datetime import date, datetime, timedelta
 from functools import lru_cache
 
+from cardamomdrift.errors import BadRequest
+from cardamomdrift.sessions.lexer import BLANKS, TOKEN
+
 SPLIT_CACHE_SIZE = 4096  # statements
 
-# Quoted text, a comment, or a parameter in group 1.
-_TOKEN = re.compile(
-    r"'(?:[^'\\]|\\.|'')*'|\"(?:[^\"\\]|\\.|\"\")*\"|`[^`]*`"
-    r"|/\*.*?\*/|--[ \t][^\n]*|#[^\n]*|(\?)",
-    re.DOTALL,
+# What a literal would join to one word, or to one literal.
+_WORD_BEFORE = re.compile(
+    r"[\w$@.]$|\b(?:_\w+|DATE|TIME|TIMESTAMP|[BNX])[ \t\n\v\f\r]+$", re.IGNORECASE
 )
+_WORD_AFTER = re.compile(r"[\w$@.]")
 _SPECIAL = re.compile(r"['\\\0]")
 _ESCAPES = {"'": "''", "\\": "\\\\", "\0": "\\0"}
 
 
 @lru_cache(maxsize=SPLIT_CACHE_SIZE)
 def split_parameters(sql):
-    """Return the pieces of a statement's text between its parameters."""
+    """Return the pieces of a statement's text between its parameters.
+
+    Raises
+    ------
+    BadRequest
+        If it is not certain which question marks are parameters, or if a literal could
+        mean something else at the place of a parameter.
+    """
+    if "?" not in sql:
+        return (sql,)
     pieces = []
-    start = 0
-    for match in _TOKEN.finditer(sql):
-        if match[1]:
-            pieces.append(sql[start : match.start()])
-            start = match.end()
+    start = end = 0
+    before = ""  # what follows the last quoted text or parameter, without comments
+    previous = ""
+    versioned = False
+    for match in TOKEN.finditer(sql):
+        before += sql[end : match.start()]
+        end = match.end()
+        kind = match.lastgroup
+        match kind:
+            case "comment":
+                before += " "
+                continue
+            case "open":
+                raise BadRequest(f"{match[0]} has no end")
+            case "version":
+                versioned = True
+            case "quoted" if previous == "parameter" and match[0][0] != "`":
+                _check_apart(before)
+            case "parameter":
+                _check_place(sql, match, previous, before)
+                pieces.append(sql[start : match.start()])
+                start = end
+        previous = kind
+        before = ""
+    if versioned and pieces:
+        raise BadRequest("a version comment and parameters in one statement")
     pieces.append(sql[start:])
     return tuple(pieces)
 
 
+def _check_place(sql, match, previous, before):
+    """Raise BadRequest if a literal could not stand for a parameter."""
+    if previous in ("quoted", "parameter"):
+        _check_apart(before)
+    if _WORD_BEFORE.search(before) or _WORD_AFTER.match(sql, match.end()):
+        raise BadRequest("a parameter is next to a word or introducer")
+
+
+def _check_apart(between):
+    """Raise BadRequest if adjacent literals would be joined."""
+    if not between.strip(BLANKS):
+        raise BadRequest("a parameter is next to a quoted text or parameter")
+
+
 def quote(text):
     """Return a text as an SQL string literal."""
     return "'" + _SPECIAL.sub(lambda match: _ESCAPES[match[0]], text) + "'"
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -126,6 +126,27 @@
         sql = "SELECT '?', \"?\", `?`, ? /* ? it's */ FROM t WHERE a = ? # ?"
         self.assertEqual(len(split_parameters(sql)), 3)
 
+    def test_every_form_of_comment_is_left_as_it_is(self):
+        forms = ("-- ?\n", "--\t?\n", "--\x01?\n", "--\n", "#?\n", "/*?*/", "/*+ ?*/")
+        for comment in (*forms, "/* ; ' ? */", "`a?``?`", "'\\'?'", '"\\"?"'):
+            with self.subTest(comment):
+                pieces = split_parameters(f"SELECT {comment} + ? --")
+                self.assertEqual(pieces, (f"SELECT {comment} + ", " --"))
+        self.assertEqual(split_parameters("SELECT 1--?"), ("SELECT 1--", ""))
+        self.assertEqual(split_parameters("SELECT # \0?"), ("SELECT # \0", ""))
+
+    def test_no_parameter_is_put_where_it_would_not_be_a_value(self):
+        """Its value was inserted into an open string, where it can end the string."""
+        for sql in (
+            *("SELECT 'a ?", 'SELECT "a ?', "SELECT `a ?", "SELECT ? /* b"),
+            *("SELECT /*! ? */", "SELECT /*!50000 1 */, ?", "SELECT 'a' ?"),
+            *("SELECT ? 'a'", "SELECT 'a' /* b */ ?", "SELECT a?", "SELECT 1?"),
+            *("SELECT ?1", "SELECT ?a", "SELECT @?", "SELECT ??", "SELECT ? ?"),
+            *("SELECT _latin1 ?", "SELECT DATE ?", "SELECT N ?", "SELECT x?"),
+        ):
+            with self.subTest(sql), self.assertRaises(BadRequest):
+                split_parameters(sql)
+
     @STEADY
     @given(st.text(st.characters(codec="utf-8", exclude_characters="\0")))
     def test_a_text_comes_back_as_it_was(self, text):
