A DOUBLE parameter is rendered as a DOUBLE literal

Callers that bound 0.1 had the instance compute with the DECIMAL 0.1, and -0.0 lost its sign; inf and nan became the names of columns.

Cause: repr() of a float has no exponent for most values, and MySQL takes such a literal for a DECIMAL.

Change: the literal always has an exponent; inf, nan and values of types without a literal are refused with BadRequest.

The types that MySQL gives these literals are from its manual; no MySQL server was run.

--- a/cardamomdrift/sessions/parameters.py
+++ b/cardamomdrift/sessions/parameters.py
@@ -7,6 +7,7 @@
 statement.
 """
 
+import math
 import re
 from datetime import date, datetime, timedelta
 from functools import lru_cache
@@ -92,16 +93,18 @@
 
     Raises
     ------
-    TypeError
-        If there is no literal for the value's type.
+    BadRequest
+        If there is no literal for the value.
     """
     match value:
         case None:
             return "NULL"
         case bool():
             return "TRUE" if value else "FALSE"
-        case int() | float():
+        case int():
             return repr(value)
+        case float():
+            return _format_double(value)
         case bytes() | bytearray():
             return f"X'{value.hex()}'"
         case str():
@@ -110,7 +113,15 @@
             return quote(str(value))
         case timedelta():
             return quote(_format_time(value))
-    raise TypeError(f"no literal for {type(value).__name__}")
+    raise BadRequest(f"no literal for {type(value).__name__}")
+
+
+def _format_double(value):
+    """Return a DOUBLE literal; without an exponent it would be a DECIMAL."""
+    if not math.isfinite(value):
+        raise BadRequest(f"no literal for the number {value}")
+    text = repr(value)
+    return text if "e" in text else f"{text}e0"
 
 
 def _format_time(value):
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -15,7 +15,7 @@
 from cardamomdrift.errors import BadRequest, BadToken, UnknownClass
 from cardamomdrift.position import Position
 from cardamomdrift.sessions.options import check_options
-from cardamomdrift.sessions.parameters import bind, split_parameters
+from cardamomdrift.sessions.parameters import bind, make_literal, split_parameters
 from cardamomdrift.sessions.statement import Verb, parse_statement, shape_of
 from cardamomdrift.sessions.token import decode_token, encode_token
 from cardamomdrift.standins.engine import Engine
@@ -147,6 +147,17 @@
             with self.subTest(sql), self.assertRaises(BadRequest):
                 split_parameters(sql)
 
+    def test_a_double_stays_a_double(self):
+        """0.1 is a DECIMAL literal, which MySQL computes with exactly."""
+        for value in (0.1, 1.0, -0.0, 1e16, 1e-7, 1.7976931348623157e308, 5e-324):
+            with self.subTest(value):
+                literal = make_literal(value)
+                self.assertIn("e", literal)
+                self.assertEqual(repr(float(literal)), repr(value))
+        for value in (float("inf"), float("-inf"), float("nan")):
+            with self.subTest(value), self.assertRaises(BadRequest):
+                make_literal(value)
+
     @STEADY
     @given(st.text(st.characters(codec="utf-8", exclude_characters="\0")))
     def test_a_text_comes_back_as_it_was(self, text):
