A BLOB parameter reaches the instance as bytes

Callers that bound a BLOB had it decoded as text: valid UTF-8 became a text literal with the connection's collation, other bytes ended in an untyped error, and a caller that had announced latin1 would have had every byte above 0x7f changed to two. A packet that ends within a parameter gave a shorter value.

Cause: the reader of mysql_mimic decodes all types of strings alike and does not check lengths.

Change: parameters are read in a module of the edge; a BLOB is rendered as _binary X'..' (a string, also beside numbers), a text that is not valid in the caller's character set and a packet that is too short are refused with BadRequest. The stand-in records texts when asked, and reads MySQL's literals and comments token by token.

--- a/cardamomdrift/mysql/wire.py
+++ b/cardamomdrift/mysql/wire.py
@@ -29,7 +29,8 @@
     uint_len,
 )
 
-from cardamomdrift.errors import CallerError, PacketTooLarge
+from cardamomdrift.errors import BadRequest, CallerError, PacketTooLarge
+from cardamomdrift.mysql.parameters import read_parameters
 from cardamomdrift.mysql.tls import TlsStream
 from cardamomdrift.sessions.parameters import bind, split_parameters
 
@@ -251,11 +252,9 @@
         count = statement.num_params
         if has_attributes and (count or has_parameter_count):
             count = read_uint_len(reader)
-        # `mysql_mimic` has no public function that returns the values without
-        # substituting them in the statement.
-        parameters = packets._read_params(
-            self.capabilities, self.client_charset, reader, count, None
-        )
+        if count < statement.num_params:
+            raise BadRequest(f"{count} of {statement.num_params} parameters were sent")
+        parameters = read_parameters(reader, count, self.client_charset, has_attributes)
         values = [value for _, value in parameters[: statement.num_params]]
         query_attributes = {
             name: value for name, value in parameters[statement.num_params :] if name
--- a/cardamomdrift/sessions/parameters.py
+++ b/cardamomdrift/sessions/parameters.py
@@ -106,7 +106,8 @@
         case float():
             return _format_double(value)
         case bytes() | bytearray():
-            return f"X'{value.hex()}'"
+            # Without the introducer it would be a number beside numbers.
+            return f"_binary X'{value.hex()}'"
         case str():
             return quote(value)
         case datetime() | date():
--- a/cardamomdrift/standins/engine.py
+++ b/cardamomdrift/standins/engine.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 from cardamomdrift.errors import StatementRefused
+from cardamomdrift.sessions.lexer import TOKEN
 
 # MySQL error codes
 DUPLICATE_KEY_ERROR = 1062
@@ -20,12 +21,13 @@
 SYNTAX_ERROR = 1064
 
 _FOR_UPDATE = re.compile(r"\s+FOR\s+UPDATE\s*$", re.IGNORECASE)
-_ESCAPED = re.compile(r"\\(.)", re.DOTALL)
+_BINARY_INTRODUCER = re.compile(r"\b_binary (?=X')")
+_ESCAPED = re.compile(r"\\(.)|(['\"])\2", re.DOTALL)
 _AUTO_INCREMENT_KEY = re.compile(
     r"\bBIGINT\s+AUTO_INCREMENT\s+PRIMARY\s+KEY\b|\bINT\s+AUTO_INCREMENT\s+PRIMARY\s+KEY\b",
     re.IGNORECASE,
 )
-_ESCAPES = {"'": "''", "n": "\n", "r": "\r", "t": "\t", "0": "\0"}
+_ESCAPES = {"n": "\n", "r": "\r", "t": "\t", "0": "\0", "Z": "\x1a"}
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,9 +44,23 @@
     """Return a MySQL statement in SQLite's dialect."""
     sql = _FOR_UPDATE.sub("", sql)
     sql = _AUTO_INCREMENT_KEY.sub("INTEGER PRIMARY KEY", sql)
-    if "\\" in sql:
-        sql = _ESCAPED.sub(lambda match: _ESCAPES.get(match[1], match[1]), sql)
-    return sql
+    sql = _BINARY_INTRODUCER.sub("", sql)
+    return TOKEN.sub(_translate_token, sql)
+
+
+def _translate_token(match):
+    token = match[0]
+    if match.lastgroup == "comment":
+        return " "
+    if match.lastgroup != "quoted" or token[0] == "`":
+        return token
+    text = _ESCAPED.sub(
+        lambda found: _ESCAPES.get(found[1], found[1]) if found[1] else found[2],
+        token[1:-1],
+    )
+    if "\0" in text:
+        return f"CAST(X'{text.encode().hex()}' AS TEXT)"
+    return "'" + text.replace("'", "''") + "'"
 
 
 def _make_refusal(error):
--- a/cardamomdrift/standins/instance.py
+++ b/cardamomdrift/standins/instance.py
@@ -92,6 +92,8 @@
     ----------
     appended : asyncio.Event
         Set and replaced by a new event when the log grows.
+    texts : list of str or None
+        Receives the text of each statement, if it is a list.
     """
 
     def __init__(self, name, options):
@@ -117,6 +119,7 @@
         self._sessions = set()
         self._statements = 0
         self.appended = asyncio.Event()
+        self.texts = None
 
     @property
     def name(self):
@@ -382,6 +385,11 @@
         """Run a statement in the open write transaction."""
         return self._engine.write(sql)
 
+    def record(self, sql):
+        """Keep the text of a statement, if `texts` is a list."""
+        if self.texts is not None:
+            self.texts.append(sql)
+
     def attach(self, session):
         """Register an open session."""
         self._sessions.add(session)
--- a/cardamomdrift/standins/session.py
+++ b/cardamomdrift/standins/session.py
@@ -13,7 +13,7 @@
 from mysql_mimic.results import infer_type
 
 from cardamomdrift.errors import StatementRefused
-from cardamomdrift.mysql.columns import make_column
+from cardamomdrift.mysql.columns import BINARY_CHARSET_NUMBER, make_column
 from cardamomdrift.mysql.wire import Ok, Rows, WireVariables
 
 # MySQL error codes
@@ -93,6 +93,7 @@
     async def handle_query(self, sql, attrs):
         """Run a statement; the request and the answer each take the link delay."""
         await self._cross_link()
+        self._instance.record(sql)
         try:
             answer = await self._run(sql)
         except StatementRefused as error:
@@ -193,7 +194,11 @@
 def _make_rows(names, rows):
     first = rows[0] if rows else (None,) * len(names)
     columns = tuple(
-        make_column(name, infer_type("" if value is None else value))
-        for name, value in zip(names, first, strict=True)
+        _make_column(name, value) for name, value in zip(names, first, strict=True)
     )
     return Rows(columns, rows)
+
+
+def _make_column(name, value):
+    charset_number = BINARY_CHARSET_NUMBER if isinstance(value, bytes) else 0
+    return make_column(name, infer_type("" if value is None else value), charset_number)
--- /dev/null
+++ b/tests/test_mysql_texts.py
@@ -0,0 +1,101 @@
+"""
+Tests of the texts of the MySQL edge
+====================================
+
+What an instance receives is what the caller sent, and what the caller gets back is what
+the instance answered; otherwise the caller gets an error that says so.
+"""
+
+import asyncio
+import re
+import unittest
+
+from asyncmy.errors import Error
+
+from tests.values import query, running_fleet
+
+_STRING = re.compile(r"\\(.)|''", re.DOTALL)
+_UNESCAPED = {"''": "'", "\\0": "\0", "\\\\": "\\"}
+
+
+def evaluate(literal):
+    """Return the value of a literal, by MySQL's rules."""
+    if literal == "NULL":
+        return None
+    if literal.startswith("_binary X'"):
+        return bytes.fromhex(literal[10:-1])
+    if literal.startswith("'"):
+        return _STRING.sub(lambda match: _UNESCAPED[match[0]], literal[1:-1])
+    return float(literal) if "e" in literal else int(literal)
+
+
+class EdgeCase(unittest.TestCase):
+    """Runs one daemon and its stand-ins for all tests of a class."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.runner = asyncio.Runner()
+        cls.addClassCleanup(cls.runner.close)
+        context = running_fleet(daemons=1)
+        cls.fleet = cls.run_async(context.__aenter__())
+        cls.addClassCleanup(lambda: cls.run_async(context.__aexit__(None, None, None)))
+        cls.texts = []
+        for instance in cls.fleet.deployment.instances():
+            instance.texts = cls.texts
+        cls.caller = cls.run_async(cls.fleet.connect("vm-1", "d", autocommit=None))
+        cls.addClassCleanup(cls.caller.close)
+
+    @classmethod
+    def run_async(cls, coroutine):
+        return cls.runner.run(coroutine)
+
+    def received(self):
+        """Return the texts of callers that instances received since the last call."""
+        texts = [text for text in self.texts if not text.startswith(("CALL c", "USE "))]
+        self.texts.clear()
+        return texts
+
+    def send(self, sql):
+        """Send a text; return its rows, or the number of the error."""
+        self.texts.clear()
+        try:
+            return self.run_async(query(self.caller, sql))
+        except Error as error:
+            return error.args[0]
+
+    def execute(self, sql, *values):
+        """Prepare and run a text; return its rows, or the number of the error."""
+
+        async def run():
+            statement = await self.caller.prepare(sql)
+            try:
+                return (await statement.execute(values)).rows
+            finally:
+                await statement.close()
+
+        self.texts.clear()
+        try:
+            return self.run_async(run())
+        except Error as error:
+            return error.args[0]
+
+
+class ParameterTest(EdgeCase):
+    def check(self, value):
+        rows = self.execute("SELECT ?, 1", value)
+        [text] = self.received()
+        literal = text.removeprefix("SELECT ").removesuffix(", 1")
+        for result in (evaluate(literal), rows[0][0]):
+            self.assertIs(type(result), type(value))
+            self.assertEqual(repr(result), repr(value))
+
+    def test_a_blob_stays_bytes(self):
+        """It was decoded as text, and the instance got text or nothing."""
+        for value in (b"", b"abc", b"\xe9\x00'\\", bytes(range(256))):
+            with self.subTest(value):
+                self.check(value)
+        self.check("\x00\x1a'\"\\\n\r")
+
+
+if __name__ == "__main__":
+    unittest.main()
