A statement that is not understood is refused, not run as a write

A caller that sent BEGIN behind two comments, behind "/*!" or behind another statement ("SELECT 1; BEGIN") opened a transaction on a connection that other callers use; COMMIT in such a form did not end its own. "ROLLBACK/**/TO a" rolled everything back, "COMMIT AND CHAIN" forgot the chain, "COMMIT x" and a COMMIT behind a no-break space committed although MySQL refuses them, START SLAVE opened a transaction, and "FOR/**/UPDATE" went to replicas as a read. The options behind a first comment were ignored without an error.

Cause: one leading comment was known, the verb was the first word wherever it stood, the rest was not looked at, and whatever was unknown was a write.

Change: all leading comments are read as MySQL's lexer does; statements of a transaction must match as a whole; an unknown verb, several statements in one text (but for the body of a routine), an open string or comment, and a version comment around what matters are refused with BadRequest. A read with a version comment runs on the primary only.

--- a/cardamomdrift/mysql/session.py
+++ b/cardamomdrift/mysql/session.py
@@ -149,7 +149,7 @@
             case Verb.SET:
                 return self._set_variable(statement)
             case _:
-                raise BadRequest("the statement needs a connection of its own")
+                raise BadRequest(statement.argument)
 
     def make_interruption(self):
         """Return the error of a statement that was cancelled.
--- a/cardamomdrift/sessions/lexer.py
+++ b/cardamomdrift/sessions/lexer.py
@@ -10,14 +10,24 @@
 
 BLANKS = " \t\n\v\f\r"  # characters that separate words; no others do
 
+_QUOTED = r"'(?:[^'\\]++|\\.|'')*+'|\"(?:[^\"\\]++|\\.|\"\")*+\"|`[^`]*+`"
+_LINE_COMMENT = r"(?:\#|--(?=[\x00-\x20\x7f]|\Z))[^\n\0]*+"
+_COMMENT = rf"/\*(?!!).*?\*/|{_LINE_COMMENT}"
+_SPACE = rf"(?:[ \t\n\v\f\r]++|{_COMMENT})*+"
+
+# Blanks and comments.
+LEADING = re.compile(_SPACE, re.DOTALL)
+# The rest of a text that is one statement, whose quoted texts and comments all have an
+# end, without version comments.
+SINGLE = re.compile(
+    rf"(?:[^'\"`\#;/-]++|{_QUOTED}|{_COMMENT}|/(?!\*)|-(?!-[\x00-\x20\x7f]|-\Z))*+"
+    rf"(?:;{_SPACE})?\Z",
+    re.DOTALL,
+)
 # A token has the group of its kind.  A group `open` is the start of a quoted text or
 # comment without an end.  The content of a version comment consists of tokens itself.
 TOKEN = re.compile(
-    r"(?P<quoted>'(?:[^'\\]++|\\.|'')*+'|\"(?:[^\"\\]++|\\.|\"\")*+\"|`[^`]*+`)"
-    r"|(?P<comment>/\*(?!!).*?\*/|(?:\#|--(?=[\x00-\x20\x7f]|\Z))[^\n\0]*+)"
-    r"|(?P<version>/\*![0-9]*)"
-    r"|(?P<open>['\"`]|/\*)"
-    r"|(?P<parameter>\?)"
-    r"|(?P<semicolon>;)",
+    rf"(?P<quoted>{_QUOTED})|(?P<comment>{_COMMENT})|(?P<version>/\*![0-9]*)"
+    r"|(?P<open>['\"`]|/\*)|(?P<parameter>\?)|(?P<semicolon>;)",
     re.DOTALL,
 )
--- a/cardamomdrift/sessions/statement.py
+++ b/cardamomdrift/sessions/statement.py
@@ -3,7 +3,8 @@
 ==========
 
 What the proxy needs to know about a statement: its verb and the options in its leading
-comment.  The rest of the text is not parsed, only matched with a few patterns.
+comments.  A verb that acts on a transaction or on the session must be understood as a
+whole; the rest of the other texts is only matched with a few patterns.
 """
 
 import re
@@ -11,13 +12,13 @@
 from enum import Enum, auto
 from functools import lru_cache
 
+from cardamomdrift.sessions.lexer import BLANKS, LEADING, SINGLE, TOKEN
+
 STATEMENT_CACHE_SIZE = 4096  # statements
 OPTION_PREFIX = "cardamomdrift"
 
-_LEADING_COMMENT = re.compile(
-    r"\s*(?:(?:/\*(?!!)(.*?)\*/|--[^\n]*\n|#[^\n]*\n)\s*)?", re.DOTALL
-)
-_VERB = re.compile(r"\(*\s*([A-Za-z]+)")
+_FLAGS = re.IGNORECASE | re.ASCII
+_VERB = re.compile(r"([(\s]*)([A-Za-z]+)(?![\w$\x80-\U0010ffff])", re.ASCII)
 _LITERAL = re.compile(
     r"'(?:[^'\\]|\\.|'')*'|\"(?:[^\"\\]|\\.|\"\")*\"|\b\d+(?:\.\d+)?\b"
 )
@@ -30,15 +31,29 @@
 _READ_OPTION = re.compile(
     r"SELECT\s+@@(?:SESSION\.)?cardamomdrift_([a-z_]+)\s*;?\s*$", re.IGNORECASE
 )
-_USE = re.compile(r"USE\s+`?([^`;\s]+)`?\s*;?\s*$", re.IGNORECASE)
+_NAME = r"(?:\s*`[^`]+`|\s+[^\s`'\"(),;]+)"
+_USE = re.compile(rf"USE({_NAME})", _FLAGS)
 _AUTOCOMMIT = re.compile(
     r"SET\s+(?:SESSION\s+|@@)?AUTOCOMMIT\s*=\s*(\w+)", re.IGNORECASE
 )
 _READ_WITH_EFFECTS = re.compile(
     r"\b(?:FOR\s+UPDATE|FOR\s+SHARE|LOCK\s+IN\s+SHARE\s+MODE|GET_LOCK\s*\("
-    r"|RELEASE_LOCK\s*\(|INTO\s+(?:OUTFILE|DUMPFILE|@))",
-    re.IGNORECASE,
+    r"|RELEASE_LOCK\s*\(|INTO\s+(?:OUTFILE|DUMPFILE)\b|INTO\s*@)",
+    _FLAGS,
+)
+# A read without these words has no effects.
+_SUSPECT = re.compile(r"\b(?:UPDATE|SHARE|INTO)\b|LOCK\b|CARDAMOMDRIFT_", re.IGNORECASE)
+_MODE = r"(?:WITH\s+CONSISTENT\s+SNAPSHOT|READ\s+(?:ONLY|WRITE))"
+_END = r"(?:\s+WORK)?(?:\s+AND\s+NO\s+CHAIN)?(?:\s+NO\s+RELEASE)?"
+# Each group has the name of its verb.
+_CONTROL = re.compile(
+    rf"(?P<BEGIN>BEGIN(?:\s+WORK)?|START\s+TRANSACTION(?:\s+{_MODE}(?:\s*,\s*{_MODE})*)?)"
+    rf"|(?P<COMMIT>COMMIT{_END})|(?P<ROLLBACK>ROLLBACK{_END})"
+    rf"|(?P<SAVEPOINT>(?:(?:RELEASE\s+)?SAVEPOINT"
+    rf"|ROLLBACK(?:\s+WORK)?\s+TO(?:\s+SAVEPOINT)?){_NAME})",
+    _FLAGS,
 )
+_ROUTINE = re.compile(r"\b(?:PROCEDURE|FUNCTION|TRIGGER|EVENT)\b", _FLAGS)
 
 
 class Verb(Enum):
@@ -56,6 +71,7 @@
     AUTOCOMMIT_ON = auto()
     AUTOCOMMIT_OFF = auto()
     SET = auto()
+    CONTROL = auto()  # a transaction's; its text tells which
     UNSUPPORTED = auto()
 
 
@@ -67,27 +83,31 @@
     "EXPLAIN": Verb.READ,
     "VALUES": Verb.READ,
     "TABLE": Verb.READ,
-    "BEGIN": Verb.BEGIN,
-    "START": Verb.BEGIN,
-    "COMMIT": Verb.COMMIT,
-    "ROLLBACK": Verb.ROLLBACK,
-    "SAVEPOINT": Verb.SAVEPOINT,
-    "RELEASE": Verb.SAVEPOINT,
+    "HELP": Verb.READ,
     "SET": Verb.SET,
     "USE": Verb.USE,
-    # Their effect is bound to one upstream connection, which no caller owns.
-    "LOCK": Verb.UNSUPPORTED,
-    "UNLOCK": Verb.UNSUPPORTED,
-    "PREPARE": Verb.UNSUPPORTED,
-    "EXECUTE": Verb.UNSUPPORTED,
-    "DEALLOCATE": Verb.UNSUPPORTED,
-    "HANDLER": Verb.UNSUPPORTED,
-    "XA": Verb.UNSUPPORTED,
-    "KILL": Verb.UNSUPPORTED,
+    **dict.fromkeys(
+        ("BEGIN", "START", "COMMIT", "ROLLBACK", "SAVEPOINT", "RELEASE"), Verb.CONTROL
+    ),
+    **dict.fromkeys(
+        (
+            *("INSERT", "UPDATE", "DELETE", "REPLACE", "WITH", "CALL", "DO", "LOAD"),
+            *("CREATE", "ALTER", "DROP", "TRUNCATE", "RENAME", "GRANT", "REVOKE"),
+            *("ANALYZE", "CHECK", "CHECKSUM", "OPTIMIZE", "REPAIR", "IMPORT"),
+        ),
+        Verb.WRITE,
+    ),
 }
+_CHANGES = frozenset(("INSERT", "UPDATE", "DELETE", "REPLACE"))
+_QUERIES = frozenset(("SELECT", "TABLE", "VALUES", "WITH"))
 
 # Statements that commit the open transaction implicitly.
-_IMPLICIT_COMMIT = {"CREATE", "ALTER", "DROP", "TRUNCATE", "RENAME", "GRANT", "REVOKE"}
+_IMPLICIT_COMMIT = frozenset(
+    (
+        *("CREATE", "ALTER", "DROP", "TRUNCATE", "RENAME", "GRANT", "REVOKE"),
+        *("ANALYZE", "CHECK", "OPTIMIZE", "REPAIR", "IMPORT"),
+    )
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,9 +122,12 @@
     options : tuple of (str, str)
         Options of the leading comment.
     argument : str
-        Name of the database or option, where the verb has one.
+        Name of the database or option, where the verb has one, or why the statement is
+        not supported.
     value : str
         Value of the option that is set.
+    keyword : str
+        First word, in upper case.
     """
 
     sql: str
@@ -112,26 +135,107 @@
     options: tuple = ()
     argument: str = ""
     value: str = ""
+    keyword: str = ""
 
     @property
     def commits_implicitly(self):
         """Whether the statement ends an open transaction by committing it."""
-        match = _VERB.match(self.sql, _LEADING_COMMENT.match(self.sql).end())
-        return bool(match) and match[1].upper() in _IMPLICIT_COMMIT
+        return self.keyword in _IMPLICIT_COMMIT
 
 
-def _parse_options(comment):
-    if not comment:
-        return ()
-    prefix, separator, text = comment.strip().partition(":")
-    if not separator or prefix.strip() != OPTION_PREFIX:
-        return ()
-    return tuple(
-        (match[1], match[2] if match[2] is not None else match[3])
-        for match in _OPTION.finditer(text)
+@dataclass(frozen=True, slots=True)
+class _Outline:
+    """
+    Attributes
+    ----------
+    text : str
+        The first statement of a text, without comments.
+    code : str
+        The same without the content of strings, and without the marks of names and of
+        version comments.
+    versioned : bool
+        Whether there is a version comment, which instances may or may not run.
+    several : bool
+        Whether a semicolon is followed by more.
+    fault : str
+        Why the tokens are not certain, or empty.
+    """
+
+    text: str
+    code: str
+    versioned: bool
+    several: bool
+    fault: str = ""
+
+
+def _read_outline(sql, start):
+    text, code = [], []
+    end = start
+    several = ended = versioned = False
+    for match in TOKEN.finditer(sql, start):
+        gap, token = sql[end : match.start()], match[0]
+        end = match.end()
+        kind = match.lastgroup
+        if ended:
+            several = several or kind != "comment" or bool(gap.strip(BLANKS))
+            continue
+        text.append(gap)
+        code.append(gap)
+        match kind:
+            case "comment":
+                text.append(" ")
+                code.append(" ")
+            case "quoted":
+                text.append(token)
+                code.append(f" {token[1:-1]} " if token[0] == "`" else "''")
+            case "open":
+                return _Outline("", "", versioned, several, f"{token} has no end")
+            case "version" if not _may_be_skipped(sql, end):
+                reason = "a version comment with quoted text, comment or semicolon"
+                return _Outline("", "", versioned, several, reason)
+            case "semicolon":
+                ended = True
+            case _:
+                text.append(token)
+                code.append(" " if kind == "version" else token)
+                versioned = versioned or kind == "version"
+    rest = sql[end:]
+    if ended:
+        several = several or bool(rest.strip(BLANKS))
+    else:
+        text.append(rest)
+        code.append(rest)
+    joined = "".join(code)
+    return _Outline(
+        "".join(text).strip(BLANKS),
+        joined.replace("*/", " ") if versioned else joined,
+        versioned,
+        several,
     )
 
 
+def _may_be_skipped(sql, start):
+    """Return whether the tokens are the same if a version comment is skipped."""
+    end = sql.find("*/", start)
+    return end >= 0 and not TOKEN.search(sql, start, end)
+
+
+def _parse_options(sql, start):
+    """Return the options in the comments before a position."""
+    if not start:
+        return ()
+    options = []
+    for match in TOKEN.finditer(sql, 0, start):
+        prefix, separator, text = match[0][2:-2].partition(":")
+        if not match[0].startswith("/*") or prefix.strip() != OPTION_PREFIX:
+            continue
+        options.extend(
+            (option[1], option[2] if option[2] is not None else option[3])
+            for option in _OPTION.finditer(text)
+        )
+    return tuple(options)
+
+
 def _parse_set(sql, text, options):
     match = _SET_OPTION.match(text)
     if match:
@@ -146,36 +250,72 @@
     return Statement(sql, Verb.SET, options)
 
 
+def _is_plain(sql, start, keyword):
+    """Return whether the first word alone gives the verb."""
+    if keyword in _CHANGES:
+        return True
+    return _VERBS.get(keyword) is Verb.READ and not _SUSPECT.search(sql, start)
+
+
 @lru_cache(maxsize=STATEMENT_CACHE_SIZE)
 def parse_statement(sql):
     """Parse a statement's verb and options."""
-    leading = _LEADING_COMMENT.match(sql)
-    options = _parse_options(leading[1])
-    start = leading.end()
+    start = LEADING.match(sql).end()
+    options = _parse_options(sql, start)
+
+    def refuse(reason):
+        return Statement(sql, Verb.UNSUPPORTED, options, reason)
+
     match = _VERB.match(sql, start)
-    keyword = match[1].upper() if match else ""
-    verb = _VERBS.get(keyword, Verb.WRITE)
-    text = sql[start:]
+    keyword = match[2].upper() if match else ""
+    if _is_plain(sql, start, keyword) and not match[1] and SINGLE.match(sql, start):
+        return Statement(sql, _VERBS[keyword], options, keyword=keyword)
+    outline = _read_outline(sql, start)
+    if outline.fault:
+        return refuse(outline.fault)
+    if not outline.text and not outline.several:
+        return Statement(sql, Verb.WRITE, options)  # instances refuse an empty one
+    match = _VERB.match(outline.text)
+    keyword = match[2].upper() if match else ""
+    verb = _VERBS.get(keyword)
+    if verb is None or ("(" in match[1] and keyword not in _QUERIES):
+        return refuse("the statement is not known, or needs a connection of its own")
+    routine = keyword in ("CREATE", "ALTER") and _ROUTINE.search(outline.code)
+    if outline.several and not routine:
+        return refuse("several statements in one text")
     match verb:
         case Verb.SET:
-            return _parse_set(sql, text, options)
+            return _parse_set(sql, outline.text, options)
         case Verb.USE:
-            use = _USE.match(text)
-            return Statement(sql, verb, options, use[1] if use else "")
+            return _parse_use(sql, outline.text, options)
+        case Verb.CONTROL:
+            control = _CONTROL.fullmatch(outline.text)
+            if control is None:
+                return refuse(f"{keyword} in a form that is not supported")
+            return Statement(sql, Verb[control.lastgroup], options)
         case Verb.READ:
-            option = _READ_OPTION.match(text)
-            if option:
-                return Statement(sql, Verb.READ_OPTION, options, option[1].lower())
-            if _READ_WITH_EFFECTS.search(text):
-                return Statement(sql, Verb.WRITE, options)
-        case Verb.ROLLBACK if re.match(
-            r"ROLLBACK\s+(WORK\s+)?TO\b", text, re.IGNORECASE
-        ):
-            return Statement(sql, Verb.SAVEPOINT, options)
-    return Statement(sql, verb, options)
+            return _parse_read(sql, outline, options)
+    return Statement(sql, verb, options, keyword=keyword)
+
+
+def _parse_use(sql, text, options):
+    match = _USE.fullmatch(text)
+    if match is None:
+        return Statement(sql, Verb.UNSUPPORTED, options, "no name of a database")
+    return Statement(sql, Verb.USE, options, match[1].strip(BLANKS + "`"))
+
+
+def _parse_read(sql, outline, options):
+    option = _READ_OPTION.match(outline.text)
+    if option:
+        return Statement(sql, Verb.READ_OPTION, options, option[1].lower())
+    with_effects = outline.versioned or any(
+        _READ_WITH_EFFECTS.search(text) for text in (outline.text, outline.code)
+    )
+    return Statement(sql, Verb.WRITE if with_effects else Verb.READ, options)
 
 
 @lru_cache(maxsize=STATEMENT_CACHE_SIZE)
 def shape_of(sql):
     """Return the statement with ? for its literals, for grouping by cost."""
-    return _LITERAL.sub("?", sql[_LEADING_COMMENT.match(sql).end() :])
+    return _LITERAL.sub("?", sql[LEADING.match(sql).end() :])
--- a/tests/test_mysql_texts.py
+++ b/tests/test_mysql_texts.py
@@ -12,6 +12,8 @@
 
 from asyncmy.errors import Error
 
+from cardamomdrift.errors import BadRequest
+from tests.test_sessions import NOT_UNDERSTOOD
 from tests.values import query, running_fleet
 
 _STRING = re.compile(r"\\(.)|''", re.DOTALL)
@@ -97,5 +99,21 @@
         self.check("\x00\x1a'\"\\\n\r")
 
 
+class TextTest(EdgeCase):
+    def test_what_is_not_understood_reaches_no_instance(self):
+        for sql in NOT_UNDERSTOOD:
+            with self.subTest(sql):
+                self.assertEqual(self.send(sql), BadRequest.code)
+                self.assertEqual(self.received(), [])
+
+    def test_a_transaction_behind_comments_is_the_callers_own(self):
+        """BEGIN behind two comments opened one on a connection that others use."""
+        self.send("/* a */ /* b */ BEGIN")
+        self.send("INSERT INTO t (v) VALUES ('lost')")
+        self.send("/* a */ -- b\n ROLLBACK")
+        self.assertEqual(self.send("SELECT COUNT(*) FROM t"), [(0,)])
+        self.assertEqual(self.send("ROLLBACK/**/TO a"), BadRequest.code)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -30,10 +30,19 @@
     ("SELECT 1", Verb.READ),
     ("(SELECT 1) UNION (SELECT 2)", Verb.READ),
     ("  /* note */ select 1", Verb.READ),
+    ("-- a\r COMMIT; x", Verb.WRITE),
+    ("SELECT 1 INTO@a", Verb.WRITE),
+    ("SELECT GET_LOCK('a', 1)", Verb.WRITE),
     ("-- note\nSHOW TABLES", Verb.READ),
     ("SELECT * FROM t FOR UPDATE", Verb.WRITE),
     ("SELECT * FROM t LOCK IN SHARE MODE", Verb.WRITE),
-    ("SELECT GET_LOCK('a', 1)", Verb.WRITE),
+    ("SELECT * FROM t FOR/**/UPDATE", Verb.WRITE),
+    ("SELECT 1 /*!80000 INTO */ OUTFILE 'f'", Verb.WRITE),
+    ("SELECT 1 /*!80000 + 1 */", Verb.WRITE),
+    ("SELECT 'for update", Verb.UNSUPPORTED),
+    ("/* a */ /* b */ SELECT 1", Verb.READ),
+    ("/**/#\n--\n/*'*/SELECT 1; -- end", Verb.READ),
+    ("( ( /* a */ SELECT 1))", Verb.READ),
     ("WITH x AS (SELECT 1) DELETE FROM t", Verb.WRITE),
     ("INSERT INTO t VALUES (1)", Verb.WRITE),
     ("CALL anything()", Verb.WRITE),
@@ -48,6 +57,35 @@
     ("LOCK TABLES t READ", Verb.UNSUPPORTED),
     ("XA START 'a'", Verb.UNSUPPORTED),
     ("", Verb.WRITE),
+    (" /* only a note */", Verb.WRITE),
+    ("BEGIN WORK;", Verb.BEGIN),
+    ("/* a */ -- b\n # c\nBEGIN -- d", Verb.BEGIN),
+    ("START /**/ TRANSACTION READ ONLY, WITH CONSISTENT SNAPSHOT", Verb.BEGIN),
+    ("/* a */ /* b */ commit work and no chain no release", Verb.COMMIT),
+    ("--\x01\nROLLBACK", Verb.ROLLBACK),
+    ("ROLLBACK/**/TO a", Verb.SAVEPOINT),
+    ("/* a */ /* b */ SAVEPOINT a", Verb.SAVEPOINT),
+    ("/* a */ /* b */ SET autocommit=0;", Verb.AUTOCOMMIT_OFF),
+    ("CREATE PROCEDURE p() BEGIN SELECT 1; COMMIT; END", Verb.WRITE),
+)
+# Nothing may open or end a transaction, or change a shared connection, unnoticed.
+NOT_UNDERSTOOD = (
+    *("/*! BEGIN */", "/*!50000 COMMIT */", "/*!40101 SET NAMES latin1 */"),
+    *("BEGIN; INSERT INTO t VALUES (1)", "SELECT 1; COMMIT", ";COMMIT", "COMMIT;;"),
+    *("SELECT 1;/**/COMMIT", "SELECT 'a';'b'", "SELECT 1;/*!COMMIT*/"),
+    *(
+        "COMMIT AND CHAIN",
+        "ROLLBACK RELEASE",
+        "COMMIT x",
+        "(COMMIT)",
+        "(BEGIN)",
+        "(DO 1)",
+    ),
+    *("BEGIN1", "BEGIN x", "START SLAVE", "START", "ROLLBACK TO", "( SET a = 1)"),
+    *("\xa0COMMIT", "\ufeffCOMMIT", "\x1fBEGIN", "\x00BEGIN", "'' COMMIT", "1"),
+    *("COMMIT /* open", "/* open", "USE `d", "USE d x", "RESET BINARY LOGS"),
+    *("FLUSH TABLES WITH READ LOCK", "SELECT 1 /*!99999 ' */; COMMIT -- '"),
+    *("\u017fET NAMES utf8mb4", "COMMIT WOR\u212a"),
 )
 BAD_OPTIONS = (
     ({"class": "nope"}, RequestKind.READ, UnknownClass),
@@ -70,11 +108,25 @@
             with self.subTest(sql):
                 self.assertIs(parse_statement(sql).verb, verb)
 
+    def test_what_is_not_understood_is_refused(self):
+        """BEGIN behind two comments opened a transaction on a shared connection."""
+        for sql in NOT_UNDERSTOOD:
+            with self.subTest(sql):
+                self.assertIs(parse_statement(sql).verb, Verb.UNSUPPORTED)
+
+    def test_a_word_in_a_text_is_no_verb(self):
+        for text in ("'; COMMIT'", '"GET_LOCK("', "'a''; b'", r"'\'; c'", "`;`"):
+            sql = f"INSERT INTO t VALUES ({text}) -- ; GET_LOCK("
+            with self.subTest(sql):
+                self.assertIs(parse_statement(sql).verb, Verb.WRITE)
+
     def test_options_of_the_leading_comment(self):
         sql = "/* cardamomdrift: class=old, key='a b' max_age_ms=5 */ SELECT 1"
         expected = (("class", "old"), ("key", "a b"), ("max_age_ms", "5"))
         self.assertEqual(parse_statement(sql).options, expected)
         self.assertEqual(parse_statement("/* other: class=old */ SELECT 1").options, ())
+        sql = f"/* note */ -- note\n {sql}"
+        self.assertEqual(parse_statement(sql).options, expected)
 
     def test_shape_ignores_literals_and_options(self):
         one = "/* cardamomdrift: key=1 */ SELECT * FROM t WHERE a = 'x' AND b = 1.5"
