A SET statement is accepted only if all of it has its effect

Callers that sent "SET autocommit = 0, sql_mode = ''" or "SET NAMES utf8mb4 COLLATE utf8mb4_bin" got OK for a part that was dropped; SET autocommit = DEFAULT turned it off; SET NAMES binary was accepted, and texts went on as utf8mb4.

Cause: the patterns did not match the whole statement.

Change: they do; the collation of the connections to instances, utf8mb4_general_ci, is the only one that SET NAMES may name.

--- a/cardamomdrift/mysql/session.py
+++ b/cardamomdrift/mysql/session.py
@@ -6,8 +6,6 @@
 Statements are dispatched by their verb.
 """
 
-import re
-
 from mysql_mimic.types import ColumnType
 
 from cardamomdrift.bundle.model import RequestKind
@@ -24,12 +22,6 @@
 from cardamomdrift.sessions.options import SESSION_OPTIONS, attribute_options
 from cardamomdrift.sessions.statement import Verb, parse_statement
 
-# SET statements that are accepted without any effect.
-_ACCEPTED_SET_STATEMENT = re.compile(
-    r"SET\s+(?:NAMES|CHARACTER\s+SET|CHARSET)\s+'?(?:utf8mb4|utf8mb3|utf8|binary)\b",
-    re.IGNORECASE,
-)
-
 
 class CallerSession:
     """Session of a caller connection, with the session interface of `mysql_mimic`.
@@ -147,7 +139,7 @@
             case Verb.AUTOCOMMIT_OFF:
                 return await self._set_autocommit(False)
             case Verb.SET:
-                return self._set_variable(statement)
+                return Ok()
             case _:
                 raise BadRequest(statement.argument)
 
@@ -270,11 +262,6 @@
         self._autocommit = enabled
         return Ok()
 
-    def _set_variable(self, statement):
-        if _ACCEPTED_SET_STATEMENT.match(statement.sql.strip()):
-            return Ok()
-        raise BadRequest("session variables of the database are not kept by the proxy")
-
     # Streaming results
 
     async def _close_result(self):
--- a/cardamomdrift/sessions/statement.py
+++ b/cardamomdrift/sessions/statement.py
@@ -25,16 +25,20 @@
 _OPTION = re.compile(r"([a-z_]+)\s*=\s*(?:'([^']*)'|([^\s,;]+))")
 _SET_OPTION = re.compile(
     r"SET\s+(?:SESSION\s+|@@SESSION\.|@@)?cardamomdrift_([a-z_]+)\s*=\s*"
-    r"(?:'([^']*)'|\"([^\"]*)\"|(\S+))\s*;?\s*$",
-    re.IGNORECASE,
+    r"(?:'([^']*)'|\"([^\"]*)\"|([^\s'\",]+))",
+    _FLAGS,
 )
-_READ_OPTION = re.compile(
-    r"SELECT\s+@@(?:SESSION\.)?cardamomdrift_([a-z_]+)\s*;?\s*$", re.IGNORECASE
+_READ_OPTION = re.compile(r"SELECT\s+@@(?:SESSION\.)?cardamomdrift_([a-z_]+)", _FLAGS)
+# SET statements that have no effect, since connections to instances are like this.
+_SET_CHARSET = re.compile(
+    r"SET\s+(?:NAMES|CHARACTER\s+SET|CHARSET)\s*(['\"]?)(?<=[\s'\"])"
+    r"(?:utf8mb4|utf8mb3|utf8)\1(?:\s*COLLATE\s+(['\"]?)utf8mb4_general_ci\2)?",
+    _FLAGS,
 )
 _NAME = r"(?:\s*`[^`]+`|\s+[^\s`'\"(),;]+)"
 _USE = re.compile(rf"USE({_NAME})", _FLAGS)
 _AUTOCOMMIT = re.compile(
-    r"SET\s+(?:SESSION\s+|@@)?AUTOCOMMIT\s*=\s*(\w+)", re.IGNORECASE
+    r"SET\s+(?:SESSION\s+|@@)?AUTOCOMMIT\s*=\s*(?:(1|ON|TRUE)|0|OFF|FALSE)", _FLAGS
 )
 _READ_WITH_EFFECTS = re.compile(
     r"\b(?:FOR\s+UPDATE|FOR\s+SHARE|LOCK\s+IN\s+SHARE\s+MODE|GET_LOCK\s*\("
@@ -237,17 +241,18 @@
 
 
 def _parse_set(sql, text, options):
-    match = _SET_OPTION.match(text)
+    match = _SET_OPTION.fullmatch(text)
     if match:
         value = next((group for group in match.groups()[1:] if group is not None), "")
         return Statement(sql, Verb.SET_OPTION, options, match[1].lower(), value)
-    match = _AUTOCOMMIT.match(text)
+    match = _AUTOCOMMIT.fullmatch(text)
     if match:
-        enabled = match[1].upper() in ("1", "ON", "TRUE")
-        return Statement(
-            sql, Verb.AUTOCOMMIT_ON if enabled else Verb.AUTOCOMMIT_OFF, options
-        )
-    return Statement(sql, Verb.SET, options)
+        verb = Verb.AUTOCOMMIT_ON if match[1] else Verb.AUTOCOMMIT_OFF
+        return Statement(sql, verb, options)
+    if _SET_CHARSET.fullmatch(text):
+        return Statement(sql, Verb.SET, options)
+    reason = "session variables of the database are not kept by the proxy"
+    return Statement(sql, Verb.UNSUPPORTED, options, reason)
 
 
 def _is_plain(sql, start, keyword):
@@ -306,7 +311,7 @@
 
 
 def _parse_read(sql, outline, options):
-    option = _READ_OPTION.match(outline.text)
+    option = _READ_OPTION.fullmatch(outline.text)
     if option:
         return Statement(sql, Verb.READ_OPTION, options, option[1].lower())
     with_effects = outline.versioned or any(
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -52,6 +52,8 @@
     ("SET AUTOCOMMIT = 0", Verb.AUTOCOMMIT_OFF),
     ("SET @@autocommit=ON", Verb.AUTOCOMMIT_ON),
     ("SET NAMES utf8mb4", Verb.SET),
+    ("/**/ set /**/ names 'utf8' collate utf8mb4_general_ci;", Verb.SET),
+    ("SET CHARACTER SET utf8mb4", Verb.SET),
     ("SET SESSION cardamomdrift_class='a'", Verb.SET_OPTION),
     ("SELECT @@cardamomdrift_token", Verb.READ_OPTION),
     ("LOCK TABLES t READ", Verb.UNSUPPORTED),
@@ -85,6 +87,10 @@
     *("\xa0COMMIT", "\ufeffCOMMIT", "\x1fBEGIN", "\x00BEGIN", "'' COMMIT", "1"),
     *("COMMIT /* open", "/* open", "USE `d", "USE d x", "RESET BINARY LOGS"),
     *("FLUSH TABLES WITH READ LOCK", "SELECT 1 /*!99999 ' */; COMMIT -- '"),
+    *("SET autocommit = 0, sql_mode = ''", "SET autocommit = DEFAULT", "SET"),
+    *("SET NAMES utf8mb4, autocommit = 0", "SET NAMES utf8mb4 COLLATE utf8mb4_bin"),
+    *("SET NAMES latin1", "SET NAMES binary", "SET NAMES 'utf8mb4", "SET @a = 1"),
+    *("SET SESSION cardamomdrift_class = 'a', autocommit = 0", "SET NAMES utf8mb4 x"),
     *("\u017fET NAMES utf8mb4", "COMMIT WOR\u212a"),
 )
 BAD_OPTIONS = (
