An instance runs at most one statement of a text

A caller's "SELECT 1; COMMIT" ran as two statements on a connection that other callers use.

Cause: asyncmy sets CLIENT_MULTI_STATEMENTS on every connection.

Change: the flag is cleared before the handshake.

Measured: the new test, which reads the flags that arrive at a server, failed before and passes now.

--- a/cardamomdrift/mysql/connection.py
+++ b/cardamomdrift/mysql/connection.py
@@ -9,7 +9,8 @@
 import asyncio
 from dataclasses import dataclass, replace
 
-from asyncmy import connect
+from asyncmy.connection import Connection
+from asyncmy.constants.CLIENT import MULTI_STATEMENTS
 from asyncmy.cursors import SSCursor
 from asyncmy.errors import Error, InterfaceError, MySQLError
 
@@ -219,20 +220,23 @@
     UpstreamUnreachable
         No connection could be opened in time.
     """
+    connection = Connection(
+        host=address,
+        port=port,
+        user=login.user,
+        password=login.password,
+        charset="utf8mb4",
+        use_unicode=False,
+        conv={},
+        autocommit=None,
+        program_name=vm,
+        max_allowed_packet=MAX_PACKET_BYTES,
+    )
+    # `asyncmy` always asks the server to run several statements in one text.
+    connection._client_flag &= ~MULTI_STATEMENTS
     try:
         async with asyncio.timeout(timeout):
-            connection = await connect(
-                host=address,
-                port=port,
-                user=login.user,
-                password=login.password,
-                charset="utf8mb4",
-                use_unicode=False,
-                conv={},
-                autocommit=None,
-                program_name=vm,
-                max_allowed_packet=MAX_PACKET_BYTES,
-            )
+            await connection.connect()
     except TimeoutError as error:
         raise UpstreamUnreachable("handshake timed out") from error
     except (MySQLError, Error, OSError, RuntimeError) as error:
--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -14,6 +14,10 @@
 import asyncmy
 from aiohttp import ClientSession
 from asyncmy.errors import Error
+from mysql_mimic.charset import CharacterSet
+from mysql_mimic.constants import DEFAULT_SERVER_CAPABILITIES
+from mysql_mimic.packets import make_handshake_v10
+from mysql_mimic.types import Capabilities, ServerStatus
 
 from cardamomdrift.cloud.objects import ObjectStore, digest_of
 from cardamomdrift.cloud.table import (
@@ -201,6 +205,30 @@
         self.assertIsNone(await self.objects.get("0" * 64))
 
 
+class HandshakeTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_instance_runs_one_statement_of_a_text(self):
+        """The library asks for several, so "SELECT 1; COMMIT" would run both."""
+        flags = asyncio.get_running_loop().create_future()
+        greeting = make_handshake_v10(
+            DEFAULT_SERVER_CAPABILITIES | Capabilities.CLIENT_MULTI_STATEMENTS,
+            *(CharacterSet.utf8mb4, "8.0", 1, bytes(21), ServerStatus(2)),
+            "mysql_native_password",
+        )
+
+        async def answer(reader, writer):
+            writer.write(len(greeting).to_bytes(4, "little") + greeting)
+            await reader.readexactly(4)
+            flags.set_result(int.from_bytes(await reader.readexactly(4), "little"))
+            writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            with self.assertRaises(UpstreamUnreachable):
+                await open_connection("127.0.0.1", port, LOGIN, "vm-1", 1.0)
+        self.assertFalse(await flags & Capabilities.CLIENT_MULTI_STATEMENTS)
+
+
 class InstanceTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         group = make_group(
