A statement that is bound to a connection runs only where it has one

Callers that sent LAST_INSERT_ID() outside a transaction, also within an INSERT, got the id of whichever caller had used that connection before; FOUND_ROWS(), ROW_COUNT(), SHOW WARNINGS and user variables were another's as well. GET_LOCK() held its lock on a shared connection for good, and CREATE TEMPORARY TABLE hid the real table from other callers there.

Cause: these passed as reads and writes; only the first word was checked.

Change: locks and temporary tables are refused; what reads the state of a connection is refused outside a transaction, which has a connection to itself. Definitions of routines may contain all of it. Inside a transaction, what an earlier caller left is still seen before the transaction sets its own; that is open.

The row of the verb table that took GET_LOCK for a write is now in the table of refused statements: as a write it took the lock that nobody could release.

--- a/cardamomdrift/mysql/session.py
+++ b/cardamomdrift/mysql/session.py
@@ -114,6 +114,9 @@
             values.update(attribute_options(attributes))
         if self._service.draining and self._transaction is None:
             raise ShuttingDown("the daemon is shutting down", 0.1)
+        if statement.of_connection and self._transaction is None:
+            reason = "it reads the state of a connection, so it needs a transaction"
+            raise BadRequest(reason)
         match statement.verb:
             case Verb.READ:
                 return await self._read(statement, values)
--- a/cardamomdrift/sessions/lexer.py
+++ b/cardamomdrift/sessions/lexer.py
@@ -18,9 +18,9 @@
 # Blanks and comments.
 LEADING = re.compile(_SPACE, re.DOTALL)
 # The rest of a text that is one statement, whose quoted texts and comments all have an
-# end, without version comments.
+# end, without version comments and variables.
 SINGLE = re.compile(
-    rf"(?:[^'\"`\#;/-]++|{_QUOTED}|{_COMMENT}|/(?!\*)|-(?!-[\x00-\x20\x7f]|-\Z))*+"
+    rf"(?:[^'\"`\#;@/-]++|{_QUOTED}|{_COMMENT}|/(?!\*)|-(?!-[\x00-\x20\x7f]|-\Z))*+"
     rf"(?:;{_SPACE})?\Z",
     re.DOTALL,
 )
--- a/cardamomdrift/sessions/statement.py
+++ b/cardamomdrift/sessions/statement.py
@@ -41,12 +41,32 @@
     r"SET\s+(?:SESSION\s+|@@)?AUTOCOMMIT\s*=\s*(?:(1|ON|TRUE)|0|OFF|FALSE)", _FLAGS
 )
 _READ_WITH_EFFECTS = re.compile(
-    r"\b(?:FOR\s+UPDATE|FOR\s+SHARE|LOCK\s+IN\s+SHARE\s+MODE|GET_LOCK\s*\("
-    r"|RELEASE_LOCK\s*\(|INTO\s+(?:OUTFILE|DUMPFILE)\b|INTO\s*@)",
+    r"\b(?:FOR\s+UPDATE|FOR\s+SHARE|LOCK\s+IN\s+SHARE\s+MODE"
+    r"|INTO\s+(?:OUTFILE|DUMPFILE)\b|INTO\s*@)",
     _FLAGS,
 )
-# A read without these words has no effects.
-_SUSPECT = re.compile(r"\b(?:UPDATE|SHARE|INTO)\b|LOCK\b|CARDAMOMDRIFT_", re.IGNORECASE)
+# Effects that stay on a connection when its caller's transaction has ended.
+_LASTING = re.compile(
+    r"^(?:CREATE|DROP)\s+TEMPORARY\b"
+    r"|\b(?:GET_LOCK|RELEASE_LOCK|RELEASE_ALL_LOCKS)\s*\(",
+    _FLAGS,
+)
+# What reads the state that a connection has from earlier statements.
+_OF_CONNECTION = re.compile(
+    r"^SHOW\s+(?:COUNT\s*\(\s*\*\s*\)\s*)?(?:WARNINGS|ERRORS)\b"
+    r"|\bLAST_INSERT_ID\s*\(\s*\)|\b(?:FOUND_ROWS|ROW_COUNT)\s*\("
+    r"|\bSQL_CALC_FOUND_ROWS\b|@@\s*(?:(?:SESSION|LOCAL)\s*\.\s*)?"
+    r"(?:IDENTITY|LAST_INSERT_ID|INSERT_ID|WARNING_COUNT|ERROR_COUNT)\b",
+    _FLAGS,
+)
+_VARIABLE = re.compile(r"(?<!@)@(?!@)")
+# Words without which a statement is what its first word says.
+_SUSPECT_READ = re.compile(
+    r"\b(?:UPDATE|SHARE|INTO|WARNINGS|ERRORS)\b|CARDAMOMDRIFT_|LOCKS?\b"
+    r"|LAST_INSERT_ID|FOUND_ROWS|ROW_COUNT",
+    _FLAGS,
+)
+_SUSPECT_CHANGE = re.compile(r"_LOCKS?\b|LAST_INSERT_ID|FOUND_ROWS|ROW_COUNT", _FLAGS)
 _MODE = r"(?:WITH\s+CONSISTENT\s+SNAPSHOT|READ\s+(?:ONLY|WRITE))"
 _END = r"(?:\s+WORK)?(?:\s+AND\s+NO\s+CHAIN)?(?:\s+NO\s+RELEASE)?"
 # Each group has the name of its verb.
@@ -103,6 +123,8 @@
     ),
 }
 _CHANGES = frozenset(("INSERT", "UPDATE", "DELETE", "REPLACE"))
+_DEFINITIONS = frozenset(("CREATE", "ALTER"))
+_USES_VARIABLES = _CHANGES | {"SELECT", "VALUES", "TABLE", "WITH", "CALL", "DO"}
 _QUERIES = frozenset(("SELECT", "TABLE", "VALUES", "WITH"))
 
 # Statements that commit the open transaction implicitly.
@@ -132,6 +154,8 @@
         Value of the option that is set.
     keyword : str
         First word, in upper case.
+    of_connection : bool
+        Whether it reads what earlier statements have left on its connection.
     """
 
     sql: str
@@ -140,6 +164,7 @@
     argument: str = ""
     value: str = ""
     keyword: str = ""
+    of_connection: bool = False
 
     @property
     def commits_implicitly(self):
@@ -209,7 +234,7 @@
     else:
         text.append(rest)
         code.append(rest)
-    joined = "".join(code)
+    joined = "".join(code).strip(BLANKS)
     return _Outline(
         "".join(text).strip(BLANKS),
         joined.replace("*/", " ") if versioned else joined,
@@ -258,8 +283,8 @@
 def _is_plain(sql, start, keyword):
     """Return whether the first word alone gives the verb."""
     if keyword in _CHANGES:
-        return True
-    return _VERBS.get(keyword) is Verb.READ and not _SUSPECT.search(sql, start)
+        return not _SUSPECT_CHANGE.search(sql, start)
+    return _VERBS.get(keyword) is Verb.READ and not _SUSPECT_READ.search(sql, start)
 
 
 @lru_cache(maxsize=STATEMENT_CACHE_SIZE)
@@ -285,7 +310,7 @@
     verb = _VERBS.get(keyword)
     if verb is None or ("(" in match[1] and keyword not in _QUERIES):
         return refuse("the statement is not known, or needs a connection of its own")
-    routine = keyword in ("CREATE", "ALTER") and _ROUTINE.search(outline.code)
+    routine = keyword in _DEFINITIONS and _ROUTINE.search(outline.code)
     if outline.several and not routine:
         return refuse("several statements in one text")
     match verb:
@@ -298,9 +323,20 @@
             if control is None:
                 return refuse(f"{keyword} in a form that is not supported")
             return Statement(sql, Verb[control.lastgroup], options)
-        case Verb.READ:
-            return _parse_read(sql, outline, options)
-    return Statement(sql, verb, options, keyword=keyword)
+        case Verb.READ if _READ_OPTION.fullmatch(outline.text):
+            option = _READ_OPTION.fullmatch(outline.text)[1].lower()
+            return Statement(sql, Verb.READ_OPTION, options, option)
+        case Verb.READ if _has_effects(outline):
+            verb = Verb.WRITE
+    if not routine and _LASTING.search(outline.code):
+        return refuse("the statement needs a connection of its own")
+    return Statement(
+        sql,
+        verb,
+        options,
+        keyword=keyword,
+        of_connection=_is_of_connection(keyword, outline.code),
+    )
 
 
 def _parse_use(sql, text, options):
@@ -310,14 +346,21 @@
     return Statement(sql, Verb.USE, options, match[1].strip(BLANKS + "`"))
 
 
-def _parse_read(sql, outline, options):
-    option = _READ_OPTION.fullmatch(outline.text)
-    if option:
-        return Statement(sql, Verb.READ_OPTION, options, option[1].lower())
-    with_effects = outline.versioned or any(
+def _has_effects(outline):
+    """Return whether a read may only run on the primary."""
+    return outline.versioned or any(
         _READ_WITH_EFFECTS.search(text) for text in (outline.text, outline.code)
     )
-    return Statement(sql, Verb.WRITE if with_effects else Verb.READ, options)
+
+
+def _is_of_connection(keyword, code):
+    if keyword in _DEFINITIONS:
+        return False
+    if _OF_CONNECTION.search(code):
+        return True
+    # A variable that the statement itself sets has a known value.
+    uses = keyword in _USES_VARIABLES and _VARIABLE.search(code)
+    return bool(uses) and ":=" not in code
 
 
 @lru_cache(maxsize=STATEMENT_CACHE_SIZE)
--- a/tests/test_mysql_texts.py
+++ b/tests/test_mysql_texts.py
@@ -13,7 +13,7 @@
 from asyncmy.errors import Error
 
 from cardamomdrift.errors import BadRequest
-from tests.test_sessions import NOT_UNDERSTOOD
+from tests.test_sessions import NOT_UNDERSTOOD, OF_A_CONNECTION
 from tests.values import query, running_fleet
 
 _STRING = re.compile(r"\\(.)|''", re.DOTALL)
@@ -106,6 +106,20 @@
                 self.assertEqual(self.send(sql), BadRequest.code)
                 self.assertEqual(self.received(), [])
 
+    def test_what_needs_a_connection_needs_a_transaction(self):
+        for autocommit in ("0", "1"):
+            self.send(f"SET autocommit = {autocommit}")
+            for sql in OF_A_CONNECTION:
+                with self.subTest(sql, autocommit=autocommit):
+                    self.assertEqual(self.send(sql), BadRequest.code)
+                    self.assertEqual(self.received(), [])
+        self.send("BEGIN")
+        for sql in OF_A_CONNECTION:
+            with self.subTest(sql):
+                self.send(sql)
+                self.assertEqual(self.received(), [sql])
+        self.send("ROLLBACK")
+
     def test_a_transaction_behind_comments_is_the_callers_own(self):
         """BEGIN behind two comments opened one on a connection that others use."""
         self.send("/* a */ /* b */ BEGIN")
