A text in another character set than utf8mb4 is refused, not converted

A caller that had announced latin1 sent the literal of one accented letter and got two characters back; after SET NAMES utf8mb4, which was accepted, its texts were still decoded as latin1, so that the instance stored two characters for one. Bytes that are not valid text ended in an untyped error, and a handshake with the character set binary in an unhandled exception.

Cause: texts were decoded with the character set of the handshake, answers are always utf8mb4, and SET NAMES had no effect (setting a variable back to its default was ignored, too).

Change: such a caller gets BadRequest until it sends SET NAMES utf8mb4, which now takes effect; bytes that are not utf8mb4 are refused with BadRequest.

--- a/cardamomdrift/mysql/parameters.py
+++ b/cardamomdrift/mysql/parameters.py
@@ -37,8 +37,8 @@
 )
 
 
-def decode_text(data, charset):
-    """Return the text of bytes in a caller's character set.
+def decode_text(data):
+    """Return the text of bytes in utf8mb4.
 
     Raises
     ------
@@ -46,13 +46,12 @@
         If the bytes are not valid in it.
     """
     try:
-        return charset.decode(data)
+        return data.decode()
     except UnicodeDecodeError as error:
-        place = f"byte {error.start}"
-        raise BadRequest(f"the text is not valid {charset.name}: {place}") from None
+        raise BadRequest(f"byte {error.start} of a text is not utf8mb4") from None
 
 
-def read_parameters(reader, count, charset, named):
+def read_parameters(reader, count, named):
     """Return the name and value of each parameter.
 
     Parameters
@@ -60,8 +59,6 @@
     reader : io.BytesIO
         Packet, at the bitmap of the parameters that are NULL.
     count : int
-    charset : CharacterSet
-        Character set of names and texts.
     named : bool
         Whether the parameters have names; otherwise these are empty.
 
@@ -78,24 +75,24 @@
     types = []
     for _ in range(count):
         column_type, flags = _take(reader, 2)
-        name = decode_text(_take_sized(reader), charset) if named else ""
+        name = decode_text(_take_sized(reader)) if named else ""
         types.append((name, column_type, flags & UNSIGNED_FLAG))
     return [
         (
             name,
             None
             if null_bitmap >> index & 1
-            else _read_value(reader, column_type, unsigned, charset),
+            else _read_value(reader, column_type, unsigned),
         )
         for index, (name, column_type, unsigned) in enumerate(types)
     ]
 
 
-def _read_value(reader, column_type, unsigned, charset):
+def _read_value(reader, column_type, unsigned):
     if column_type == ColumnType.NULL:
         return None
     if column_type in _TEXTS:
-        return decode_text(_take_sized(reader), charset)
+        return decode_text(_take_sized(reader))
     if column_type in _BLOBS:
         return _take_sized(reader)
     layout = _LAYOUTS.get(column_type)
--- a/cardamomdrift/mysql/session.py
+++ b/cardamomdrift/mysql/session.py
@@ -17,7 +17,7 @@
     TransactionLost,
 )
 from cardamomdrift.mysql.columns import make_column
-from cardamomdrift.mysql.wire import Ok, Rows, WireVariables
+from cardamomdrift.mysql.wire import Ok, Rows, WireVariables, make_charset_refusal
 from cardamomdrift.position import ORIGIN
 from cardamomdrift.sessions.options import SESSION_OPTIONS, attribute_options
 from cardamomdrift.sessions.statement import Verb, parse_statement
@@ -114,6 +114,8 @@
             values.update(attribute_options(attributes))
         if self._service.draining and self._transaction is None:
             raise ShuttingDown("the daemon is shutting down", 0.1)
+        if not self.variables.speaks_utf8 and statement.verb is not Verb.SET:
+            raise make_charset_refusal(self.variables.get("character_set_client"))
         if statement.of_connection and self._transaction is None:
             reason = "it reads the state of a connection, so it needs a transaction"
             raise BadRequest(reason)
@@ -142,6 +144,7 @@
             case Verb.AUTOCOMMIT_OFF:
                 return await self._set_autocommit(False)
             case Verb.SET:
+                self.variables.set("character_set_client", "utf8mb4")
                 return Ok()
             case _:
                 raise BadRequest(statement.argument)
--- a/cardamomdrift/mysql/wire.py
+++ b/cardamomdrift/mysql/wire.py
@@ -30,7 +30,7 @@
 )
 
 from cardamomdrift.errors import BadRequest, CallerError, PacketTooLarge
-from cardamomdrift.mysql.parameters import read_parameters
+from cardamomdrift.mysql.parameters import decode_text, read_parameters
 from cardamomdrift.mysql.tls import TlsStream
 from cardamomdrift.sessions.parameters import bind, split_parameters
 
@@ -89,12 +89,22 @@
 
     def set(self, name, value, force=False):
         """Store the value of a variable, unless it is the default."""
-        if self._DEFAULTS.get(name) == value:
-            return
         if self._values is None:
+            if self._DEFAULTS.get(name) == value:
+                return
             self._values = {}
         self._values[name] = value
 
+    @property
+    def speaks_utf8(self):
+        """Whether the client's texts are utf8mb4, like those of the instances."""
+        return self.get("character_set_client") in ("utf8", "utf8mb4")
+
+
+def make_charset_refusal(name):
+    """Return the error for a text in another character set than utf8mb4."""
+    return BadRequest(f"character set {name}; send SET NAMES utf8mb4 first")
+
 
 class BoundedReader(asyncio.StreamReader):
     """Stream reader that refuses packets above a limit.
@@ -181,12 +191,24 @@
 
     async def handle_query(self, data):
         """Run a text statement and write its result."""
-        query = packets.parse_com_query(
-            capabilities=self.capabilities,
-            client_charset=self.client_charset,
-            data=data,
-        )
-        await self._run_statement(query.sql, query.query_attrs, self._write_rows)
+        reader = io.BytesIO(data)
+        attributes = {}
+        if Capabilities.CLIENT_QUERY_ATTRIBUTES in self.capabilities:
+            count = read_uint_len(reader)
+            read_uint_len(reader)  # number of parameter sets, always 1
+            attributes = dict(read_parameters(reader, count, named=True))
+        sql = self._decode_statement(reader.read())
+        await self._run_statement(sql, attributes, self._write_rows)
+
+    def _decode_statement(self, data):
+        """Return the text of a statement.
+
+        In another character set than utf8mb4 only ASCII is accepted, which suffices to
+        select utf8mb4.
+        """
+        if self.session.variables.speaks_utf8 or data.isascii():
+            return decode_text(data)
+        raise make_charset_refusal(self.client_charset.name)
 
     async def _run_statement(self, sql, attributes, write_rows):
         """Run a statement and write its answer."""
@@ -229,7 +251,7 @@
         """Store a statement and write its id and number of parameters."""
         statement = PreparedStatement(
             stmt_id=next(self.prepared_stmt_seq),
-            sql=self.client_charset.decode(data),
+            sql=self._decode_statement(data),
             num_params=0,
         )
         if len(self.prepared_stmts) >= MAX_PREPARED_STATEMENTS:
@@ -254,7 +276,7 @@
             count = read_uint_len(reader)
         if count < statement.num_params:
             raise BadRequest(f"{count} of {statement.num_params} parameters were sent")
-        parameters = read_parameters(reader, count, self.client_charset, has_attributes)
+        parameters = read_parameters(reader, count, has_attributes)
         values = [value for _, value in parameters[: statement.num_params]]
         query_attributes = {
             name: value for name, value in parameters[statement.num_params :] if name
@@ -468,8 +490,8 @@
             pass
         except (PacketTooLarge, asyncio.IncompleteReadError):
             pass
-        except (struct.error, ValueError, IndexError, KeyError):
-            pass  # malformed handshake
+        except (struct.error, ValueError, LookupError):
+            pass  # malformed handshake, or a character set without a codec
         except asyncio.CancelledError:
             pass  # the server is closing
         finally:
--- a/tests/test_mysql_texts.py
+++ b/tests/test_mysql_texts.py
@@ -10,6 +10,7 @@
 import re
 import unittest
 
+import asyncmy
 from asyncmy.errors import Error
 
 from cardamomdrift.errors import BadRequest
@@ -82,6 +83,61 @@
             return error.args[0]
 
 
+class CharacterSetTest(EdgeCase):
+    def send_as(self, charset, *texts):
+        """Send texts over a connection with a character set; return the results."""
+
+        async def run():
+            connection = await asyncmy.connect(
+                host="127.0.0.1",
+                port=self.fleet.daemons["vm-1"].port,
+                user="caller",
+                database="d",
+                charset=charset,
+                use_unicode=False,
+                autocommit=None,
+            )
+            results = []
+            for text in texts:
+                try:
+                    results.append(await query(connection, text))
+                except Error as error:
+                    results.append(error.args[0])
+            connection.close()
+            return results
+
+        self.texts.clear()
+        return self.run_async(run())
+
+    def test_no_text_is_converted(self):
+        """A caller with latin1 got two characters for one, also after SET NAMES."""
+        for charset in ("latin1", "cp1251", "gbk", "ascii"):
+            with self.subTest(charset):
+                [refused] = self.send_as(charset, b"SELECT '\xe9'")
+                self.assertEqual(refused, BadRequest.code)
+                self.assertEqual(self.received(), [])
+                text = "SELECT '\xe9\u20ac' AS v"
+                results = self.send_as(charset, "SET NAMES utf8mb4", text.encode())
+                self.assertEqual(results, [(0, 0), [(text[8:-6].encode(),)]])
+                self.assertEqual(self.received(), [text])
+        for charset in ("utf8", "utf8mb4"):
+            with self.subTest(charset):
+                text = "SELECT '\xe9\U0001f600' AS v"
+                self.assertEqual(
+                    self.send_as(charset, text), [[(text[8:-6].encode(),)]]
+                )
+                self.assertEqual(self.received(), [text])
+
+        with self.assertRaises(Error):
+            self.send_as("binary", "SELECT 1")
+
+    def test_bytes_that_are_not_text_are_refused(self):
+        for text in (b"SELECT '\xff'", b"SELECT '\xed\xa0\x80'", b"SELECT '\xc0\x80'"):
+            with self.subTest(text):
+                self.assertEqual(self.send_as("utf8mb4", text), [BadRequest.code])
+                self.assertEqual(self.received(), [])
+
+
 class ParameterTest(EdgeCase):
     def check(self, value):
         rows = self.execute("SELECT ?, 1", value)
