A query attribute that is NULL is no option

A caller that set the attribute cardamomdrift_key to NULL had the key "None", like every other such write, and was answered with the result of the first or with KeyReused. A key sent as a BLOB became the text "b'..'".

Cause: values were converted with str().

Change: NULL is left out, bytes are decoded, and refused if they are not utf8mb4.

Measured: the new test failed before and passes now.

--- a/cardamomdrift/sessions/options.py
+++ b/cardamomdrift/sessions/options.py
@@ -32,14 +32,30 @@
 
 
 def attribute_options(attributes):
-    """Return the options among a statement's query attributes, named without prefix."""
+    """Return the options among a statement's query attributes, named without prefix.
+
+    An attribute that is NULL is no option.
+
+    Raises
+    ------
+    BadRequest
+    """
     return {
-        name.removeprefix(ATTRIBUTE_PREFIX): str(value)
+        name.removeprefix(ATTRIBUTE_PREFIX): _attribute_text(value)
         for name, value in attributes.items()
-        if name.startswith(ATTRIBUTE_PREFIX)
+        if name.startswith(ATTRIBUTE_PREFIX) and value is not None
     }
 
 
+def _attribute_text(value):
+    if not isinstance(value, bytes):
+        return str(value)
+    try:
+        return value.decode()
+    except UnicodeDecodeError:
+        raise BadRequest("an attribute is not utf8mb4") from None
+
+
 def _parse_duration(values, name, default):
     text = values.get(name)
     if text is None or text == "":
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -14,7 +14,7 @@
 from cardamomdrift.bundle.model import RequestKind
 from cardamomdrift.errors import BadRequest, BadToken, UnknownClass
 from cardamomdrift.position import Position
-from cardamomdrift.sessions.options import check_options
+from cardamomdrift.sessions.options import attribute_options, check_options
 from cardamomdrift.sessions.parameters import bind, make_literal, split_parameters
 from cardamomdrift.sessions.statement import Verb, parse_statement, shape_of
 from cardamomdrift.sessions.token import decode_token, encode_token
@@ -181,6 +181,17 @@
                     case Success(options):
                         self.fail(options)
 
+    def test_the_value_of_an_attribute_is_its_text(self):
+        """NULL was the key "None", which all writes with a NULL key shared."""
+        attributes = {
+            **{"cardamomdrift_key": None, "cardamomdrift_class": b"w", "other": 1},
+            **{"cardamomdrift_token": "t", "cardamomdrift_deadline_ms": 5},
+        }
+        expected = {"class": "w", "token": "t", "deadline_ms": "5"}
+        self.assertEqual(attribute_options(attributes), expected)
+        with self.assertRaises(BadRequest):
+            attribute_options({"cardamomdrift_key": b"\xff"})
+
     def test_max_age_is_capped_by_the_class(self):
         for text, expected in (("500", 0.5), ("5000", 1.0)):
             values = {"class": "old", "max_age_ms": text}
