Values of an answer come back as the instance sent them

A caller that read a TINYINT, whose columns have the character set binary on MySQL, lost its connection in the middle of the answer. Lengths and decimals of columns were invented.

Ruled out: NULL, empty values, bytes, decimals, bits, signed numbers, doubles and positive times came back unchanged before.

Change: text values pass through as bytes, dates and times are encoded from their text, and definitions carry the flags, length and decimals of the instance.

Measured: the table failed at its first row (TINYINT) before; with that row and the other TINYINT rows replaced (trial), in five of the others; the dates of zeros failed, too. All pass now, over a relay that asks an instance.

--- a/cardamomdrift/mysql/connection.py
+++ b/cardamomdrift/mysql/connection.py
@@ -117,10 +117,17 @@
     def _make_result(self, cursor, rows, complete):
         columns = ()
         if cursor.description:
-            # The cursor's description lacks the character set, which distinguishes
-            # TEXT from BLOB.
+            # The cursor's description lacks the character set and the flags, which tell
+            # TEXT from BLOB and unsigned numbers from others.
             columns = tuple(
-                make_column(field.name, field.type_code, field.charsetnr)
+                make_column(
+                    field.name,
+                    field.type_code,
+                    field.charsetnr,
+                    field.flags,
+                    field.length,
+                    field.scale,
+                )
                 for field in self._connection._result.fields
             )
         affected = 0 if columns else cursor.rowcount
--- a/cardamomdrift/mysql/wire.py
+++ b/cardamomdrift/mysql/wire.py
@@ -19,14 +19,12 @@
 from mysql_mimic.control import LocalControl
 from mysql_mimic.errors import ErrorCode, MysqlError
 from mysql_mimic.prepared import PreparedStatement
-from mysql_mimic.results import ResultSet
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
 from mysql_mimic.types import (
     Capabilities,
     ServerStatus,
     read_uint_4,
     read_uint_len,
-    uint_len,
 )
 
 from cardamomdrift.errors import BadRequest, CallerError, PacketTooLarge
@@ -40,6 +38,7 @@
 READ_BUFFER_BYTES = 16 * 1024
 MAX_PREPARED_STATEMENTS = 1000  # for each connection
 ROW_BATCH_SIZE = 500  # rows
+FLUSH_BYTES = 32 * 1024  # of rows that are written at once
 SQLSTATE_SLICE = slice(4, 9)  # of an error packet
 SERVER_VERSION = "8.0.36-cardamomdrift"
 
@@ -58,7 +57,7 @@
 
     Attributes
     ----------
-    columns : tuple of ResultColumn
+    columns : tuple of Column
     rows : sequence of tuples, or AsyncIterator of such sequences
     """
 
@@ -235,10 +234,31 @@
                 await write_rows(columns, rows)
 
     async def _write_rows(self, columns, rows):
-        if not isinstance(rows, AsyncIterator):
-            await self.write_text_resultset(ResultSet(rows, columns))
-            return
-        await self.write_text_resultset(ResultSet(_flatten(rows), columns))
+        """Write a result in the text protocol."""
+        await self._write_columns(columns)
+        codecs = [column.codec for column in columns]
+        count = 0
+        async for batch in _iterate_batches(rows):
+            count += len(batch)
+            await self._write_text_batch(batch, codecs)
+        await self.stream.write(self.ok_or_eof(affected_rows=count))
+
+    async def _write_columns(self, columns):
+        count = packets.make_column_count(
+            capabilities=self.capabilities, column_count=len(columns)
+        )
+        await self.stream.write(count, drain=False)
+        for column in columns:
+            await self.stream.write(column.definition, drain=False)
+        if not self.deprecate_eof():
+            await self.stream.write(self.eof(), drain=False)
+
+    async def _write_text_batch(self, rows, codecs):
+        stream = self.stream
+        buffer = stream._buffer
+        stream.write_text_rows(rows, codecs)
+        if len(buffer) >= FLUSH_BYTES:
+            await stream.drain()
 
     def com_stmt_prepare_response(self, statement):
         """Return the packets that answer a PREPARE."""
@@ -289,21 +309,12 @@
         await self._run_statement(sql, attributes, self._write_binary_rows)
 
     async def _write_binary_rows(self, columns, rows):
-        await self.stream.write(uint_len(len(columns)), drain=False)
-        for column in columns:
-            definition = packets.make_column_definition_41(
-                server_charset=self.server_charset,
-                name=column.name,
-                column_type=column.type,
-                character_set=column.character_set,
-            )
-            await self.stream.write(definition, drain=False)
-        if not self.deprecate_eof():
-            await self.stream.write(self.eof(), drain=False)
-        async for row in _iterate_rows(rows):
-            await self.stream.write(
-                packets.make_binary_resultrow(row, columns), drain=False
-            )
+        await self._write_columns(columns)
+        codecs = [column.codec for column in columns]
+        async for batch in _iterate_batches(rows):
+            for row in batch:
+                packet = packets.make_binary_resultrow(row, codecs)
+                await self.stream.write(packet, drain=False)
         await self.stream.write(self.ok_or_eof())
 
     async def handle_reset_connection(self, data):
@@ -326,19 +337,13 @@
         raise MysqlError("long data is not supported", ErrorCode.NOT_SUPPORTED_YET)
 
 
-async def _flatten(batches):
-    async for batch in batches:
-        for row in batch:
-            yield row
-
-
-async def _iterate_rows(rows):
+async def _iterate_batches(rows):
     if isinstance(rows, AsyncIterator):
-        async for row in _flatten(rows):
-            yield row
+        async for batch in rows:
+            yield batch
         return
-    for row in rows:
-        yield row
+    for start in range(0, len(rows), ROW_BATCH_SIZE):
+        yield rows[start : start + ROW_BATCH_SIZE]
 
 
 class PasswordlessIdentity(IdentityProvider):
--- a/tests/test_mysql_texts.py
+++ b/tests/test_mysql_texts.py
@@ -9,11 +9,19 @@
 import asyncio
 import re
 import unittest
+from datetime import date, datetime, timedelta
 
 import asyncmy
 from asyncmy.errors import Error
+from mysql_mimic.types import ColumnType
 
 from cardamomdrift.errors import BadRequest
+from cardamomdrift.mysql.columns import make_column
+from cardamomdrift.mysql.connection import open_connection
+from cardamomdrift.mysql.wire import PasswordlessIdentity, Rows, WireServer
+from cardamomdrift.routing.answers import make_answer
+from cardamomdrift.settings import Login
+from tests.test_interfaces import OkSession
 from tests.test_sessions import NOT_UNDERSTOOD, OF_A_CONNECTION
 from tests.values import query, running_fleet
 
@@ -135,6 +143,94 @@
                 self.assertEqual(self.received(), [])
 
 
+class AnswerSession(OkSession):
+    """Session that answers every statement with `answer`, or as an instance does."""
+
+    answer = None
+    upstream = None
+
+    async def handle_query(self, sql, attributes):
+        if self.upstream is None:
+            return self.answer
+        return make_answer(await self.upstream.execute_all(sql))
+
+
+class AnswerTest(unittest.IsolatedAsyncioTestCase):
+    """A caller asks a server that passes on the answers of another one."""
+
+    async def serve(self, session):
+        server = WireServer(lambda: session, PasswordlessIdentity(), 10, 2**24)
+        await self.enterAsyncContext(server)
+        await server.open("127.0.0.1", 0)
+        return server.port
+
+    async def asyncSetUp(self):
+        self.source, relay = AnswerSession(), AnswerSession()
+        port = await self.serve(self.source)
+        relay.upstream = await open_connection(
+            "127.0.0.1", port, Login("proxy", ""), "vm-1", 1.0
+        )
+        self.addCleanup(relay.upstream.close)
+        self.caller = await asyncmy.connect(
+            host="127.0.0.1",
+            port=await self.serve(relay),
+            user="x",
+            autocommit=None,
+            use_unicode=False,
+            conv={},
+        )
+        self.addCleanup(self.caller.close)
+
+    async def ask(self, value, column_type, charset=63, flags=0):
+        """Return a value as it comes in the text and in the binary protocol."""
+        column = make_column("\xe9", column_type, charset, flags)
+        self.source.answer = Rows((column,), [(value,)])
+        statement = await self.caller.prepare("SELECT 1")
+        [[binary]] = (await statement.execute()).rows
+        [[text]] = await query(self.caller, "SELECT 1")
+        self.assertEqual(self.caller._result.fields[0].name, "\xe9")
+        return text, binary
+
+    async def test_values_come_back_as_they_were(self):
+        unsigned = 32
+        rows = (
+            (b"007", ColumnType.TINY, 0, 7),
+            (b"255", ColumnType.TINY, unsigned, 255),
+            (b"-1", ColumnType.TINY, 0, -1),
+            (b"65535", ColumnType.SHORT, unsigned, 65535),
+            (b"4294967295", ColumnType.LONG, unsigned, 2**32 - 1),
+            (b"18446744073709551615", ColumnType.LONGLONG, unsigned, 2**64 - 1),
+            (b"-9223372036854775808", ColumnType.LONGLONG, 0, -(2**63)),
+            (b"1.7976931348623157e308", ColumnType.DOUBLE, 0, 1.7976931348623157e308),
+            (b"-00:00:01", ColumnType.TIME, 0, -timedelta(seconds=1)),
+            (b"838:59:59.000001", ColumnType.TIME, 0, timedelta(0, 3020399, 1)),
+            (b"-25:00:00.5", ColumnType.TIME, 0, -timedelta(hours=25, seconds=0.5)),
+            (b"00:00:00", ColumnType.TIME, 0, timedelta(0)),
+            (b"2020-02-29", ColumnType.DATE, 0, date(2020, 2, 29)),
+            (b"9999-12-31 23:59:59.999999", ColumnType.DATETIME, 0, datetime.max),
+            (b"2020-01-01 00:00:00", ColumnType.TIMESTAMP, 0, datetime(2020, 1, 1)),
+            (b"12.30", ColumnType.NEWDECIMAL, 0, b"12.30"),
+            (b"\x00\xff", ColumnType.BIT, unsigned, b"\x00\xff"),
+            (b"", ColumnType.VAR_STRING, 0, b""),
+            (b"\xff\x00'\\", ColumnType.BLOB, 0, b"\xff\x00'\\"),
+            (None, ColumnType.NULL, 0, None),
+        )
+        for value, column_type, flags, expected in rows:
+            with self.subTest(value, column_type=column_type):
+                text, binary = await self.ask(value, column_type, flags=flags)
+                self.assertEqual(text, value)
+                self.assertEqual(binary, expected)
+
+    async def test_a_date_of_zeros_is_no_error(self):
+        for value, column_type in (
+            (b"0000-00-00", ColumnType.DATE),
+            (b"0000-00-00 00:00:00", ColumnType.DATETIME),
+        ):
+            with self.subTest(value):
+                text, _ = await self.ask(value, column_type)
+                self.assertEqual(text, value)
+
+
 class ParameterTest(EdgeCase):
     def check(self, value):
         rows = self.execute("SELECT ?, 1", value)
