A row of 16 MiB or more is split into packets

A caller that read such a row waited for ever or lost its connection: the packet's header had the size of another packet, so part of the value would have been read as the next ones.

Cause: the fast method of the stream writes one packet for each row, whatever its size.

Change: a batch of rows that is large enough is written row by row with the method that splits.

Measured: the new test failed before (no answer in 10 s for the sizes around the limit) and passes now, one byte below the limit, at it and above.

--- a/cardamomdrift/mysql/wire.py
+++ b/cardamomdrift/mysql/wire.py
@@ -39,6 +39,7 @@
 MAX_PREPARED_STATEMENTS = 1000  # for each connection
 ROW_BATCH_SIZE = 500  # rows
 FLUSH_BYTES = 32 * 1024  # of rows that are written at once
+MAX_PACKET_BYTES = 2**24 - 1  # of one packet; larger data is split
 SQLSTATE_SLICE = slice(4, 9)  # of an error packet
 SERVER_VERSION = "8.0.36-cardamomdrift"
 
@@ -254,10 +255,21 @@
             await self.stream.write(self.eof(), drain=False)
 
     async def _write_text_batch(self, rows, codecs):
+        """Write rows, of which one may need several packets.
+
+        The fast method of the stream writes one packet for each row, whatever its size.
+        """
         stream = self.stream
-        buffer = stream._buffer
+        buffer, number = stream._buffer, stream.seq.value
+        size = len(buffer)
         stream.write_text_rows(rows, codecs)
-        if len(buffer) >= FLUSH_BYTES:
+        if len(buffer) - size >= MAX_PACKET_BYTES:
+            del buffer[size:]
+            stream.seq.value = number
+            for row in rows:
+                packet = packets.make_text_resultset_row(row, codecs)
+                await stream.write(packet, drain=False)
+        elif len(buffer) >= FLUSH_BYTES:
             await stream.drain()
 
     def com_stmt_prepare_response(self, statement):
--- a/tests/test_mysql_texts.py
+++ b/tests/test_mysql_texts.py
@@ -25,6 +25,7 @@
 from tests.test_sessions import NOT_UNDERSTOOD, OF_A_CONNECTION
 from tests.values import query, running_fleet
 
+ANSWER_TIMEOUT = 10.0  # seconds
 _STRING = re.compile(r"\\(.)|''", re.DOTALL)
 _UNESCAPED = {"''": "'", "\\0": "\0", "\\\\": "\\"}
 
@@ -158,6 +159,8 @@
 class AnswerTest(unittest.IsolatedAsyncioTestCase):
     """A caller asks a server that passes on the answers of another one."""
 
+    LARGE = b"x" * (2**24 - 1)  # bytes; the row needs a second packet
+
     async def serve(self, session):
         server = WireServer(lambda: session, PasswordlessIdentity(), 10, 2**24)
         await self.enterAsyncContext(server)
@@ -230,6 +233,15 @@
                 text, _ = await self.ask(value, column_type)
                 self.assertEqual(text, value)
 
+    async def test_a_large_row_keeps_its_size(self):
+        """Its header was that of a packet of another size."""
+        for size in (len(self.LARGE) - 5, len(self.LARGE) - 4, len(self.LARGE)):
+            with self.subTest(size):
+                value = self.LARGE[:size]
+                async with asyncio.timeout(ANSWER_TIMEOUT):
+                    results = await self.ask(value, ColumnType.LONG_BLOB)
+                self.assertTrue(all(result == value for result in results))
+
 
 class ParameterTest(EdgeCase):
     def check(self, value):
