Long texts are not kept in the caches

A daemon whose callers sent many different long texts kept up to 4096 of them in each of three caches, 4 MiB each at the default limit of a packet, and 2048 as keys of the expected times; the shape of a text of 4 MB took 0.3 s of the event loop.

Cause: the caches are bounded by their number of texts.

Change: texts above 4096 characters are not cached, and their shape is their beginning and the order of their size, so that they still share expected times.

--- a/cardamomdrift/sessions/lexer.py
+++ b/cardamomdrift/sessions/lexer.py
@@ -7,7 +7,10 @@
 """
 
 import re
+from functools import lru_cache, wraps
 
+CACHED_TEXT_LIMIT = 4096  # characters
+CACHE_SIZE = 4096  # texts
 BLANKS = " \t\n\v\f\r"  # characters that separate words; no others do
 
 _QUOTED = r"'(?:[^'\\]++|\\.|'')*+'|\"(?:[^\"\\]++|\\.|\"\")*+\"|`[^`]*+`"
@@ -31,3 +34,15 @@
     r"|(?P<open>['\"`]|/\*)|(?P<parameter>\?)|(?P<semicolon>;)",
     re.DOTALL,
 )
+
+
+def cache_short_texts(function):
+    """Cache the results of a function of a text, unless the text is long."""
+    cached = lru_cache(maxsize=CACHE_SIZE)(function)
+
+    @wraps(function)
+    def call(sql):
+        return (cached if len(sql) <= CACHED_TEXT_LIMIT else function)(sql)
+
+    call.cache_info = cached.cache_info
+    return call
--- a/cardamomdrift/sessions/parameters.py
+++ b/cardamomdrift/sessions/parameters.py
@@ -10,12 +10,9 @@
 import math
 import re
 from datetime import date, datetime, timedelta
-from functools import lru_cache
 
 from cardamomdrift.errors import BadRequest
-from cardamomdrift.sessions.lexer import BLANKS, TOKEN
-
-SPLIT_CACHE_SIZE = 4096  # statements
+from cardamomdrift.sessions.lexer import BLANKS, TOKEN, cache_short_texts
 
 # What a literal would join to one word, or to one literal.
 _WORD_BEFORE = re.compile(
@@ -26,7 +23,7 @@
 _ESCAPES = {"'": "''", "\\": "\\\\", "\0": "\\0"}
 
 
-@lru_cache(maxsize=SPLIT_CACHE_SIZE)
+@cache_short_texts
 def split_parameters(sql):
     """Return the pieces of a statement's text between its parameters.
 
--- a/cardamomdrift/sessions/statement.py
+++ b/cardamomdrift/sessions/statement.py
@@ -10,11 +10,17 @@
 import re
 from dataclasses import dataclass
 from enum import Enum, auto
-from functools import lru_cache
 
-from cardamomdrift.sessions.lexer import BLANKS, LEADING, SINGLE, TOKEN
+from cardamomdrift.sessions.lexer import (
+    BLANKS,
+    CACHED_TEXT_LIMIT,
+    LEADING,
+    SINGLE,
+    TOKEN,
+    cache_short_texts,
+)
 
-STATEMENT_CACHE_SIZE = 4096  # statements
+SHAPE_LIMIT = 512  # characters of a long text in its shape
 OPTION_PREFIX = "cardamomdrift"
 
 _FLAGS = re.IGNORECASE | re.ASCII
@@ -22,6 +28,7 @@
 _LITERAL = re.compile(
     r"'(?:[^'\\]|\\.|'')*'|\"(?:[^\"\\]|\\.|\"\")*\"|\b\d+(?:\.\d+)?\b"
 )
+_OPEN_LITERAL = re.compile(r"['\"].*", re.DOTALL)
 _OPTION = re.compile(r"([a-z_]+)\s*=\s*(?:'([^']*)'|([^\s,;]+))")
 _SET_OPTION = re.compile(
     r"SET\s+(?:SESSION\s+|@@SESSION\.|@@)?cardamomdrift_([a-z_]+)\s*=\s*"
@@ -287,7 +294,7 @@
     return _VERBS.get(keyword) is Verb.READ and not _SUSPECT_READ.search(sql, start)
 
 
-@lru_cache(maxsize=STATEMENT_CACHE_SIZE)
+@cache_short_texts
 def parse_statement(sql):
     """Parse a statement's verb and options."""
     start = LEADING.match(sql).end()
@@ -363,7 +370,14 @@
     return bool(uses) and ":=" not in code
 
 
-@lru_cache(maxsize=STATEMENT_CACHE_SIZE)
+@cache_short_texts
 def shape_of(sql):
-    """Return the statement with ? for its literals, for grouping by cost."""
-    return _LITERAL.sub("?", sql[LEADING.match(sql).end() :])
+    """Return the statement with ? for its literals, for grouping by cost.
+
+    The shape of a long text has its beginning and the order of its size.
+    """
+    start = LEADING.match(sql).end()
+    if len(sql) <= CACHED_TEXT_LIMIT:
+        return _LITERAL.sub("?", sql[start:])
+    head = _LITERAL.sub("?", sql[start : start + SHAPE_LIMIT])
+    return f"{_OPEN_LITERAL.sub('?', head)} {len(sql).bit_length()}"
--- a/tests/test_mysql_texts.py
+++ b/tests/test_mysql_texts.py
@@ -18,7 +18,7 @@
 from cardamomdrift.errors import BadRequest
 from cardamomdrift.mysql.columns import make_column
 from cardamomdrift.mysql.connection import open_connection
-from cardamomdrift.mysql.wire import PasswordlessIdentity, Rows, WireServer
+from cardamomdrift.mysql.wire import Ok, PasswordlessIdentity, Rows, WireServer
 from cardamomdrift.routing.answers import make_answer
 from cardamomdrift.settings import Login
 from tests.test_interfaces import OkSession
@@ -151,6 +151,7 @@
     upstream = None
 
     async def handle_query(self, sql, attributes):
+        self.queries.append(sql)
         if self.upstream is None:
             return self.answer
         return make_answer(await self.upstream.execute_all(sql))
@@ -169,6 +170,7 @@
 
     async def asyncSetUp(self):
         self.source, relay = AnswerSession(), AnswerSession()
+        self.relay = relay
         port = await self.serve(self.source)
         relay.upstream = await open_connection(
             "127.0.0.1", port, Login("proxy", ""), "vm-1", 1.0
@@ -233,6 +235,15 @@
                 text, _ = await self.ask(value, column_type)
                 self.assertEqual(text, value)
 
+    async def test_texts_around_the_limit_of_a_packet(self):
+        self.source.answer = Ok()
+        for size in (2**24 - 3, 2**24 - 2, 2**24 - 1, 2**24, 2 * 2**24 - 3):
+            with self.subTest(size):
+                sql = f"SELECT '{'x' * (size - 9)}'"
+                async with asyncio.timeout(ANSWER_TIMEOUT):
+                    await self.relay.upstream.execute(sql)
+                self.assertTrue(self.source.queries.pop() == sql)
+
     async def test_a_large_row_keeps_its_size(self):
         """Its header was that of a packet of another size."""
         for size in (len(self.LARGE) - 5, len(self.LARGE) - 4, len(self.LARGE)):
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -171,6 +171,23 @@
         self.assertEqual(shape_of(one), shape_of(two))
 
 
+class CacheTest(unittest.TestCase):
+    def test_long_texts_are_not_kept(self):
+        """4096 texts of 4 MiB each were kept, three times."""
+        sql = "INSERT INTO t VALUES " + "('a', 1), " * 10_000 + "('b', ?)"
+        for function in (parse_statement, split_parameters, shape_of):
+            with self.subTest(function.__name__):
+                entries = function.cache_info().currsize
+                self.assertEqual(function(sql), function(sql))
+                self.assertEqual(function.cache_info().currsize, entries)
+                function(f"SELECT ?, 'only in {entries}'")
+                self.assertEqual(function.cache_info().currsize, entries + 1)
+        self.assertLess(len(shape_of(sql)), 1000)
+        self.assertEqual(shape_of(sql), shape_of(sql.replace("a", "b")))
+        long = f"INSERT INTO t VALUES (1, '{'a' * 99_999}')"
+        self.assertEqual(shape_of(long), shape_of(long.replace("a", '"')))
+
+
 class OptionsTest(unittest.TestCase):
     def test_bad_options(self):
         for values, kind, error_type in BAD_OPTIONS:
