A statement may not open or end a transaction behind the proxy's back

A caller's procedure that opened a transaction was acknowledged, and the writes of the next callers on that connection were in the transaction, which nobody committed; one that committed within a caller's transaction left the rest of it to be committed statement by statement.

Cause: the state that an instance reports with each answer was not looked at.

Change: a connection that is in a transaction is not used by another caller; a write that leaves one open, and a statement that ends its transaction, are answered with OutcomeUnknown. The stand-in has two procedures for it.

--- a/cardamomdrift/mysql/connection.py
+++ b/cardamomdrift/mysql/connection.py
@@ -60,9 +60,18 @@
         self.opened_at = 0.0
         self.idle_since = 0.0
 
+    @property
+    def in_transaction(self):
+        """Whether a transaction is open, as the instance last reported."""
+        return self._connection.get_transaction_status()
+
     @property
     def reusable(self):
-        """Whether the next request may use the connection."""
+        """Whether another caller may use the connection."""
+        return self._usable and not self.in_transaction
+
+    @property
+    def _usable(self):
         return (
             not self._broken and not self._awaiting_reply and self._connection.connected
         )
@@ -89,7 +98,7 @@
         UpstreamLost
             The connection failed after bytes may have been sent.
         """
-        if not self.reusable:
+        if not self._usable:
             raise UpstreamUnreachable("connection is closed")
         self._awaiting_reply = True
         cursor = self._connection.cursor(SSCursor)
--- a/cardamomdrift/routing/transactions.py
+++ b/cardamomdrift/routing/transactions.py
@@ -165,6 +165,8 @@
         ------
         TransactionLost
             The transaction can no longer be committed.
+        OutcomeUnknown
+            The statement ended the transaction, as a procedure may do.
         RefusedByInstance
         """
         self._check_usable()
@@ -182,6 +184,10 @@
             await self._fail(error)
         finally:
             self._idle_since = self._components.clock()
+        if not self._connection.in_transaction:
+            self._lost_error = OutcomeUnknown("a statement ended the transaction")
+            await self.close()
+            raise self._lost_error
         return make_answer(result)
 
     def _check_usable(self):
--- a/cardamomdrift/routing/writes.py
+++ b/cardamomdrift/routing/writes.py
@@ -191,6 +191,9 @@
             raise_refusal(self._components, error, placement)
         except (UpstreamLost, TimeoutError) as error:
             raise _CommitUnknown() from error
+        if connection.in_transaction:
+            # The connection is not used again, which rolls the transaction back.
+            raise OutcomeUnknown("the statement left a transaction open")
         return make_answer(result)
 
 
--- a/cardamomdrift/standins/session.py
+++ b/cardamomdrift/standins/session.py
@@ -111,7 +111,9 @@
 
     async def _run(self, sql):
         call = _CALL.match(sql)
-        if call:
+        if call and call[1].lower() in ("begin", "commit"):
+            sql = call[1]  # as a caller's procedure may do
+        elif call:
             return self._call_procedure(call[1].lower(), call[2])
         verb = _VERB.match(sql)
         match verb[1].upper() if verb else "":
--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -371,6 +371,14 @@
         other = await self.pool.acquire(self.clock() + 1)
         self.assertIsNot(other, connection)
 
+    async def test_a_connection_with_an_open_transaction_is_not_used_again(self):
+        """The next caller's statements were part of the transaction."""
+        connection = await self.pool.acquire(self.clock() + 1)
+        await connection.execute("BEGIN")
+        await connection.execute("SELECT 1")
+        self.pool.release(connection)
+        self.assertIsNot(await self.pool.acquire(self.clock() + 1), connection)
+
     async def test_lower_limit_closes_excess_connections(self):
         held = [await self.pool.acquire(self.clock() + 1) for _ in range(2)]
         self.pool.set_limit(1)
