Tests: odd texts and parameters from a caller to an instance and back

Generated texts must reach an instance unchanged or be refused with BadRequest; generated parameters must arrive as literals that evaluate to the caller's values, and strings and values must come back as they were.

--- a/cardamomdrift/standins/engine.py
+++ b/cardamomdrift/standins/engine.py
@@ -21,8 +21,8 @@
 SYNTAX_ERROR = 1064
 
 _FOR_UPDATE = re.compile(r"\s+FOR\s+UPDATE\s*$", re.IGNORECASE)
-_BINARY_INTRODUCER = re.compile(r"\b_binary (?=X')")
-_ESCAPED = re.compile(r"\\(.)|(['\"])\2", re.DOTALL)
+_BINARY_INTRODUCER = re.compile(r"\b_binary (?=X$)")
+_ESCAPED = {quote: re.compile(rf"\\(.)|{quote * 2}", re.DOTALL) for quote in ("'", '"')}
 _AUTO_INCREMENT_KEY = re.compile(
     r"\bBIGINT\s+AUTO_INCREMENT\s+PRIMARY\s+KEY\b|\bINT\s+AUTO_INCREMENT\s+PRIMARY\s+KEY\b",
     re.IGNORECASE,
@@ -44,18 +44,25 @@
     """Return a MySQL statement in SQLite's dialect."""
     sql = _FOR_UPDATE.sub("", sql)
     sql = _AUTO_INCREMENT_KEY.sub("INTEGER PRIMARY KEY", sql)
-    sql = _BINARY_INTRODUCER.sub("", sql)
-    return TOKEN.sub(_translate_token, sql)
-
-
-def _translate_token(match):
-    token = match[0]
-    if match.lastgroup == "comment":
+    parts = []
+    end = 0
+    for match in TOKEN.finditer(sql):
+        gap = sql[end : match.start()]
+        parts.append(_BINARY_INTRODUCER.sub("", gap))
+        parts.append(_translate_token(match.lastgroup, match[0]))
+        end = match.end()
+    parts.append(sql[end:])
+    return "".join(parts)
+
+
+def _translate_token(kind, token):
+    if kind == "comment":
         return " "
-    if match.lastgroup != "quoted" or token[0] == "`":
+    if kind != "quoted" or token[0] == "`":
         return token
-    text = _ESCAPED.sub(
-        lambda found: _ESCAPES.get(found[1], found[1]) if found[1] else found[2],
+    escaped = _ESCAPED[token[0]]
+    text = escaped.sub(
+        lambda found: _ESCAPES.get(found[1], found[1]) if found[1] else token[0],
         token[1:-1],
     )
     if "\0" in text:
--- a/tests/test_mysql_texts.py
+++ b/tests/test_mysql_texts.py
@@ -10,9 +10,12 @@
 import re
 import unittest
 from datetime import date, datetime, timedelta
+from math import isfinite
 
 import asyncmy
 from asyncmy.errors import Error
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from mysql_mimic.types import ColumnType
 
 from cardamomdrift.errors import BadRequest, OutcomeUnknown
@@ -26,6 +29,42 @@
 from tests.values import query, running_fleet
 
 ANSWER_TIMEOUT = 10.0  # seconds
+STEADY = settings(derandomize=True, database=None, deadline=None, max_examples=300)
+CHARACTERS = st.text(st.characters(codec="utf-8"))
+ODD = st.sampled_from(("'", '"', "`", "\\", "\0", "\x1a", "\n", "%", "%s", "?", "\xa0"))
+# Texts between parameters, which must come through unchanged, and their values.
+GAPS = st.sampled_from(
+    (
+        *(("", ()), ("/* ? ' */ ", ()), ("-- ?\n", ()), ("#'\n", ()), ("--\t\n", ())),
+        *(("'?', ", ("?",)), ("'\\\\', ", ("\\",)), ("'it''s', ", ("it's",))),
+    )
+)
+FRAGMENTS = st.sampled_from(
+    (
+        *(" ", "\n", "\t", ";", ",", "(", ")", "1", "'a'", "'?'", "'it''s'", "'\\''"),
+        *("/* a */", "/**/", "/*!", "/*!80000", "*/", "/*", "--", "-- ", "#", "`v`"),
+        *("SELECT", "SELECT 1", "FOR UPDATE", "INTO", "FROM t", "WHERE v = ", "@a"),
+        *("INSERT INTO t (v) VALUES ('a')", "BEGIN", "COMMIT", "ROLLBACK", "TO a"),
+        *("START TRANSACTION", "SAVEPOINT a", "SET autocommit = 1", "LAST_INSERT_ID()"),
+        *("/* cardamomdrift: class=old */", "/* cardamomdrift: key=a", "AND CHAIN"),
+    )
+)
+TEXTS = st.lists(FRAGMENTS | ODD | CHARACTERS, max_size=8).map("".join) | st.lists(
+    FRAGMENTS, max_size=6
+).map(" ".join)
+VALUES = (
+    st.none()
+    | st.integers(-(2**63), 2**64 - 1)
+    | st.floats()
+    | CHARACTERS
+    | st.lists(ODD, max_size=5).map("".join)
+    | st.binary()
+)
+# Statements that the proxy runs, or for which it sends statements of its own.
+OWN_WORDS = "COMMIT|ROLLBACK|SET|BEGIN|START"
+LITERAL = re.compile(
+    r"NULL|_binary X'[0-9a-f]*'|'(?:[^'\\]|\\.|'')*'|[-+.0-9e]+", re.DOTALL
+)
 _STRING = re.compile(r"\\(.)|''", re.DOTALL)
 _UNESCAPED = {"''": "'", "\\0": "\0", "\\\\": "\\"}
 
@@ -316,5 +355,63 @@
         self.assertEqual(self.send("ROLLBACK/**/TO a"), BadRequest.code)
 
 
+class RoundTripTest(EdgeCase):
+    """Odd texts and values, from a caller to an instance and back."""
+
+    def tearDown(self):
+        self.send("ROLLBACK")
+
+    @STEADY
+    @given(TEXTS)
+    def test_an_instance_gets_the_text_or_nothing(self, sql):
+        result = self.send(sql)
+        texts = self.received()
+        if result == BadRequest.code:
+            self.assertEqual(texts, [])
+        elif texts != [sql]:
+            self.assertRegex(sql.upper(), OWN_WORDS)
+            self.assertEqual([text for text in texts if text != sql], texts[:1])
+            self.assertIn(texts[:1], ([], ["COMMIT"], ["ROLLBACK"]))
+
+    @STEADY
+    @given(CHARACTERS)
+    def test_a_string_comes_back(self, value):
+        sql = f"SELECT {self.caller.escape(value)} AS v"
+        self.assertEqual(self.send(sql), [(value,)])
+        self.assertEqual(self.received(), [sql])
+
+    @STEADY
+    @given(st.lists(st.tuples(GAPS, VALUES), min_size=1, max_size=5))
+    def test_parameters_reach_the_instance(self, parameters):
+        pieces = ["SELECT ", *(f", {gap}" for (gap, _), _ in parameters)]
+        expected = [item for (_, more), value in parameters for item in (value, *more)]
+        values = [value for _, value in parameters]
+        result = self.execute("?".join(pieces) + "1", *values)
+        texts = self.received()
+        if any(isinstance(value, float) and not isfinite(value) for value in values):
+            self.assertEqual((result, texts), (BadRequest.code, []))
+            return
+        [text] = texts
+        place = 0
+        for piece, value in zip(pieces, values, strict=False):
+            self.assertTrue(text.startswith(piece, place))
+            literal = LITERAL.match(text, place + len(piece))
+            self.assertEqual(repr(evaluate(literal[0])), repr(value))
+            place = literal.end()
+        self.assertEqual(text[place:], f"{pieces[-1]}1")
+        for got, value in zip(result[0], (*expected, 1), strict=True):
+            large = isinstance(value, int) and value >= 2**63
+            if not large and not isinstance(value, float):
+                self.assertEqual(got, value)  # SQLite rounds the others
+
+    def test_sizes(self):
+        for size in (0, 250, 251, 65535, 65536, 2**20):
+            for value in ("\xe9" * size, b"\xff" * size):
+                with self.subTest(size, type=type(value)):
+                    [row] = self.execute("SELECT ? AS v", value)
+                    self.assertTrue(row[0] == value)
+                    self.assertEqual(len(self.received()), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
