Tests: every way of a text through the MySQL edge keeps both ends of it

A table now sends reads, writes, locking reads and BEGIN, with and without a key and a transaction, between blanks, comments and a semicolon. The stand-in takes FOR UPDATE for one when a comment or semicolon follows.

--- a/cardamomdrift/standins/engine.py
+++ b/cardamomdrift/standins/engine.py
@@ -20,7 +20,7 @@
 NO_SUCH_TABLE_ERROR = 1146
 SYNTAX_ERROR = 1064
 
-_FOR_UPDATE = re.compile(r"\s+FOR\s+UPDATE\s*$", re.IGNORECASE)
+_FOR_UPDATE = re.compile(r"\s+FOR\s+UPDATE[\s;]*$", re.IGNORECASE)
 _BINARY_INTRODUCER = re.compile(r"\b_binary (?=X$)")
 _ESCAPED = {quote: re.compile(rf"\\(.)|{quote * 2}", re.DOTALL) for quote in ("'", '"')}
 _AUTO_INCREMENT_KEY = re.compile(
@@ -42,7 +42,6 @@
 
 def translate(sql):
     """Return a MySQL statement in SQLite's dialect."""
-    sql = _FOR_UPDATE.sub("", sql)
     sql = _AUTO_INCREMENT_KEY.sub("INTEGER PRIMARY KEY", sql)
     parts = []
     end = 0
@@ -52,7 +51,16 @@
         parts.append(_translate_token(match.lastgroup, match[0]))
         end = match.end()
     parts.append(sql[end:])
-    return "".join(parts)
+    return _FOR_UPDATE.sub("", "".join(parts))
+
+
+def locks_rows(sql):
+    """Return whether a statement ends in FOR UPDATE."""
+    return bool(_FOR_UPDATE.search(TOKEN.sub(_without_comment, sql)))
+
+
+def _without_comment(match):
+    return " " if match.lastgroup == "comment" else match[0]
 
 
 def _translate_token(kind, token):
--- a/cardamomdrift/standins/session.py
+++ b/cardamomdrift/standins/session.py
@@ -16,6 +16,7 @@
 from cardamomdrift.mysql.columns import BINARY_CHARSET_NUMBER, make_column
 from cardamomdrift.mysql.wire import Ok, Rows, WireVariables
 from cardamomdrift.sessions.lexer import LEADING
+from cardamomdrift.standins.engine import locks_rows
 
 # MySQL error codes
 READ_ONLY_ERROR = 1290
@@ -130,7 +131,7 @@
                 self._end_transaction(commit=False)
             case "SET" | "USE":
                 pass
-            case word if word in _WRITES or sql.upper().rstrip().endswith("FOR UPDATE"):
+            case word if word in _WRITES or locks_rows(sql):
                 return await self._write(sql)
             case _:
                 return await self._read(sql)
--- a/tests/test_mysql_texts.py
+++ b/tests/test_mysql_texts.py
@@ -10,6 +10,7 @@
 import re
 import unittest
 from datetime import date, datetime, timedelta
+from itertools import product
 from math import isfinite
 
 import asyncmy
@@ -390,6 +391,38 @@
             self.assertEqual([text for text in texts if text != sql], texts[:1])
             self.assertIn(texts[:1], ([], ["COMMIT"], ["ROLLBACK"]))
 
+    def test_every_way_keeps_both_ends_of_a_text(self):
+        """Reads, writes, with and without key and transaction, and BEGIN itself."""
+        leads = (
+            "",
+            " ",
+            "\n",
+            "/* a */ ",
+            "\r\n-- a\n",
+            "/* cardamomdrift: key=k{} */",
+        )
+        bodies = ("SELECT 1", "UPDATE t SET v = 'b  '", "SELECT 1 FOR UPDATE", "BEGIN")
+        ends = ("", " ", "\n\t", ";", " ; ", ";-- b", "/* b */", " #", "\f--")
+        cases = list(product(("ROLLBACK", "BEGIN"), leads, bodies, ends))
+        refused = 0
+        for number, (before, lead, body, end) in enumerate(cases):
+            sql = lead.format(number) + body + end
+            self.send(before)
+            result = self.send(sql)
+            texts = self.received()
+            if result == BadRequest.code and "key=" in sql:
+                refused += 1  # reads, and statements inside transactions
+                self.assertEqual(texts, [])
+                continue
+            with self.subTest(sql, before=before):
+                self.assertNotIn(result, (BadRequest.code, OutcomeUnknown.code))
+                own = ("BEGIN", "COMMIT", "INSERT INTO cardamomdrift_requests")
+                others = [text for text in texts if text != sql]
+                self.assertEqual(texts.count(sql), 1)
+                self.assertTrue(all(text.startswith(own) for text in others), others)
+        self.assertEqual(refused, 3 * len(ends))
+        self.send("ROLLBACK")
+
     @STEADY
     @given(CHARACTERS)
     def test_a_string_comes_back(self, value):
