An answer is read to its end before the connection is used again

A procedure that answered with several results gave its caller only the first, without an error; if it failed after the first, the caller got that as a success, and the failure became the answer to the next statement on the connection, which may be another caller's and then was not run.

Cause: asyncmy reads what is left of an answer before the next command.

Change: it is read with the answer. A second result with columns is OutcomeUnknown, since the statement ran; an error is the statement's own.

Measured: the new test, over a server that sends such answers, failed for both before and passes now.

--- a/cardamomdrift/mysql/connection.py
+++ b/cardamomdrift/mysql/connection.py
@@ -15,6 +15,7 @@
 from asyncmy.errors import Error, InterfaceError, MySQLError
 
 from cardamomdrift.errors import (
+    OutcomeUnknown,
     StatementRefused,
     UpstreamBusy,
     UpstreamLost,
@@ -48,6 +49,11 @@
     return UpstreamLost(str(error))
 
 
+def _check_single(several):
+    if several:
+        raise OutcomeUnknown("the statement answered with several results")
+
+
 class UpstreamConnection:
     """Open connection to an instance."""
 
@@ -91,6 +97,9 @@
 
         Raises
         ------
+        OutcomeUnknown
+            The statement ran and answered with several results, of which a caller can
+            get only one.
         StatementRefused
             The instance answered with an error.
         UpstreamUnreachable
@@ -105,6 +114,9 @@
         try:
             await cursor.execute(sql)
             rows = await cursor.fetchmany(ROW_BATCH_SIZE) if cursor.description else []
+            complete = len(rows) < ROW_BATCH_SIZE
+            result = self._make_result(cursor, rows, complete)
+            several = complete and await self._read_rest()
         except (MySQLError, Error, InterfaceError) as error:
             failure = _translate_error(error)
             if isinstance(failure, StatementRefused):
@@ -118,10 +130,22 @@
         except BaseException:
             self.close()
             raise
-        complete = len(rows) < ROW_BATCH_SIZE
         self._awaiting_reply = not complete
         self._cursor = None if complete else cursor
-        return self._make_result(cursor, rows, complete)
+        _check_single(several)
+        return result
+
+    async def _read_rest(self):
+        """Read the results after the first; return whether one of them has columns.
+
+        The last result of a procedure has none.  Whatever is not read here would be
+        read before the next statement, which may be another caller's.
+        """
+        several = False
+        while self._connection._result.has_next:
+            await self._connection.next_result()
+            several = several or bool(self._connection._result.description)
+        return several
 
     def _make_result(self, cursor, rows, complete):
         columns = ()
@@ -148,19 +172,22 @@
 
         Raises
         ------
-        UpstreamLost
+        OutcomeUnknown or UpstreamLost
         """
         try:
             rows = await self._cursor.fetchmany(ROW_BATCH_SIZE)
+            complete = len(rows) < ROW_BATCH_SIZE
+            several = complete and await self._read_rest()
         except (MySQLError, Error, OSError, RuntimeError) as error:
             self.close()
             raise UpstreamLost(str(error)) from error
         except BaseException:
             self.close()
             raise
-        if len(rows) < ROW_BATCH_SIZE:
+        if complete:
             self._awaiting_reply = False
             self._cursor = None
+        _check_single(several)
         return rows
 
     async def execute_all(self, sql):
--- a/tests/test_mysql_texts.py
+++ b/tests/test_mysql_texts.py
@@ -17,9 +17,18 @@
 from asyncmy.errors import Error
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from mysql_mimic.types import ColumnType
+from mysql_mimic.charset import CharacterSet
+from mysql_mimic.constants import DEFAULT_SERVER_CAPABILITIES
+from mysql_mimic.packets import (
+    make_column_count,
+    make_error,
+    make_handshake_v10,
+    make_ok,
+    make_text_resultset_row,
+)
+from mysql_mimic.types import Capabilities, ColumnType, ServerStatus
 
-from cardamomdrift.errors import BadRequest, OutcomeUnknown
+from cardamomdrift.errors import BadRequest, OutcomeUnknown, StatementRefused
 from cardamomdrift.mysql.columns import make_column
 from cardamomdrift.mysql.connection import open_connection
 from cardamomdrift.mysql.wire import Ok, PasswordlessIdentity, Rows, WireServer
@@ -312,6 +321,78 @@
                 self.assertTrue(all(result == value for result in results))
 
 
+class SeveralResultsTest(unittest.IsolatedAsyncioTestCase):
+    """An instance answers a CALL with several results, one after the other."""
+
+    CAPABILITIES = DEFAULT_SERVER_CAPABILITIES | Capabilities.CLIENT_MULTI_RESULTS
+    LAST = ServerStatus.SERVER_STATUS_AUTOCOMMIT
+    MORE = LAST | ServerStatus.SERVER_MORE_RESULTS_EXISTS
+
+    def make_rows(self, status):
+        column = make_column("v", ColumnType.VAR_STRING)
+        return (
+            make_column_count(self.CAPABILITIES, 1),
+            column.definition,
+            make_text_resultset_row((b"a",), (column.codec,)),
+            make_ok(self.CAPABILITIES, status, eof=True),
+        )
+
+    async def serve(self, reader, writer):
+        greeting = make_handshake_v10(
+            *(self.CAPABILITIES, CharacterSet.utf8mb4, "8.0", 1, bytes(21), self.LAST),
+            "mysql_native_password",
+        )
+        number, answer = 0, [greeting]
+        while True:
+            for packet in answer:
+                writer.write(len(packet).to_bytes(3, "little") + bytes((number,)))
+                writer.write(packet)
+                number += 1
+            header = await reader.read(4)
+            if not header:
+                break
+            number = header[3] + 1
+            command = await reader.readexactly(int.from_bytes(header[:3], "little"))
+            answer = [make_ok(self.CAPABILITIES, self.LAST)]
+            if command[1:] in self.answers:
+                answer = self.answers[command[1:]]
+        writer.close()
+
+    async def test_the_end_of_an_answer_is_not_left_to_the_next_statement(self):
+        """It was dropped, or its error became that of another caller's statement."""
+        rows, last_rows = self.make_rows(self.MORE), self.make_rows(self.LAST)
+        done = make_ok(self.CAPABILITIES, self.LAST)
+        failed = make_error(self.CAPABILITIES, msg="no", code=1644)
+        self.answers = {
+            b"CALL one()": (*rows, done),
+            b"CALL two()": (*rows, *rows, done),
+            b"CALL fail()": (*rows, failed),
+            b"SELECT 1": last_rows,
+        }
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        async with server:
+            connection = await open_connection(
+                *("127.0.0.1", server.sockets[0].getsockname()[1]),
+                *(Login("proxy", ""), "vm-1", 1.0),
+            )
+            self.addCleanup(connection.close)
+            for error, sql in (
+                (None, "CALL one()"),
+                (OutcomeUnknown, "CALL two()"),
+                (StatementRefused, "CALL fail()"),
+            ):
+                with self.subTest(sql):
+                    if error is None:
+                        result = await connection.execute_all(sql)
+                        self.assertEqual(result.rows, [(b"a",)])
+                    else:
+                        with self.assertRaises(error):
+                            await connection.execute_all(sql)
+                    result = await connection.execute_all("SELECT 1")
+                    self.assertEqual(result.rows, [(b"a",)])
+            connection.close()
+
+
 class ParameterTest(EdgeCase):
     def check(self, value):
         rows = self.execute("SELECT ?, 1", value)
