A prepared statement keeps the pieces of its text

Since long texts are not cached, each execution of a prepared statement above 4096 characters split its text again. The pieces are now kept with the statement. Found by reading; the time was not measured.

--- a/cardamomdrift/mysql/wire.py
+++ b/cardamomdrift/mysql/wire.py
@@ -66,6 +66,13 @@
     rows: Sequence | AsyncIterator
 
 
+@dataclass
+class SplitStatement(PreparedStatement):
+    """Prepared statement with the pieces of its text between the parameters."""
+
+    pieces: tuple = ()
+
+
 class WireVariables:
     """Session variables that the handshake and the encoders of `mysql_mimic` read."""
 
@@ -281,14 +288,16 @@
 
     async def handle_stmt_prepare(self, data):
         """Store a statement and write its id and number of parameters."""
-        statement = PreparedStatement(
-            stmt_id=next(self.prepared_stmt_seq),
-            sql=self._decode_statement(data),
-            num_params=0,
-        )
+        sql = self._decode_statement(data)
         if len(self.prepared_stmts) >= MAX_PREPARED_STATEMENTS:
             raise MysqlError("too many prepared statements", ErrorCode.UNKNOWN_ERROR)
-        statement.num_params = len(split_parameters(statement.sql)) - 1
+        pieces = split_parameters(sql)
+        statement = SplitStatement(
+            stmt_id=next(self.prepared_stmt_seq),
+            sql=sql,
+            num_params=len(pieces) - 1,
+            pieces=pieces,
+        )
         self.prepared_stmts[statement.stmt_id] = statement
         for packet in self.com_stmt_prepare_response(statement):
             await self.stream.write(packet, drain=False)
@@ -313,7 +322,7 @@
         query_attributes = {
             name: value for name, value in parameters[statement.num_params :] if name
         }
-        return bind(split_parameters(statement.sql), values), query_attributes
+        return bind(statement.pieces, values), query_attributes
 
     async def handle_stmt_execute(self, data):
         """Run a prepared statement and write its result in the binary protocol."""
