--- a/cardamomdrift/mysql/connection.py
+++ b/cardamomdrift/mysql/connection.py
@@ -9,11 +9,13 @@
 import asyncio
 from dataclasses import dataclass, replace
 
-from asyncmy import connect
+from asyncmy.connection import Connection
+from asyncmy.constants.CLIENT import MULTI_STATEMENTS
 from asyncmy.cursors import SSCursor
 from asyncmy.errors import Error, InterfaceError, MySQLError
 
 from cardamomdrift.errors import (
+    OutcomeUnknown,
     StatementRefused,
     UpstreamBusy,
     UpstreamLost,
@@ -47,6 +49,11 @@
     return UpstreamLost(str(error))
 
 
+def _check_single(several):
+    if several:
+        raise OutcomeUnknown("the statement answered with several results")
+
+
 class UpstreamConnection:
     """Open connection to an instance."""
 
@@ -59,9 +66,18 @@
         self.opened_at = 0.0
         self.idle_since = 0.0
 
+    @property
+    def in_transaction(self):
+        """Whether a transaction is open, as the instance last reported."""
+        return self._connection.get_transaction_status()
+
     @property
     def reusable(self):
-        """Whether the next request may use the connection."""
+        """Whether another caller may use the connection."""
+        return self._usable and not self.in_transaction
+
+    @property
+    def _usable(self):
         return (
             not self._broken and not self._awaiting_reply and self._connection.connected
         )
@@ -81,6 +97,9 @@
 
         Raises
         ------
+        OutcomeUnknown
+            The statement ran and answered with several results, of which a caller can
+            get only one.
         StatementRefused
             The instance answered with an error.
         UpstreamUnreachable
@@ -88,13 +107,16 @@
         UpstreamLost
             The connection failed after bytes may have been sent.
         """
-        if not self.reusable:
+        if not self._usable:
             raise UpstreamUnreachable("connection is closed")
         self._awaiting_reply = True
         cursor = self._connection.cursor(SSCursor)
         try:
             await cursor.execute(sql)
             rows = await cursor.fetchmany(ROW_BATCH_SIZE) if cursor.description else []
+            complete = len(rows) < ROW_BATCH_SIZE
+            result = self._make_result(cursor, rows, complete)
+            several = complete and await self._read_rest()
         except (MySQLError, Error, InterfaceError) as error:
             failure = _translate_error(error)
             if isinstance(failure, StatementRefused):
@@ -108,18 +130,37 @@
         except BaseException:
             self.close()
             raise
-        complete = len(rows) < ROW_BATCH_SIZE
         self._awaiting_reply = not complete
         self._cursor = None if complete else cursor
-        return self._make_result(cursor, rows, complete)
+        _check_single(several)
+        return result
+
+    async def _read_rest(self):
+        """Read the results after the first; return whether one of them has columns.
+
+        The last result of a procedure has none.  Whatever is not read here would be
+        read before the next statement, which may be another caller's.
+        """
+        several = False
+        while self._connection._result.has_next:
+            await self._connection.next_result()
+            several = several or bool(self._connection._result.description)
+        return several
 
     def _make_result(self, cursor, rows, complete):
         columns = ()
         if cursor.description:
-            # The cursor's description lacks the character set, which distinguishes
-            # TEXT from BLOB.
+            # The cursor's description lacks the character set and the flags, which tell
+            # TEXT from BLOB and unsigned numbers from others.
             columns = tuple(
-                make_column(field.name, field.type_code, field.charsetnr)
+                make_column(
+                    field.name,
+                    field.type_code,
+                    field.charsetnr,
+                    field.flags,
+                    field.length,
+                    field.scale,
+                )
                 for field in self._connection._result.fields
             )
         affected = 0 if columns else cursor.rowcount
@@ -131,19 +172,22 @@
 
         Raises
         ------
-        UpstreamLost
+        OutcomeUnknown or UpstreamLost
         """
         try:
             rows = await self._cursor.fetchmany(ROW_BATCH_SIZE)
+            complete = len(rows) < ROW_BATCH_SIZE
+            several = complete and await self._read_rest()
         except (MySQLError, Error, OSError, RuntimeError) as error:
             self.close()
             raise UpstreamLost(str(error)) from error
         except BaseException:
             self.close()
             raise
-        if len(rows) < ROW_BATCH_SIZE:
+        if complete:
             self._awaiting_reply = False
             self._cursor = None
+        _check_single(several)
         return rows
 
     async def execute_all(self, sql):
@@ -219,20 +263,23 @@
     UpstreamUnreachable
         No connection could be opened in time.
     """
+    connection = Connection(
+        host=address,
+        port=port,
+        user=login.user,
+        password=login.password,
+        charset="utf8mb4",
+        use_unicode=False,
+        conv={},
+        autocommit=None,
+        program_name=vm,
+        max_allowed_packet=MAX_PACKET_BYTES,
+    )
+    # `asyncmy` always asks the server to run several statements in one text.
+    connection._client_flag &= ~MULTI_STATEMENTS
     try:
         async with asyncio.timeout(timeout):
-            connection = await connect(
-                host=address,
-                port=port,
-                user=login.user,
-                password=login.password,
-                charset="utf8mb4",
-                use_unicode=False,
-                conv={},
-                autocommit=None,
-                program_name=vm,
-                max_allowed_packet=MAX_PACKET_BYTES,
-            )
+            await connection.connect()
     except TimeoutError as error:
         raise UpstreamUnreachable("handshake timed out") from error
     except (MySQLError, Error, OSError, RuntimeError) as error:
--- a/cardamomdrift/mysql/session.py
+++ b/cardamomdrift/mysql/session.py
@@ -6,8 +6,6 @@
 Statements are dispatched by their verb.
 """
 
-import re
-
 from mysql_mimic.types import ColumnType
 
 from cardamomdrift.bundle.model import RequestKind
@@ -19,17 +17,11 @@
     TransactionLost,
 )
 from cardamomdrift.mysql.columns import make_column
-from cardamomdrift.mysql.wire import Ok, Rows, WireVariables
+from cardamomdrift.mysql.wire import Ok, Rows, WireVariables, make_charset_refusal
 from cardamomdrift.position import ORIGIN
 from cardamomdrift.sessions.options import SESSION_OPTIONS, attribute_options
 from cardamomdrift.sessions.statement import Verb, parse_statement
 
-# SET statements that are accepted without any effect.
-_ACCEPTED_SET_STATEMENT = re.compile(
-    r"SET\s+(?:NAMES|CHARACTER\s+SET|CHARSET)\s+'?(?:utf8mb4|utf8mb3|utf8|binary)\b",
-    re.IGNORECASE,
-)
-
 
 class CallerSession:
     """Session of a caller connection, with the session interface of `mysql_mimic`.
@@ -122,6 +114,11 @@
             values.update(attribute_options(attributes))
         if self._service.draining and self._transaction is None:
             raise ShuttingDown("the daemon is shutting down", 0.1)
+        if not self.variables.speaks_utf8 and statement.verb is not Verb.SET:
+            raise make_charset_refusal(self.variables.get("character_set_client"))
+        if statement.of_connection and self._transaction is None:
+            reason = "it reads the state of a connection, so it needs a transaction"
+            raise BadRequest(reason)
         match statement.verb:
             case Verb.READ:
                 return await self._read(statement, values)
@@ -147,9 +144,10 @@
             case Verb.AUTOCOMMIT_OFF:
                 return await self._set_autocommit(False)
             case Verb.SET:
-                return self._set_variable(statement)
+                self.variables.set("character_set_client", "utf8mb4")
+                return Ok()
             case _:
-                raise BadRequest("the statement needs a connection of its own")
+                raise BadRequest(statement.argument)
 
     def make_interruption(self):
         """Return the error of a statement that was cancelled.
@@ -270,11 +268,6 @@
         self._autocommit = enabled
         return Ok()
 
-    def _set_variable(self, statement):
-        if _ACCEPTED_SET_STATEMENT.match(statement.sql.strip()):
-            return Ok()
-        raise BadRequest("session variables of the database are not kept by the proxy")
-
     # Streaming results
 
     async def _close_result(self):
--- a/cardamomdrift/mysql/wire.py
+++ b/cardamomdrift/mysql/wire.py
@@ -19,17 +19,16 @@
 from mysql_mimic.control import LocalControl
 from mysql_mimic.errors import ErrorCode, MysqlError
 from mysql_mimic.prepared import PreparedStatement
-from mysql_mimic.results import ResultSet
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
 from mysql_mimic.types import (
     Capabilities,
     ServerStatus,
     read_uint_4,
     read_uint_len,
-    uint_len,
 )
 
-from cardamomdrift.errors import CallerError, PacketTooLarge
+from cardamomdrift.errors import BadRequest, CallerError, PacketTooLarge
+from cardamomdrift.mysql.parameters import decode_text, read_parameters
 from cardamomdrift.mysql.tls import TlsStream
 from cardamomdrift.sessions.parameters import bind, split_parameters
 
@@ -39,6 +38,8 @@
 READ_BUFFER_BYTES = 16 * 1024
 MAX_PREPARED_STATEMENTS = 1000  # for each connection
 ROW_BATCH_SIZE = 500  # rows
+FLUSH_BYTES = 32 * 1024  # of rows that are written at once
+MAX_PACKET_BYTES = 2**24 - 1  # of one packet; larger data is split
 SQLSTATE_SLICE = slice(4, 9)  # of an error packet
 SERVER_VERSION = "8.0.36-cardamomdrift"
 
@@ -57,7 +58,7 @@
 
     Attributes
     ----------
-    columns : tuple of ResultColumn
+    columns : tuple of Column
     rows : sequence of tuples, or AsyncIterator of such sequences
     """
 
@@ -65,6 +66,13 @@
     rows: Sequence | AsyncIterator
 
 
+@dataclass
+class SplitStatement(PreparedStatement):
+    """Prepared statement with the pieces of its text between the parameters."""
+
+    pieces: tuple = ()
+
+
 class WireVariables:
     """Session variables that the handshake and the encoders of `mysql_mimic` read."""
 
@@ -88,12 +96,22 @@
 
     def set(self, name, value, force=False):
         """Store the value of a variable, unless it is the default."""
-        if self._DEFAULTS.get(name) == value:
-            return
         if self._values is None:
+            if self._DEFAULTS.get(name) == value:
+                return
             self._values = {}
         self._values[name] = value
 
+    @property
+    def speaks_utf8(self):
+        """Whether the client's texts are utf8mb4, like those of the instances."""
+        return self.get("character_set_client") in ("utf8", "utf8mb4")
+
+
+def make_charset_refusal(name):
+    """Return the error for a text in another character set than utf8mb4."""
+    return BadRequest(f"character set {name}; send SET NAMES utf8mb4 first")
+
 
 class BoundedReader(asyncio.StreamReader):
     """Stream reader that refuses packets above a limit.
@@ -180,12 +198,24 @@
 
     async def handle_query(self, data):
         """Run a text statement and write its result."""
-        query = packets.parse_com_query(
-            capabilities=self.capabilities,
-            client_charset=self.client_charset,
-            data=data,
-        )
-        await self._run_statement(query.sql, query.query_attrs, self._write_rows)
+        reader = io.BytesIO(data)
+        attributes = {}
+        if Capabilities.CLIENT_QUERY_ATTRIBUTES in self.capabilities:
+            count = read_uint_len(reader)
+            read_uint_len(reader)  # number of parameter sets, always 1
+            attributes = dict(read_parameters(reader, count, named=True))
+        sql = self._decode_statement(reader.read())
+        await self._run_statement(sql, attributes, self._write_rows)
+
+    def _decode_statement(self, data):
+        """Return the text of a statement.
+
+        In another character set than utf8mb4 only ASCII is accepted, which suffices to
+        select utf8mb4.
+        """
+        if self.session.variables.speaks_utf8 or data.isascii():
+            return decode_text(data)
+        raise make_charset_refusal(self.client_charset.name)
 
     async def _run_statement(self, sql, attributes, write_rows):
         """Run a statement and write its answer."""
@@ -212,10 +242,42 @@
                 await write_rows(columns, rows)
 
     async def _write_rows(self, columns, rows):
-        if not isinstance(rows, AsyncIterator):
-            await self.write_text_resultset(ResultSet(rows, columns))
-            return
-        await self.write_text_resultset(ResultSet(_flatten(rows), columns))
+        """Write a result in the text protocol."""
+        await self._write_columns(columns)
+        codecs = [column.codec for column in columns]
+        count = 0
+        async for batch in _iterate_batches(rows):
+            count += len(batch)
+            await self._write_text_batch(batch, codecs)
+        await self.stream.write(self.ok_or_eof(affected_rows=count))
+
+    async def _write_columns(self, columns):
+        count = packets.make_column_count(
+            capabilities=self.capabilities, column_count=len(columns)
+        )
+        await self.stream.write(count, drain=False)
+        for column in columns:
+            await self.stream.write(column.definition, drain=False)
+        if not self.deprecate_eof():
+            await self.stream.write(self.eof(), drain=False)
+
+    async def _write_text_batch(self, rows, codecs):
+        """Write rows, of which one may need several packets.
+
+        The fast method of the stream writes one packet for each row, whatever its size.
+        """
+        stream = self.stream
+        buffer, number = stream._buffer, stream.seq.value
+        size = len(buffer)
+        stream.write_text_rows(rows, codecs)
+        if len(buffer) - size >= MAX_PACKET_BYTES:
+            del buffer[size:]
+            stream.seq.value = number
+            for row in rows:
+                packet = packets.make_text_resultset_row(row, codecs)
+                await stream.write(packet, drain=False)
+        elif len(buffer) >= FLUSH_BYTES:
+            await stream.drain()
 
     def com_stmt_prepare_response(self, statement):
         """Return the packets that answer a PREPARE."""
@@ -226,14 +288,16 @@
 
     async def handle_stmt_prepare(self, data):
         """Store a statement and write its id and number of parameters."""
-        statement = PreparedStatement(
-            stmt_id=next(self.prepared_stmt_seq),
-            sql=self.client_charset.decode(data),
-            num_params=0,
-        )
+        sql = self._decode_statement(data)
         if len(self.prepared_stmts) >= MAX_PREPARED_STATEMENTS:
             raise MysqlError("too many prepared statements", ErrorCode.UNKNOWN_ERROR)
-        statement.num_params = len(split_parameters(statement.sql)) - 1
+        pieces = split_parameters(sql)
+        statement = SplitStatement(
+            stmt_id=next(self.prepared_stmt_seq),
+            sql=sql,
+            num_params=len(pieces) - 1,
+            pieces=pieces,
+        )
         self.prepared_stmts[statement.stmt_id] = statement
         for packet in self.com_stmt_prepare_response(statement):
             await self.stream.write(packet, drain=False)
@@ -251,16 +315,14 @@
         count = statement.num_params
         if has_attributes and (count or has_parameter_count):
             count = read_uint_len(reader)
-        # `mysql_mimic` has no public function that returns the values without
-        # substituting them in the statement.
-        parameters = packets._read_params(
-            self.capabilities, self.client_charset, reader, count, None
-        )
+        if count < statement.num_params:
+            raise BadRequest(f"{count} of {statement.num_params} parameters were sent")
+        parameters = read_parameters(reader, count, has_attributes)
         values = [value for _, value in parameters[: statement.num_params]]
         query_attributes = {
             name: value for name, value in parameters[statement.num_params :] if name
         }
-        return bind(split_parameters(statement.sql), values), query_attributes
+        return bind(statement.pieces, values), query_attributes
 
     async def handle_stmt_execute(self, data):
         """Run a prepared statement and write its result in the binary protocol."""
@@ -268,21 +330,12 @@
         await self._run_statement(sql, attributes, self._write_binary_rows)
 
     async def _write_binary_rows(self, columns, rows):
-        await self.stream.write(uint_len(len(columns)), drain=False)
-        for column in columns:
-            definition = packets.make_column_definition_41(
-                server_charset=self.server_charset,
-                name=column.name,
-                column_type=column.type,
-                character_set=column.character_set,
-            )
-            await self.stream.write(definition, drain=False)
-        if not self.deprecate_eof():
-            await self.stream.write(self.eof(), drain=False)
-        async for row in _iterate_rows(rows):
-            await self.stream.write(
-                packets.make_binary_resultrow(row, columns), drain=False
-            )
+        await self._write_columns(columns)
+        codecs = [column.codec for column in columns]
+        async for batch in _iterate_batches(rows):
+            for row in batch:
+                packet = packets.make_binary_resultrow(row, codecs)
+                await self.stream.write(packet, drain=False)
         await self.stream.write(self.ok_or_eof())
 
     async def handle_reset_connection(self, data):
@@ -305,19 +358,13 @@
         raise MysqlError("long data is not supported", ErrorCode.NOT_SUPPORTED_YET)
 
 
-async def _flatten(batches):
-    async for batch in batches:
-        for row in batch:
-            yield row
-
-
-async def _iterate_rows(rows):
+async def _iterate_batches(rows):
     if isinstance(rows, AsyncIterator):
-        async for row in _flatten(rows):
-            yield row
+        async for batch in rows:
+            yield batch
         return
-    for row in rows:
-        yield row
+    for start in range(0, len(rows), ROW_BATCH_SIZE):
+        yield rows[start : start + ROW_BATCH_SIZE]
 
 
 class PasswordlessIdentity(IdentityProvider):
@@ -469,8 +516,8 @@
             pass
         except (PacketTooLarge, asyncio.IncompleteReadError):
             pass
-        except (struct.error, ValueError, IndexError, KeyError):
-            pass  # malformed handshake
+        except (struct.error, ValueError, LookupError):
+            pass  # malformed handshake, or a character set without a codec
         except asyncio.CancelledError:
             pass  # the server is closing
         finally:
--- a/cardamomdrift/standins/engine.py
+++ b/cardamomdrift/standins/engine.py
@@ -13,19 +13,21 @@
 from dataclasses import dataclass
 
 from cardamomdrift.errors import StatementRefused
+from cardamomdrift.sessions.lexer import TOKEN
 
 # MySQL error codes
 DUPLICATE_KEY_ERROR = 1062
 NO_SUCH_TABLE_ERROR = 1146
 SYNTAX_ERROR = 1064
 
-_FOR_UPDATE = re.compile(r"\s+FOR\s+UPDATE\s*$", re.IGNORECASE)
-_ESCAPED = re.compile(r"\\(.)", re.DOTALL)
+_FOR_UPDATE = re.compile(r"\s+FOR\s+UPDATE[\s;]*$", re.IGNORECASE)
+_BINARY_INTRODUCER = re.compile(r"\b_binary (?=X$)")
+_ESCAPED = {quote: re.compile(rf"\\(.)|{quote * 2}", re.DOTALL) for quote in ("'", '"')}
 _AUTO_INCREMENT_KEY = re.compile(
     r"\bBIGINT\s+AUTO_INCREMENT\s+PRIMARY\s+KEY\b|\bINT\s+AUTO_INCREMENT\s+PRIMARY\s+KEY\b",
     re.IGNORECASE,
 )
-_ESCAPES = {"'": "''", "n": "\n", "r": "\r", "t": "\t", "0": "\0"}
+_ESCAPES = {"n": "\n", "r": "\r", "t": "\t", "0": "\0", "Z": "\x1a"}
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,11 +42,40 @@
 
 def translate(sql):
     """Return a MySQL statement in SQLite's dialect."""
-    sql = _FOR_UPDATE.sub("", sql)
     sql = _AUTO_INCREMENT_KEY.sub("INTEGER PRIMARY KEY", sql)
-    if "\\" in sql:
-        sql = _ESCAPED.sub(lambda match: _ESCAPES.get(match[1], match[1]), sql)
-    return sql
+    parts = []
+    end = 0
+    for match in TOKEN.finditer(sql):
+        gap = sql[end : match.start()]
+        parts.append(_BINARY_INTRODUCER.sub("", gap))
+        parts.append(_translate_token(match.lastgroup, match[0]))
+        end = match.end()
+    parts.append(sql[end:])
+    return _FOR_UPDATE.sub("", "".join(parts))
+
+
+def locks_rows(sql):
+    """Return whether a statement ends in FOR UPDATE."""
+    return bool(_FOR_UPDATE.search(TOKEN.sub(_without_comment, sql)))
+
+
+def _without_comment(match):
+    return " " if match.lastgroup == "comment" else match[0]
+
+
+def _translate_token(kind, token):
+    if kind == "comment":
+        return " "
+    if kind != "quoted" or token[0] == "`":
+        return token
+    escaped = _ESCAPED[token[0]]
+    text = escaped.sub(
+        lambda found: _ESCAPES.get(found[1], found[1]) if found[1] else token[0],
+        token[1:-1],
+    )
+    if "\0" in text:
+        return f"CAST(X'{text.encode().hex()}' AS TEXT)"
+    return "'" + text.replace("'", "''") + "'"
 
 
 def _make_refusal(error):
--- a/cardamomdrift/standins/session.py
+++ b/cardamomdrift/standins/session.py
@@ -13,8 +13,10 @@
 from mysql_mimic.results import infer_type
 
 from cardamomdrift.errors import StatementRefused
-from cardamomdrift.mysql.columns import make_column
+from cardamomdrift.mysql.columns import BINARY_CHARSET_NUMBER, make_column
 from cardamomdrift.mysql.wire import Ok, Rows, WireVariables
+from cardamomdrift.sessions.lexer import LEADING
+from cardamomdrift.standins.engine import locks_rows
 
 # MySQL error codes
 READ_ONLY_ERROR = 1290
@@ -32,7 +34,7 @@
 )
 
 _CALL = re.compile(r"\s*CALL\s+cardamomdrift_(\w+)\s*\((.*)\)\s*$", re.IGNORECASE)
-_VERB = re.compile(r"\s*(?:/\*.*?\*/\s*)*(\w+)", re.DOTALL)
+_VERB = re.compile(r"\w+")
 _WRITES = {"INSERT", "UPDATE", "DELETE", "REPLACE", "CREATE", "DROP", "ALTER"}
 
 
@@ -93,6 +95,7 @@
     async def handle_query(self, sql, attrs):
         """Run a statement; the request and the answer each take the link delay."""
         await self._cross_link()
+        self._instance.record(sql)
         try:
             answer = await self._run(sql)
         except StatementRefused as error:
@@ -110,10 +113,12 @@
 
     async def _run(self, sql):
         call = _CALL.match(sql)
-        if call:
+        if call and call[1].lower() in ("begin", "commit"):
+            sql = call[1]  # as a caller's procedure may do
+        elif call:
             return self._call_procedure(call[1].lower(), call[2])
-        verb = _VERB.match(sql)
-        match verb[1].upper() if verb else "":
+        verb = _VERB.match(sql, LEADING.match(sql).end())
+        match verb[0].upper() if verb else "":
             case "BEGIN" | "START":
                 self._end_transaction(commit=True)
                 self._in_transaction = True
@@ -126,7 +131,7 @@
                 self._end_transaction(commit=False)
             case "SET" | "USE":
                 pass
-            case word if word in _WRITES or sql.upper().rstrip().endswith("FOR UPDATE"):
+            case word if word in _WRITES or locks_rows(sql):
                 return await self._write(sql)
             case _:
                 return await self._read(sql)
@@ -193,7 +198,11 @@
 def _make_rows(names, rows):
     first = rows[0] if rows else (None,) * len(names)
     columns = tuple(
-        make_column(name, infer_type("" if value is None else value))
-        for name, value in zip(names, first, strict=True)
+        _make_column(name, value) for name, value in zip(names, first, strict=True)
     )
     return Rows(columns, rows)
+
+
+def _make_column(name, value):
+    charset_number = BINARY_CHARSET_NUMBER if isinstance(value, bytes) else 0
+    return make_column(name, infer_type("" if value is None else value), charset_number)
--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -14,6 +14,10 @@
 import asyncmy
 from aiohttp import ClientSession
 from asyncmy.errors import Error
+from mysql_mimic.charset import CharacterSet
+from mysql_mimic.constants import DEFAULT_SERVER_CAPABILITIES
+from mysql_mimic.packets import make_handshake_v10
+from mysql_mimic.types import Capabilities, ServerStatus
 
 from cardamomdrift.cloud.objects import ObjectStore, digest_of
 from cardamomdrift.cloud.table import (
@@ -133,6 +137,23 @@
             await two.query("SELECT 1")
             two.close()
 
+    async def test_a_character_set_without_a_codec_is_refused(self):
+        faults = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _loop, context: faults.append(context))
+        async with wire_server() as server:
+            reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            await reader.readexactly(
+                int.from_bytes(await reader.readexactly(4), "little")
+            )
+            response = (1 << 9).to_bytes(4, "little") + bytes(4) + b"\x3f" + bytes(23)
+            response += b"caller\0\0"
+            writer.write(len(response).to_bytes(3, "little") + b"\x01" + response)
+            self.assertIn(b"unknown encoding: binary", await reader.read())
+            writer.close()
+            await until(lambda: server.connections == 0)
+        self.assertEqual(faults, [])
+
     async def test_connection_limit_counts_unfinished_handshakes(self):
         async with wire_server(max_connections=3) as server:
             held = [
@@ -201,6 +222,30 @@
         self.assertIsNone(await self.objects.get("0" * 64))
 
 
+class HandshakeTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_instance_runs_one_statement_of_a_text(self):
+        """The library asks for several, so "SELECT 1; COMMIT" would run both."""
+        flags = asyncio.get_running_loop().create_future()
+        greeting = make_handshake_v10(
+            DEFAULT_SERVER_CAPABILITIES | Capabilities.CLIENT_MULTI_STATEMENTS,
+            *(CharacterSet.utf8mb4, "8.0", 1, bytes(21), ServerStatus(2)),
+            "mysql_native_password",
+        )
+
+        async def answer(reader, writer):
+            writer.write(len(greeting).to_bytes(4, "little") + greeting)
+            await reader.readexactly(4)
+            flags.set_result(int.from_bytes(await reader.readexactly(4), "little"))
+            writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            with self.assertRaises(UpstreamUnreachable):
+                await open_connection("127.0.0.1", port, LOGIN, "vm-1", 1.0)
+        self.assertFalse(await flags & Capabilities.CLIENT_MULTI_STATEMENTS)
+
+
 class InstanceTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         group = make_group(
@@ -326,6 +371,14 @@
         other = await self.pool.acquire(self.clock() + 1)
         self.assertIsNot(other, connection)
 
+    async def test_a_connection_with_an_open_transaction_is_not_used_again(self):
+        """The next caller's statements were part of the transaction."""
+        connection = await self.pool.acquire(self.clock() + 1)
+        await connection.execute("BEGIN")
+        await connection.execute("SELECT 1")
+        self.pool.release(connection)
+        self.assertIsNot(await self.pool.acquire(self.clock() + 1), connection)
+
     async def test_lower_limit_closes_excess_connections(self):
         held = [await self.pool.acquire(self.clock() + 1) for _ in range(2)]
         self.pool.set_limit(1)
