--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -43,6 +43,12 @@
     return json.loads(site.store.get("cardamomdrift", "epoch"))["epoch"]
 
 
+def instances_answer(statement, *lines):
+    """Let all instances answer a kind of statement with these lines only."""
+    name = f"_do_{statement}"
+    return mock.patch.object(LineInstance, name, lambda *_args: list(lines))
+
+
 class NoFaultTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_session_reads_its_own_write_at_once(self):
         async with Site() as site:
@@ -284,38 +290,29 @@
     async def test_a_write_does_not_run_without_the_values_of_its_session(self):
         """PINNED: it ran although the instance had refused a value before it."""
 
-        def refuse(_instance, _session, _request_id, _rest):
-            return ["ERROR BUSY g-0"]
-
         async with Site(daemons=1) as site:
             client = await site.caller("vm-1", "book")
             await client.ask("SET lang de")
-            with mock.patch.object(LineInstance, "_do_set", refuse):
+            with instances_answer("set", "ERROR BUSY g-0"):
                 await client.ask("WRITE item data")
             self.assertEqual(site.group.primary.log, [])
 
     async def test_a_refused_value_does_not_take_the_instance_out_of_use(self):
         """An instance that answered was treated as one that does not answer."""
 
-        def refuse(_instance, _session, _request_id, _rest):
-            return ["ERROR MALFORMED name"]
-
         async with Site(daemons=1) as site:
             client = await site.caller("vm-1", "book")
             await client.ask("SET lang de")
-            with mock.patch.object(LineInstance, "_do_set", refuse):
+            with instances_answer("set", "ERROR MALFORMED name"):
                 await client.ask("WRITE item data")
             cluster = site.daemons["vm-1"].clusters.get("g")
             self.assertTrue(cluster.instances["g-0"].usable)
 
     async def test_a_statement_whose_shape_was_refused_is_not_in_doubt(self):
-        def refuse(_instance, _session, _request_id, _rest):
-            return ["ERROR MALFORMED shape"]
-
         async with Site(daemons=1) as site:
             client = await site.caller("vm-1", "book")
             await client.ask("PARSE s1 WRITE shape")
-            with mock.patch.object(LineInstance, "_do_parse", refuse):
+            with instances_answer("parse", "ERROR MALFORMED shape"):
                 answer = await client.ask("EXECUTE s1 item data")
             self.assertEqual(answer, ["ERROR MALFORMED shape"])
             cluster = site.daemons["vm-1"].clusters.get("g")
@@ -327,9 +324,7 @@
             with self.subTest(lines):
                 async with Site(daemons=1) as site:
                     client = await site.caller("vm-1", "book")
-                    with mock.patch.object(
-                        LineInstance, "_do_write", lambda *_args: list(lines)
-                    ):
+                    with instances_answer("write", *lines):
                         [answer] = await client.ask("WRITE item data")
                     self.assertTrue(answer.startswith("ERROR INDOUBT"), answer)
 
