--- a/cardamomdrift/standins/lines.py
+++ b/cardamomdrift/standins/lines.py
@@ -7,88 +7,19 @@
 """
 
 import asyncio
-from dataclasses import dataclass, field
 
 from cardamomdrift.standins.entries import instance_entry
+from cardamomdrift.standins.line_session import (
+    InstanceFaults,
+    LineSession,
+    ReceivedStatement,
+)
 from cardamomdrift.util import keep_task
 
 PROMOTION_TIME = 0.05  # seconds until a promoted instance accepts writes
 MESSAGE_SIZE_LIMIT = 1024 * 1024  # bytes of one line, without its end
 
 
-@dataclass
-class InstanceFaults:
-    """Faults of one instance.
-
-    Attributes
-    ----------
-    silent : bool
-        It accepts connections and requests but sends nothing.
-    lose_answers : int
-        Number of next statements that run but whose answers are lost.
-    busy : int
-        Number of next statements that are refused with BUSY.
-    replication_stopped : bool
-        It receives no log entries from its primary.
-    silent_to : set of str
-        Names of the daemons to which it is silent.
-    """
-
-    silent: bool = False
-    lose_answers: int = 0
-    busy: int = 0
-    replication_stopped: bool = False
-    silent_to: set = field(default_factory=set)
-
-
-@dataclass(frozen=True)
-class ReceivedStatement:
-    """Read, write, execution or commit exactly as an instance received it.
-
-    Attributes
-    ----------
-    request_id : str
-    text : str
-        Without the position to wait for; bytes that are not valid text are escaped.
-    shape : str or None
-        Shape of the prepared statement that is executed.
-    values : dict of str to str
-        Values of the session.
-    """
-
-    request_id: str
-    text: str
-    shape: str | None
-    values: dict
-
-
-@dataclass
-class LineSession:
-    """Server-side state of one connection to an instance.
-
-    Attributes
-    ----------
-    daemon : str
-        Name of the daemon that opened the connection.
-    values : dict of str to str
-        Session values that were set.
-    prepared : dict of str to tuple
-        Kind, ``READ`` or ``WRITE``, and shape of each prepared statement, by name.
-    state : str
-        Transaction state of the READY line: I, T or E.
-    read_only : bool
-    written : list of tuple
-        Writes of the open transaction as (item, value).
-    """
-
-    daemon: str = ""
-    values: dict = field(default_factory=dict)
-    prepared: dict = field(default_factory=dict)
-    state: str = "I"
-    read_only: bool = False
-    written: list = field(default_factory=list)
-
-
 class LineInstance:
     """One line-protocol instance of a group; an async context manager.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,7 +10,7 @@
 import unittest
 from types import SimpleNamespace
 
-from cardamomdrift.standins.lines import ReceivedStatement
+from cardamomdrift.standins.line_session import ReceivedStatement
 from soak.__main__ import soak
 from soak.checker import find_token_faults
 from soak.texts import SentStatements, SessionRecord
