--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -223,6 +223,7 @@
         self.term = 1
         self.log = []  # (term, item, data, id of the statement)
         self.applied = 0
+        self.lag = service.lag
         self._server = None
         self._writers = set()
         self._slots = asyncio.Semaphore(service.slots)
@@ -436,7 +437,7 @@
             return
         if len(replica.log) < number:
             replica.log = list(primary.log[:number])
-        await asyncio.sleep(self.lag * random.uniform(0.8, 1.2))
+        await asyncio.sleep(replica.lag * random.uniform(0.8, 1.2))
         if replica.term <= primary.term:
             replica.applied = max(replica.applied, number)
 
@@ -622,10 +623,10 @@
         return self.services[name]
 
     def set_lag(self, lag):
-        """Let the replicas of all services apply commits this many seconds later."""
+        """Let one of the two replicas of each service apply commits so much later."""
         for service in self.services.values():
-            service.lag = lag
-        self.record(f"replicas are {lag} s behind")
+            service.instances[-1].lag = lag
+        self.record(f"one replica of each service is {lag} s behind")
 
     def _promote(self, backend, name):
         service = self.services.get(backend)
