--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -456,6 +456,8 @@
         self.world.record(f"promoted {chosen.name} term {term}")
         for other in self.instances:
             if other is not chosen:
+                if other.primary:
+                    other.applied = len(other.log)
                 other.term, other.primary = term, False
                 other.log = other.log[: len(chosen.log)]
                 other.applied = min(other.applied, len(other.log))
