Case 6 of the second review: an acknowledged commit is lost with syncReplicas 1

What a client sees: 20 commits that were acknowledged are not in the log of the instance that is promoted (LOST). One replica receives nothing for 6 s, the other one is lost for good, and the primary crashes. The deaf replica is promoted as soon as the lost one has left the list of instances.

The stand-ins know synchronous replicas, instances that receive nothing, crashes, and entries that end after three heartbeats.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,11 +1,11 @@
 """
-A session reads an older state than its own acknowledged commit, because its route moved
-to another service between BEGIN READ and the first statement of the transaction.
+A commit that was acknowledged is not in the log of the instance that is promoted, because
+the replica that had it has left the list of instances.
 """
 
 import asyncio
-import random
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -13,117 +13,95 @@
 
 from world import CannotRun, Client, World, route, run_case  # noqa: E402
 
-ROUNDS = 16
-PAUSE_LIMIT = 0.06  # seconds between BEGIN READ and the first statement, at most
-
-
-def routes(place, other, version):
-    """Return the routes of a configuration; ``review`` leads to ``place``."""
-    return [
-        route("tally", "primary", "zdb1"),
-        route("tally2", "primary", "zdb2"),
-        route("review", "read_your_writes", place),
-        route("other", "read_your_writes", other),
-        route(f"new{version}", "primary", "zdb1"),
-    ]
-
-
-async def background(world, database, daemon):
-    """Write all the time, as the other clients of a deployment do."""
-    client = Client(world, f"background-{database}")
-    await client.start(daemon, database)
-    number = 0
-    while True:
-        number += 1
-        await client.query(f"WRITE bg{number % 50} d{number}")
-        await asyncio.sleep(0.02)
-
-
-async def wait_applied(world, daemon, database):
-    """Wait until a daemon serves a database that the newest configuration added."""
-    loop = asyncio.get_running_loop()
-    give_up_at = loop.time() + 5.0
-    while loop.time() < give_up_at:
-        probe = Client(world, "probe")
-        served = await probe.start(daemon, database)
-        probe.close()
-        if served:
-            return
-        await asyncio.sleep(0.002)
-    raise CannotRun("the configuration is not applied")
-
-
-async def play_round(world, number, trouble):
-    """Return whether the round's read saw the session's own commit; None if unread."""
-    places = ("zdb1", "zdb2") if number % 2 else ("zdb2", "zdb1")
-    service = world.services[places[0]]
-    daemon = world.daemons[number % len(world.daemons)]
-    session = Client(world, f"session-{number}")
-    await session.start(daemon, "review")
-    try:
-        written = await session.query(f"WRITE item{number} data{number}")
-        begun = await session.query("BEGIN READ")
-        if trouble:
-            world.configure(routes(places[1], places[0], number))
-            await wait_applied(world, daemon, f"new{number}")
-        else:
-            await asyncio.sleep(random.uniform(0.01, PAUSE_LIMIT))
-        answer = await session.query(f"READ item{number}")
-        await session.query("COMMIT")
-    finally:
-        session.close()
-    if not (written.ok and begun.ok and answer.ok):
-        return None
-    commit = service.commits[written.request]
-    run = service.runs.get(answer.request)
-    if run is None:
-        raise CannotRun("the transaction ran at another service")
-    instance, seen, _ = run
-    if seen >= commit:
-        return True
-    world.record(
-        f"BROKEN round {number}: commit {commit} of the session was acknowledged before "
-        f"BEGIN READ was sent; its READ ran at {instance.name} on a log up to {seen} "
-        f"and was answered {answer.rows}"
-    )
-    return False
+DEAF_TIME = 6.0  # seconds in which one replica receives nothing
+LOST_AFTER = 0.8  # seconds from then until the other replica is lost for good
+CRASH_AFTER = 2.0  # seconds until the primary crashes
+CRASH_TIME = 6.0  # seconds until it is back with its log
+WATCHED = 18.0  # seconds in which a promotion may take effect
+
+
+class Writer:
+    """A client that writes, with the ids of what was acknowledged."""
+
+    def __init__(self, world, daemon):
+        self._world = world
+        self._daemon = daemon
+        self.acknowledged = []
+
+    async def run(self):
+        number = 0
+        while True:
+            client = Client(self._world, "writer")
+            try:
+                if not await client.start(self._daemon, "book"):
+                    raise OSError("refused")
+                while True:
+                    number += 1
+                    answer = await client.query(f"WRITE item{number} data{number}")
+                    if answer.ok:
+                        self.acknowledged.append(answer.request)
+                    await asyncio.sleep(0.03)
+            except (OSError, asyncio.IncompleteReadError):
+                await asyncio.sleep(0.2)
+            finally:
+                client.close()
 
 
 async def play(trouble):
-    world = World(FOLDER, fronts=4)
-    world.add_service("zdb1")
-    world.add_service("zdb2")
-    world.configure(routes("zdb2", "zdb1", 0))
-    results = []
+    world = World(FOLDER, fronts=4, bounds={"contactMs": 4000, "drainMs": 7000})
+    options = {"slots": 2, "connections": 28, "lag": 0.008, "work": 0.004}
+    service = world.add_service("pdb1", synchronous=1, **options)
+    world.add_service("pdb2", synchronous=1, **options)
+    world.add_service("pdb3", synchronous=1, **options)
+    world.configure(
+        [route("book", "primary", "pdb1", timeoutMs=800)]
+        + [route(f"book{n}", "primary", f"pdb{n}", timeoutMs=800) for n in (2, 3)]
+    )
+    missing = []
+    promoted = []
+
+    def check(chosen):
+        """Compare the log of a promoted instance with what was acknowledged."""
+        promoted.append(chosen.name)
+        held = {request for _, _, _, request in chosen.log}
+        lost = [request for request in writer.acknowledged if request not in held]
+        missing.extend(lost)
+        world.record(
+            f"promoted {chosen.name}: log of {len(chosen.log)}, "
+            f"{len(writer.acknowledged)} acknowledged, {len(lost)} of them not in it"
+        )
+
+    service.on_promotion = check
     async with world:
+        writer = Writer(world, world.daemons[0])
         await world.wait_ready()
-        tasks = [
-            asyncio.create_task(background(world, "tally", world.daemons[0])),
-            asyncio.create_task(background(world, "tally2", world.daemons[1])),
-        ]
-        await asyncio.sleep(4.0)
-        for number in range(1, ROUNDS + 1):
-            if not trouble:
-                # The same place as with the disruption, set well before the round.
-                place = "zdb1" if number % 2 else "zdb2"
-                other = "zdb2" if number % 2 else "zdb1"
-                world.configure(routes(place, other, number))
-                await wait_applied(
-                    world, world.daemons[number % len(world.daemons)], f"new{number}"
-                )
-            elif number == 1:
-                world.configure(routes("zdb1", "zdb2", 1000))
-                await wait_applied(world, world.daemons[1], "new1000")
-            await asyncio.sleep(1.0)
-            results.append(await play_round(world, number, trouble))
-        for task in tasks:
-            task.cancel()
-    read = [result for result in results if result is not None]
-    stale = read.count(False)
-    print(f"{len(read)} of {ROUNDS} rounds were read, {stale} of them stale")
-    if len(read) < ROUNDS / 2:
-        raise CannotRun("too few rounds were read")
-    return stale == 0
+        await asyncio.sleep(2.0)
+        task = asyncio.create_task(writer.run())
+        await asyncio.sleep(3.0)
+        primary, holder, deaf = service.instances
+        if trouble:
+            deaf.deaf_until = time.monotonic() + DEAF_TIME
+            world.record(f"{deaf.name} receives nothing for {DEAF_TIME} s")
+            await asyncio.sleep(LOST_AFTER)
+            await service.crash(holder)
+            await asyncio.sleep(CRASH_AFTER - LOST_AFTER)
+            await service.crash(primary)
+            await asyncio.sleep(CRASH_TIME)
+            await service.restart(primary)
+            await asyncio.sleep(WATCHED - CRASH_AFTER - CRASH_TIME)
+        else:
+            await asyncio.sleep(WATCHED)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        for request in missing:
+            world.record(f"BROKEN {request} was acknowledged and is not in the log")
+    print(
+        f"{len(writer.acknowledged)} commits acknowledged, {len(promoted)} promotions, "
+        f"{len(missing)} acknowledged commits not in a promoted log"
+    )
+    if len(writer.acknowledged) < 50 or (trouble and not promoted):
+        raise CannotRun("too few commits, or no promotion")
+    return not missing
 
 
 sys.exit(run_case(play))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,9 +1,10 @@
 """
-A session reads an older state than its own acknowledged commit, because it wrote at
-another service in between: its route moved there and back.
+A session reads an older state than its own acknowledged commit, because its route moved
+to another service between BEGIN READ and the first statement of the transaction.
 """
 
 import asyncio
+import random
 import sys
 from pathlib import Path
 
@@ -12,21 +13,18 @@
 
 from world import CannotRun, Client, World, route, run_case  # noqa: E402
 
-ROUNDS = 10
-CHANGE_GAP = 0.8  # seconds between the two changes of a round
-USUAL_LAG = 0.15  # seconds; "replicas 150 ms behind"
-LONG_LAG = 1.5  # seconds during a round: replica_lag with x = 10
-CATCH_UP = 2.0  # seconds between two rounds, for the replicas to catch up
+ROUNDS = 16
+PAUSE_LIMIT = 0.06  # seconds between BEGIN READ and the first statement, at most
 
 
-def routes(place, label):
+def routes(place, other, version):
     """Return the routes of a configuration; ``review`` leads to ``place``."""
     return [
         route("tally", "primary", "zdb1"),
         route("tally2", "primary", "zdb2"),
         route("review", "read_your_writes", place),
-        route("still", "read_your_writes", "zdb1"),
-        route(f"new{label}", "primary", "zdb1"),
+        route("other", "read_your_writes", other),
+        route(f"new{version}", "primary", "zdb1"),
     ]
 
 
@@ -41,14 +39,13 @@
         await asyncio.sleep(0.02)
 
 
-async def change(world, daemon, place, label):
-    """Move the route; wait until the daemon serves what was added with the change."""
-    world.configure(routes(place, label))
+async def wait_applied(world, daemon, database):
+    """Wait until a daemon serves a database that the newest configuration added."""
     loop = asyncio.get_running_loop()
     give_up_at = loop.time() + 5.0
     while loop.time() < give_up_at:
         probe = Client(world, "probe")
-        served = await probe.start(daemon, f"new{label}")
+        served = await probe.start(daemon, database)
         probe.close()
         if served:
             return
@@ -58,35 +55,35 @@
 
 async def play_round(world, number, trouble):
     """Return whether the round's read saw the session's own commit; None if unread."""
-    loop = asyncio.get_running_loop()
+    places = ("zdb1", "zdb2") if number % 2 else ("zdb2", "zdb1")
+    service = world.services[places[0]]
     daemon = world.daemons[number % len(world.daemons)]
     session = Client(world, f"session-{number}")
     await session.start(daemon, "review")
     try:
-        first = await session.query(f"WRITE item{number} data{number}")
-        changed_at = loop.time()
-        if trouble:
-            await change(world, daemon, "zdb2", f"{number}a")
-        second = await session.query(f"WRITE item{number}b data{number}")
-        await asyncio.sleep(max(changed_at + CHANGE_GAP - loop.time(), 0.0))
+        written = await session.query(f"WRITE item{number} data{number}")
+        begun = await session.query("BEGIN READ")
         if trouble:
-            await change(world, daemon, "zdb1", f"{number}b")
+            world.configure(routes(places[1], places[0], number))
+            await wait_applied(world, daemon, f"new{number}")
+        else:
+            await asyncio.sleep(random.uniform(0.01, PAUSE_LIMIT))
         answer = await session.query(f"READ item{number}")
+        await session.query("COMMIT")
     finally:
         session.close()
-    if not (first.ok and second.ok and answer.ok):
+    if not (written.ok and begun.ok and answer.ok):
         return None
-    service = world.services["zdb1"]
+    commit = service.commits[written.request]
     run = service.runs.get(answer.request)
-    if run is None or (trouble and second.request not in world.services["zdb2"].runs):
-        raise CannotRun("a statement ran at another service than its route's")
+    if run is None:
+        raise CannotRun("the transaction ran at another service")
     instance, seen, _ = run
-    commit = service.commits[first.request]
     if seen >= commit:
         return True
     world.record(
-        f"BROKEN round {number}: commit {commit} of the session at zdb1 was acknowledged "
-        f"before its READ was sent, which ran at {instance.name} on a log up to {seen} "
+        f"BROKEN round {number}: commit {commit} of the session was acknowledged before "
+        f"BEGIN READ was sent; its READ ran at {instance.name} on a log up to {seen} "
         f"and was answered {answer.rows}"
     )
     return False
@@ -96,7 +93,7 @@
     world = World(FOLDER, fronts=4)
     world.add_service("zdb1")
     world.add_service("zdb2")
-    world.configure(routes("zdb1", 0))
+    world.configure(routes("zdb2", "zdb1", 0))
     results = []
     async with world:
         await world.wait_ready()
@@ -106,11 +103,19 @@
         ]
         await asyncio.sleep(4.0)
         for number in range(1, ROUNDS + 1):
-            await asyncio.sleep(CATCH_UP)
-            if trouble:
-                world.set_lag(LONG_LAG)
+            if not trouble:
+                # The same place as with the disruption, set well before the round.
+                place = "zdb1" if number % 2 else "zdb2"
+                other = "zdb2" if number % 2 else "zdb1"
+                world.configure(routes(place, other, number))
+                await wait_applied(
+                    world, world.daemons[number % len(world.daemons)], f"new{number}"
+                )
+            elif number == 1:
+                world.configure(routes("zdb1", "zdb2", 1000))
+                await wait_applied(world, world.daemons[1], "new1000")
+            await asyncio.sleep(1.0)
             results.append(await play_round(world, number, trouble))
-            world.set_lag(USUAL_LAG)
         for task in tasks:
             task.cancel()
     read = [result for result in results if result is not None]
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -224,6 +224,9 @@
         self.log = []  # (term, item, data, id of the statement)
         self.applied = 0
         self.lag = service.lag
+        self.running = False
+        self.silent_since = None
+        self.deaf_until = 0.0
         self._server = None
         self._writers = set()
         self._slots = asyncio.Semaphore(service.slots)
@@ -249,8 +252,11 @@
             self._serve, host, self.port, limit=1 << 21
         )
         self.host, self.port = self._server.sockets[0].getsockname()[:2]
+        self.running, self.silent_since = True, None
 
     async def stop(self):
+        if self.running:
+            self.running, self.silent_since = False, time.monotonic()
         self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
@@ -369,11 +375,11 @@
                 if in_transaction:
                     session["writes"].append((item, data))
                 else:
-                    self.service.commit(self, [(item, data)], request)
+                    await self.service.commit(self, [(item, data)], request)
             case "COMMIT":
                 session["state"] = "I"
                 if session["writes"]:
-                    self.service.commit(self, session["writes"], request)
+                    await self.service.commit(self, session["writes"], request)
         self._runs += 1
         self.service.runs[request] = (self, self.number, session["who"])
         self.service.world.record(
@@ -400,7 +406,9 @@
         Number of each commit, by the id of its statement.
     """
 
-    def __init__(self, world, name, slots=6, connections=85, lag=0.15, work=0.01):
+    def __init__(
+        self, world, name, slots=6, connections=85, lag=0.15, work=0.01, synchronous=0
+    ):
         self.world = world
         self.name = name
         self.slots = slots
@@ -408,6 +416,8 @@
         self.handshake = 0.012
         self.lag = lag
         self.work = work
+        self.synchronous = synchronous
+        self.on_promotion = lambda chosen: None
         self.runs = {}
         self.commits = {}
         zones = world.zones
@@ -417,14 +427,19 @@
         self.instances[0].primary = True
         self._tasks = set()
 
-    def commit(self, primary, writes, request):
+    async def commit(self, primary, writes, request):
+        """Commit writes; wait for a replica to have them where that is needed."""
         for item, data in writes:
             primary.log.append((primary.term, item, data, request))
         number = len(primary.log)
         self.commits[request] = number
-        for replica in self.instances:
-            if replica is not primary:
-                self._later(self._replicate(primary, replica, number))
+        replicas = [one for one in self.instances if one is not primary]
+        for replica in replicas:
+            self._later(self._replicate(primary, replica, number))
+        while self.synchronous and not any(len(one.log) >= number for one in replicas):
+            await asyncio.sleep(0.002)
+            if not primary.running:
+                raise ConnectionError("crashed")
 
     def _later(self, work):
         task = asyncio.create_task(work)
@@ -433,7 +448,9 @@
 
     async def _replicate(self, primary, replica, number):
         await asyncio.sleep(0.001)
-        if replica.term > primary.term:
+        while replica.running and time.monotonic() < replica.deaf_until:
+            await asyncio.sleep(0.01)
+        if replica.term > primary.term or not (primary.running and replica.running):
             return
         if len(replica.log) < number:
             replica.log = list(primary.log[:number])
@@ -441,9 +458,25 @@
         if replica.term <= primary.term:
             replica.applied = max(replica.applied, number)
 
+    async def crash(self, one):
+        """Stop an instance abruptly; its log is kept."""
+        self.world.record(f"crash of {one.name}")
+        await one.stop()
+
+    async def restart(self, one):
+        """Start an instance again, as a replica if another one was promoted."""
+        newest = max(self.instances, key=lambda other: other.term)
+        if newest.term > one.term:
+            one.term, one.primary = newest.term, False
+            one.log = one.log[: len(newest.log)]
+            one.applied = len(one.log)
+        await one.start(one.host)
+        self.world.record(f"{one.name} is back")
+        self.world.list_instances()
+
     def promote(self, name):
         chosen = next((one for one in self.instances if one.name == name), None)
-        if chosen is None:
+        if chosen is None or not chosen.running:
             return False
         if not chosen.primary:
             self._later(self._promote(chosen))
@@ -454,6 +487,7 @@
         term = max(one.term for one in self.instances) + 1
         chosen.term, chosen.primary = term, True
         self.world.record(f"promoted {chosen.name} term {term}")
+        self.on_promotion(chosen)
         for other in self.instances:
             if other is not chosen:
                 if other.primary:
@@ -639,6 +673,9 @@
         self._sequence += 1
         for service in self.services.values():
             for one in service.instances:
+                if not one.running:
+                    self._expire(one)
+                    continue
                 entry = {
                     "backend": service.name,
                     "address": f"{one.host}:{one.port}",
@@ -653,6 +690,13 @@
                 }
                 self.store.put("servers", one.name, json.dumps(entry).encode())
 
+    def _expire(self, one):
+        """Remove the entry of an instance after three heartbeat intervals."""
+        since = one.silent_since
+        if since is not None and time.monotonic() - since >= 2 * HEARTBEAT:
+            # Its last heartbeat was up to one interval before it stopped.
+            self.store.remove("servers", one.name)
+
     def configure(self, routes, tenants=None):
         """Write the next configuration; the store's answer is the acknowledgement."""
         self.version += random.randint(1, 3)
@@ -664,7 +708,7 @@
                     "name": service.name,
                     "healthPath": "/health",
                     "maxConns": service.connections,
-                    "syncReplicas": 0,
+                    "syncReplicas": service.synchronous,
                 }
                 for service in self.services.values()
             ],
