--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,11 +1,11 @@
 """
-A session reads an older state than its own acknowledged commit, because its route moved
-to another service between BEGIN READ and the first statement of the transaction.
+A service never has a primary again, with all its instances up, because all daemons were
+killed right after the acknowledgement of a promotion.
 """
 
 import asyncio
-import random
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -13,117 +13,128 @@
 
 from world import CannotRun, Client, World, route, run_case  # noqa: E402
 
-ROUNDS = 16
-PAUSE_LIMIT = 0.06  # seconds between BEGIN READ and the first statement, at most
+CRASH_TIME = 6.0  # seconds until the primary is back with its log
+RESTART_DELAY = 0.6  # seconds until the platform starts a killed process again
+RECOVERY = 12.0  # recoveryS
+WATCHED = 12.0  # seconds after that in which requests are counted
+SESSIONS = 8
+ROUTES = ("book", "look", "crew")
 
 
-def routes(place, other, version):
-    """Return the routes of a configuration; ``review`` leads to ``place``."""
-    return [
-        route("tally", "primary", "zdb1"),
-        route("tally2", "primary", "zdb2"),
-        route("review", "read_your_writes", place),
-        route("other", "read_your_writes", other),
-        route(f"new{version}", "primary", "zdb1"),
-    ]
+class Counter:
+    """Requests and how many of them were served, before and after the final fault."""
 
+    def __init__(self):
+        self.counting = None
+        self.sent = {"before": 0, "after": 0}
+        self.served = {"before": 0, "after": 0}
 
-async def background(world, database, daemon):
-    """Write all the time, as the other clients of a deployment do."""
-    client = Client(world, f"background-{database}")
-    await client.start(daemon, database)
-    number = 0
+    async def query(self, client, text):
+        phase = self.counting
+        if phase is not None:
+            self.sent[phase] += 1
+        answer = await client.query(text)
+        if phase is not None and answer.ok:
+            self.served[phase] += 1
+
+
+async def session(world, counter, number):
+    """Write and read, connecting again after a close."""
+    count = 0
     while True:
-        number += 1
-        await client.query(f"WRITE bg{number % 50} d{number}")
-        await asyncio.sleep(0.02)
-
-
-async def wait_applied(world, daemon, database):
-    """Wait until a daemon serves a database that the newest configuration added."""
-    loop = asyncio.get_running_loop()
-    give_up_at = loop.time() + 5.0
-    while loop.time() < give_up_at:
-        probe = Client(world, "probe")
-        served = await probe.start(daemon, database)
-        probe.close()
-        if served:
-            return
-        await asyncio.sleep(0.002)
-    raise CannotRun("the configuration is not applied")
-
-
-async def play_round(world, number, trouble):
-    """Return whether the round's read saw the session's own commit; None if unread."""
-    places = ("zdb1", "zdb2") if number % 2 else ("zdb2", "zdb1")
-    service = world.services[places[0]]
-    daemon = world.daemons[number % len(world.daemons)]
-    session = Client(world, f"session-{number}")
-    await session.start(daemon, "review")
-    try:
-        written = await session.query(f"WRITE item{number} data{number}")
-        begun = await session.query("BEGIN READ")
-        if trouble:
-            world.configure(routes(places[1], places[0], number))
-            await wait_applied(world, daemon, f"new{number}")
-        else:
-            await asyncio.sleep(random.uniform(0.01, PAUSE_LIMIT))
-        answer = await session.query(f"READ item{number}")
-        await session.query("COMMIT")
-    finally:
-        session.close()
-    if not (written.ok and begun.ok and answer.ok):
-        return None
-    commit = service.commits[written.request]
-    run = service.runs.get(answer.request)
-    if run is None:
-        raise CannotRun("the transaction ran at another service")
-    instance, seen, _ = run
-    if seen >= commit:
-        return True
-    world.record(
-        f"BROKEN round {number}: commit {commit} of the session was acknowledged before "
-        f"BEGIN READ was sent; its READ ran at {instance.name} on a log up to {seen} "
-        f"and was answered {answer.rows}"
-    )
-    return False
+        daemon = world.daemons[number % len(world.daemons)]
+        client = Client(world, f"session-{number}")
+        try:
+            if not await client.start(daemon, ROUTES[number % len(ROUTES)]):
+                raise OSError("refused")
+            while True:
+                count += 1
+                kind = "WRITE" if count % 3 == 0 else "READ"
+                data = f" d{count}" if kind == "WRITE" else ""
+                await counter.query(client, f"{kind} item{count % 20}{data}")
+                await asyncio.sleep(0.05)
+        except (OSError, asyncio.IncompleteReadError):
+            await asyncio.sleep(0.2)
+        finally:
+            client.close()
+
+
+async def kill_all(world):
+    """Kill all processes and start them again after a short delay."""
+    world.record("all processes are killed")
+    await asyncio.gather(*(daemon.end() for daemon in world.daemons))
+    await asyncio.sleep(RESTART_DELAY)
+    for daemon in world.daemons:
+        await daemon.start(world.scratch / f"{daemon.name}.log")
 
 
 async def play(trouble):
-    world = World(FOLDER, fronts=4)
-    world.add_service("zdb1")
-    world.add_service("zdb2")
-    world.configure(routes("zdb2", "zdb1", 0))
-    results = []
+    world = World(FOLDER, fronts=4, bounds={"contactMs": 4000, "recoveryS": 12})
+    service = world.add_service(
+        "pdb1", slots=2, connections=28, lag=0.008, work=0.004, synchronous=1
+    )
+    world.configure(
+        [
+            route("book", "primary", "pdb1", timeoutMs=800),
+            route("look", "bounded_staleness", "pdb1", timeoutMs=1500),
+            route("crew", "read_your_writes", "pdb1", timeoutMs=800),
+        ]
+    )
+    counter = Counter()
+    acknowledged = asyncio.Event()
+    promote = world.store.promote
+
+    def promote_and_note(backend, name):
+        taken = promote(backend, name)
+        if taken:
+            asyncio.get_running_loop().call_later(0.005, acknowledged.set)
+        return taken
+
+    world.store.promote = promote_and_note
     async with world:
         await world.wait_ready()
+        await asyncio.sleep(2.0)
         tasks = [
-            asyncio.create_task(background(world, "tally", world.daemons[0])),
-            asyncio.create_task(background(world, "tally2", world.daemons[1])),
+            asyncio.create_task(session(world, counter, number))
+            for number in range(SESSIONS)
         ]
+        await asyncio.sleep(1.0)
+        counter.counting = "before"
         await asyncio.sleep(4.0)
-        for number in range(1, ROUNDS + 1):
-            if not trouble:
-                # The same place as with the disruption, set well before the round.
-                place = "zdb1" if number % 2 else "zdb2"
-                other = "zdb2" if number % 2 else "zdb1"
-                world.configure(routes(place, other, number))
-                await wait_applied(
-                    world, world.daemons[number % len(world.daemons)], f"new{number}"
-                )
-            elif number == 1:
-                world.configure(routes("zdb1", "zdb2", 1000))
-                await wait_applied(world, world.daemons[1], "new1000")
-            await asyncio.sleep(1.0)
-            results.append(await play_round(world, number, trouble))
+        counter.counting = None
+        primary = service.instances[0]
+        await service.crash(primary)
+        crashed_at = time.monotonic()
+        async with asyncio.timeout(10):
+            await acknowledged.wait()
+        if trouble:
+            await kill_all(world)
+        await asyncio.sleep(max(crashed_at + CRASH_TIME - time.monotonic(), 0.0))
+        await service.restart(primary)
+        await world.wait_ready()
+        world.record("the machines are back")
+        await asyncio.sleep(RECOVERY)
+        counter.counting = "after"
+        await asyncio.sleep(WATCHED)
+        counter.counting = None
         for task in tasks:
             task.cancel()
-    read = [result for result in results if result is not None]
-    stale = read.count(False)
-    print(f"{len(read)} of {ROUNDS} rounds were read, {stale} of them stale")
-    if len(read) < ROUNDS / 2:
-        raise CannotRun("too few rounds were read")
-    return stale == 0
+        await asyncio.gather(*tasks, return_exceptions=True)
+        shares = {
+            phase: counter.served[phase] / max(counter.sent[phase], 1)
+            for phase in counter.sent
+        }
+        world.record(f"sent {counter.sent}, served {counter.served}")
+        if not all(one.running for one in service.instances):
+            raise CannotRun("an instance is not running")
+    print(
+        f"served before {counter.served['before']} of {counter.sent['before']}, later "
+        f"than {RECOVERY:.0f} s after the machines were back {counter.served['after']} "
+        f"of {counter.sent['after']}; {len(world.store.promotions)} promotion calls"
+    )
+    if counter.sent["after"] < 50 or shares["before"] < 0.25:
+        raise CannotRun("too few requests")
+    return shares["after"] >= 0.25
 
 
 sys.exit(run_case(play))
