Log the position of a session's last write with its requests

A stale read of a session showed only its floor, so the log did not tell whether the daemon had lost the session's position or had ignored it.

--- a/cardamomdrift/telemetry/recorder.py
+++ b/cardamomdrift/telemetry/recorder.py
@@ -110,6 +110,7 @@
             "command": type(request.command).__name__.lower(),
             "instance": trace.instance or None,
             "lender": trace.lender or None,
+            "last_write": str(request.last_write) if request.last_write else None,
             "floor": str(trace.floor) if trace.floor else None,
             "generation": trace.generation,
             "permission_ms": _milliseconds(self._permission.until - boot_clock()),
