Sessions: keep the position of the last write in each group

Callers on a read_your_writes route read an older state than their own acknowledged write after their route had moved to another group, where they wrote again, and back.

Cause: a session kept the position of one write and the name of one group. The second write replaced both, so reads in the first group had the floor of a sample of up to 2.5 s ago alone.

The session keeps a position for each group, eight at most. What it drops, and a write whose answer has no position, leaves the time of its acknowledgement; a read then needs a sample of the primary that began later, or runs at the primary. So neither the bound nor a missing position lowers a floor.

Related paths: an answer without a position dropped the known one as well. Prepared reads, hedges, retries and loans use the floor of the request.

--- a/cardamomdrift/routing/attempt.py
+++ b/cardamomdrift/routing/attempt.py
@@ -104,7 +104,7 @@
     if not request.extensible:
         return None
     last_write = request.last_write or ORIGIN
-    since = request.arrived_boot - route.max_age
+    since = max(request.arrived_boot - route.max_age, request.sample_since)
     floor = cluster.find_floor(since, last_write)
     request.trace.floor = floor
     return floor
--- a/cardamomdrift/routing/request.py
+++ b/cardamomdrift/routing/request.py
@@ -5,6 +5,7 @@
 One statement of a caller, and the record of how it was served.
 """
 
+import math
 from dataclasses import dataclass, field
 
 from cardamomdrift.customers.identity import NO_CUSTOMER, NO_GUARD, Identity
@@ -65,7 +66,10 @@
     arrived_boot : float
         When it arrived, by the boot clock.
     last_write : Position or None
-        Position of the session's last acknowledged write.
+        Position of the session's last acknowledged write in the route's group.
+    sample_since : float
+        When the sample of a read's floor must have begun, at the earliest, by the boot
+        clock.
     payload_bytes : int
         Size of the caller's text that must reach the instance unchanged.
     identity : Identity
@@ -86,6 +90,7 @@
     deadline_at: float
     arrived_boot: float
     last_write: Position | None = None
+    sample_since: float = -math.inf
     payload_bytes: int = 0
     identity: Identity = NO_CUSTOMER
     customer: Customer | None = None
--- a/cardamomdrift/sessions/handler.py
+++ b/cardamomdrift/sessions/handler.py
@@ -42,6 +42,7 @@
     Write,
 )
 from cardamomdrift.sessions.operations import Operations
+from cardamomdrift.sessions.positions import SessionPositions
 from cardamomdrift.sessions.state import (
     PREPARED_LIMIT,
     VALUES_LIMIT,
@@ -93,8 +94,7 @@
         self._holder = None
         self._transaction = None
         self._state = TransactionState.IDLE
-        self._write_position = None
-        self._write_group = None
+        self._positions = SessionPositions()
         self._last_route = None
         self.position = None
 
@@ -292,7 +292,6 @@
                 raise UnknownStatement(f"nothing prepared as {command.name}")
         route = self._route_for(command)
         now = self._clusters.clock()
-        last_write = self._write_position if self._write_group == route.group else None
         guard = self._operations.guard_for(route, self._transaction is not None)
         return StatementRequest(
             request_id=request_id,
@@ -305,7 +304,8 @@
             arrived_at=now,
             deadline_at=find_deadline(route, now, self._clusters.answer_by),
             arrived_boot=boot_clock(),
-            last_write=last_write,
+            last_write=self._positions.last_write(route.group),
+            sample_since=self._positions.unplaced_at,
             payload_bytes=payload_bytes,
             identity=guard.identity,
             guard=guard,
@@ -383,8 +383,7 @@
         return isinstance(request.command, Write)
 
     def _record_write(self, request, reply):
-        self._write_position = reply.position
-        self._write_group = request.route.group
+        self._positions.record(request.route.group, reply.position, boot_clock())
 
     def _make_answer(self, reply, request):
         if reply.position is not None:
--- a/tests/site.py
+++ b/tests/site.py
@@ -124,12 +124,16 @@
     first_voters_delay : float
         Seconds that a daemon waits for others, after all have registered, before it
         names the first voters of the new deployment.
+    more_groups : sequence of str
+        Database groups besides ``g``.
     **settings_changes
         Keys to replace or add in the daemons' settings, as ``contracts``.
 
     Attributes
     ----------
     group : LineGroup
+        The group ``g``.
+    groups : dict of str to LineGroup
     store : RowStore
     daemons : dict of str to PlatformDaemon
         Running daemons by name.
@@ -150,6 +154,7 @@
         synchronous=0,
         tenants=None,
         first_voters_delay=0.0,
+        more_groups=(),
         **settings_changes,
     ):
         self._tenants = tenants
@@ -161,8 +166,12 @@
         self._routes = ROUTES if routes is None else routes
         self._idle_ms = idle_ms
         self._synchronous = synchronous
-        self.group = LineGroup("g", connections=connections)
-        self.store = RowStore(promote=self.group.promote)
+        self.groups = {
+            name: LineGroup(name, connections=connections)
+            for name in ("g", *more_groups)
+        }
+        self.group = self.groups["g"]
+        self.store = RowStore(promote=self._promote)
         self.daemons = {}
         self.endpoints = {}
         self.log = LogBuffer()
@@ -172,7 +181,8 @@
         setup_logging("info", self.log)
         enter = self._stack.enter_async_context
         self._folder = self._stack.enter_context(tempfile.TemporaryDirectory())
-        await enter(self.group)
+        for group in self.groups.values():
+            await enter(group)
         self.ports = daemon_ports()
         self.configure(1)
         self.list_instances()
@@ -216,7 +226,7 @@
         body = configuration(
             version,
             routes or self._routes,
-            {"g": 16},
+            dict.fromkeys(self.groups, 16),
             self._idle_ms,
             self._synchronous,
             self._tenants if tenants is None else tenants,
@@ -225,8 +235,12 @@
 
     def list_instances(self):
         """Write the entries of all instances to the store."""
-        for name, entry in self.group.entries().items():
-            self.store.put("servers", name, entry)
+        for group in self.groups.values():
+            for name, entry in group.entries().items():
+                self.store.put("servers", name, entry)
+
+    def _promote(self, group, name):
+        return self.groups[group].promote(group, name)
 
     def update_entry(self, instance, **changes):
         """Write the entry of an instance with its present state to the store."""
@@ -268,9 +282,11 @@
             self.endpoints[name].faults.down = True
 
     def usable(self, name):
-        """Return whether a daemon knows a primary that it may use."""
-        cluster = self.daemons[name].clusters.get("g")
-        return cluster is not None and cluster.view.primary is not None
+        """Return whether a daemon knows a primary of each group that it may use."""
+        clusters = list(self.daemons[name].clusters)
+        return len(clusters) == len(self.groups) and all(
+            cluster.view.primary is not None for cluster in clusters
+        )
 
     def knows_voters(self, name):
         """Return whether all daemons are voters, as a daemon knows."""
