Transactions: keep the route of BEGIN until the end

Callers whose route moved to another group between BEGIN READ and the first statement read an older state than their own acknowledged write. After a commit of a transaction whose route had moved, reads were refused as LAGGING. A shorter time limit of the route ended the COMMIT of an open transaction as in doubt.

Cause: a transaction kept the cluster of its BEGIN, but its requests were made with the route in force. The session's position was looked up for the new group, age and time limit were the new route's, and the position of the commit was kept for the new group.

The transaction keeps its route, which its requests take. Keys are checked against the route in force, as before, since a withdrawn key must end an open transaction. So the floor, the limits and the commit belong to the group that runs the statements.

--- a/cardamomdrift/routing/pinned.py
+++ b/cardamomdrift/routing/pinned.py
@@ -49,9 +49,11 @@
     ----------
     cluster : Cluster
     read_only : bool
+    route : Route
+        Route in force at BEGIN; it holds until the end of the transaction.
     """
 
-    def __init__(self, cluster, read_only):
+    def __init__(self, cluster, read_only, route):
         self._cluster = cluster
         self._read_only = read_only
         self._stack = AsyncExitStack()
@@ -62,9 +64,15 @@
         self._wrote = False
         self._answered = False
         self._lost_error = None
+        self._route = route
         self.idle_since = cluster.clock()
         self.busy = False
 
+    @property
+    def route(self):
+        """Route in force at BEGIN."""
+        return self._route
+
     @property
     def opened(self):
         """Whether it was opened on an instance and not rolled back since."""
--- a/cardamomdrift/sessions/handler.py
+++ b/cardamomdrift/sessions/handler.py
@@ -180,7 +180,7 @@
         """
         failed = self._state is TransactionState.FAILED
         unchecked = ENDS_FAILED if failed else RUN_AT_INSTANCES
-        route = self._clusters.route_of(self._database) or self._last_route
+        route = self._present_route()
         if isinstance(command, (Rollback, Malformed, *unchecked)) or route is None:
             return
         try:
@@ -207,8 +207,7 @@
         transaction = self._transaction
         if transaction is None or transaction.busy or transaction.lost:
             return
-        route = self._clusters.route_of(self._database) or self._last_route
-        if self._operations.is_withdrawn(route):
+        if self._operations.is_withdrawn(self._present_route()):
             transaction.mark_lost(TransactionLost("the key was withdrawn"))
             self._clusters.run_in_background(transaction.rollback())
 
@@ -260,8 +259,9 @@
         if self._state is not TransactionState.IDLE:
             self._fail()
             raise BadRequest("a transaction is open")
-        cluster = self._clusters.cluster_of(self._route())
-        self._transaction = PinnedTransaction(cluster, read_only)
+        route = self._route()
+        cluster = self._clusters.cluster_of(route)
+        self._transaction = PinnedTransaction(cluster, read_only, route)
         self._state = TransactionState.OPEN
         self._clusters.track_transaction(self)
         return _EMPTY_ANSWER
@@ -290,9 +290,12 @@
             prepared = self._session.prepared.get(command.name)
             if prepared is None:
                 raise UnknownStatement(f"nothing prepared as {command.name}")
-        route = self._route_for(command)
+        transaction = self._transaction
+        route = self._route() if transaction is None else transaction.route
         now = self._clusters.clock()
-        guard = self._operations.guard_for(route, self._transaction is not None)
+        guard = self._operations.guard_for(
+            self._present_route(), transaction is not None
+        )
         return StatementRequest(
             request_id=request_id,
             command=command,
@@ -311,12 +314,12 @@
             guard=guard,
         )
 
-    def _route_for(self, command):
-        """Return the session's route; an open transaction keeps a removed one."""
-        route_removed = self._clusters.route_of(self._database) is None
-        if route_removed and self._transaction is not None:
-            return self._last_route
-        return self._route()
+    def _present_route(self):
+        """Return the route in force, or the last one if it was removed.
+
+        It decides about access, which a transaction does not keep from its beginning.
+        """
+        return self._clusters.route_of(self._database) or self._last_route
 
     async def _run(self, request_id, command, payload_bytes):
         request = None
@@ -341,7 +344,7 @@
         try:
             await request.guard.admit(request.deadline_boot)
         except AccessDenied as denied:
-            route = request.route
+            route = self._present_route()
             if self._transaction is None or not self._operations.may_run_again(route):
                 raise
             # The key is known, so a new transaction is served.
--- a/tests/test_session_positions.py
+++ b/tests/test_session_positions.py
@@ -19,7 +19,7 @@
 from cardamomdrift.routing.samples import FloorHistory, FloorRule, Sample
 from cardamomdrift.sessions import handler as handler_module
 from cardamomdrift.sessions import positions as positions_module
-from cardamomdrift.sessions.commands import Read, Write
+from cardamomdrift.sessions.commands import Begin, Commit, Read, Write
 from cardamomdrift.sessions.handler import SessionHandler
 from cardamomdrift.sessions.positions import GROUP_LIMIT, SessionPositions
 from cardamomdrift.standins.entries import route
@@ -63,7 +63,7 @@
     """Log of a group's primary, and the samples that a daemon has of it."""
 
     def __init__(self, model):
-        self._model = model
+        self.model = model
         self._floors = FloorHistory()
         self.term = 1
         self.length = 0
@@ -75,27 +75,55 @@
         return Position(self.term, self.length)
 
     def clock(self):
-        return self._model.now
+        return self.model.now
 
     def sample(self):
-        self._floors.add(Sample(self._model.now, self.position))
+        self._floors.add(Sample(self.model.now, self.position))
 
     def find_floor(self, since, at_least):
         return self._floors.find(FloorRule(since, at_least))
 
     async def write(self, _request):
         self.length += 1
-        known = self._model.random.random() < 0.9
+        known = self.model.random.random() < 0.9
         return Reply([], "sig", position=self.position if known else None)
 
     async def read(self, request):
         """Read at the least advanced instance that the floor allows."""
         floor = find_read_floor(self, request)
         seen = self.position if floor is None else floor
-        self._model.check_read(self, seen)
+        self.model.check_read(self, seen)
         return Reply([], "sig", position=seen)
 
 
+class ModelTransaction:
+    """Transaction at one group; its position is that of the group at the commit."""
+
+    def __init__(self, group, read_only, route=None):
+        self._model = group.model
+        self._group = group
+        self._read_only = read_only
+        self._opened = False
+        self.route = route
+        self.wrote = False
+        self.busy = self.lost = False
+
+    async def run(self, request):
+        self.wrote = self.wrote or isinstance(request.command, Write)
+        if self._read_only and not self._opened:
+            await self._group.read(request)
+        self._opened = True
+        return Reply([], "sig", position=self._group.position)
+
+    async def commit(self, request):
+        if self.wrote:
+            return await self._group.write(request)
+        return Reply([], "sig", position=self._group.position)
+
+    def rollback(self):
+        return mock.Mock()
+
+
 class SessionModel:
     """A session whose route moves between groups while it reads and writes.
 
@@ -115,6 +143,8 @@
         self.routes = {}
         self.stale = False
         self._written = dict.fromkeys(self.groups.values(), ORIGIN)
+        self._group = None  # of the open transaction
+        self._read_only = False
         self._move()
 
     # What a session handler uses of Clusters
@@ -155,11 +185,31 @@
 
     def check_read(self, group, seen):
         self.stale = self.stale or seen < self._written[group]
+        # A floor that the group's log never reaches would refuse all further reads.
+        self.stale = self.stale or seen > group.position
+
+    def _present_group(self):
+        return self.groups[self.routes["d"].group]
 
     async def _write(self, handler):
-        await handler.handle("w", Write("WRITE a 1"))
-        group = self.groups[self.routes["d"].group]
-        self._written[group] = group.position
+        if self._group is None:
+            await handler.handle("w", Write("WRITE a 1"))
+            group = self._present_group()
+            self._written[group] = group.position
+        elif not self._read_only:
+            await handler.handle("w", Write("WRITE a 1"))
+
+    async def _begin_or_commit(self, handler):
+        if self._group is None:
+            self._group = self._present_group()
+            self._read_only = self.random.random() < 0.5
+            await handler.handle("b", Begin(self._read_only))
+            return
+        group, self._group = self._group, None
+        wrote = handler.transaction.wrote
+        await handler.handle("c", Commit())
+        if wrote:
+            self._written[group] = group.position
 
     async def step(self, handler):
         self.now += self.random.choice((0.01, 0.2, 1.0))
@@ -173,14 +223,19 @@
             group.length += 1
         elif chance < 0.55:
             group.sample()
-        elif chance < 0.75:
+        elif chance < 0.65:
+            await self._begin_or_commit(handler)
+        elif chance < 0.8:
             await self._write(handler)
         else:
             await handler.handle("r", Read("READ a"))
 
     async def run(self):
         handler = SessionHandler(self, "d", "caller")
-        with mock.patch.object(handler_module, "boot_clock", lambda: self.now):
+        with (
+            mock.patch.object(handler_module, "boot_clock", lambda: self.now),
+            mock.patch.object(handler_module, "PinnedTransaction", ModelTransaction),
+        ):
             for _ in range(MODEL_STEPS):
                 await self.step(handler)
         return self.stale
@@ -203,6 +258,12 @@
         """STALE: a write at another group dropped what a read had to see."""
         self.assertIsNone(find_stale_seed(range(MODEL_SEEDS)))
 
+    def test_a_transaction_that_takes_the_present_route_is_caught(self):
+        """STALE: it dropped the position that its reads at the old group need."""
+        present = property(lambda self: self._model.routes["d"], lambda *_: None)
+        with mock.patch.object(ModelTransaction, "route", present, create=True):
+            self.assertIsNotNone(find_stale_seed(range(MUTANT_SEEDS)))
+
     def test_a_single_position_is_caught(self):
         def record(positions, group, position, acknowledged_at):
             positions._writes.clear()
@@ -240,6 +301,42 @@
         self.site.configure(version, self.routes(group))
         await self.site.until(lambda: self.site.daemons["vm-1"].version == version)
 
+    async def test_a_route_that_moves_inside_a_transaction(self):
+        """STALE: the transaction's read did not see the session's own commit."""
+        await self.start()
+        crew = await self.site.caller("vm-1", "crew")
+        await crew.ask("WRITE a new")
+        await crew.ask("BEGIN READ")
+        await self.move(2, "h")
+        self.assertEqual((await crew.ask("READ a"))[0], "ROW a=new")
+        await crew.ask("COMMIT")
+
+    async def test_a_commit_counts_where_the_transaction_ran(self):
+        """LAGGING for good: its position was kept for the route's new group."""
+        await self.start()
+        crew = await self.site.caller("vm-1", "crew")
+        await crew.ask("BEGIN")
+        await crew.ask("WRITE a new")
+        await self.move(2, "h")
+        await crew.ask("COMMIT")
+        answer = await crew.ask("READ a")
+        self.assertTrue(answer[-1].startswith("COMPLETE sig-h"), answer)
+        await self.move(3, "g")
+        self.assertEqual((await crew.ask("READ a"))[0], "ROW a=new")
+
+    async def test_a_transaction_keeps_its_time_limit(self):
+        """INDOUBT: a new time limit of the route held for an open one."""
+        await self.start()
+        crew = await self.site.caller("vm-1", "crew")
+        await crew.ask("BEGIN")
+        await crew.ask("WRITE a new")
+        routes = self.routes("g")
+        self.site.configure(2, [{**entry, "timeoutMs": 50} for entry in routes])
+        await self.site.until(lambda: self.site.daemons["vm-1"].version == 2)
+        self.site.group.primary.service_time = 0.2
+        [answer] = await crew.ask("COMMIT")
+        self.assertTrue(answer.startswith("COMPLETE sig"), answer)
+
     async def test_a_route_that_moves_there_and_back(self):
         """STALE: the read after it did not see the session's first write."""
         await self.start()
