Replacement: count all logs that may hold an acknowledged commit

With syncReplicas 1, callers lost commits that had been acknowledged: one replica received nothing, the other one was lost for good, the primary crashed, and the first one was promoted.

Cause: the number of answers that a promotion needs came from the instances that were listed at that moment. A replica that had left the list counted neither as a possible holder of commits nor as missing. The former primary was no evidence at all, although it came back with all commits.

Ruled out: the choice among the answers (there was one), the release, an old list.

The processes that may hold acknowledged commits are kept for each group with synchronous replicas, in the row holders/GROUP and in memory. One that has left is dropped when the primary and enough listed replicas have what it had. A promotion needs answers that leave the logs of at most syncReplicas of them unknown: the newest of the known logs then has each acknowledged commit. The former primary is one of them. If no replica reaches its log, it steps down and is promoted itself.

Related paths: restarts of all daemons, replicas that restart without their log, draining ones whose log goes to a new instance, a restored store, planned hand-overs, groups without any other instance (failed for good, also without synchronous replicas).

--- a/cardamomdrift/failover/execution.py
+++ b/cardamomdrift/failover/execution.py
@@ -34,15 +34,20 @@
 from cardamomdrift.failover.replacement import (
     CATCH_UP_TIMEOUT,
     INTENT_LIFETIME,
-    Candidate,
     Intent,
-    answers_needed,
-    can_take_over,
-    choose_candidate,
     is_released,
     may_call_platform,
     takeover_at,
 )
+from cardamomdrift.failover.succession import (
+    Candidate,
+    Succession,
+    can_take_over,
+    choose_candidate,
+    is_complete,
+    make_holder,
+    missing_holders,
+)
 from cardamomdrift.failover.voters import has_quorum
 from cardamomdrift.peers.contacts import LIVENESS_TIMEOUT
 from cardamomdrift.ports import Committed
@@ -69,13 +74,23 @@
     roster : Roster
     clusters : Clusters
     instances : InstanceList
+    holder_keeper : HolderKeeper
     announce : callable
         Sends heartbeats to all peers immediately.
     log : structlog logger
     """
 
     def __init__(
-        self, store, promotions, control, roster, clusters, instances, announce, log
+        self,
+        store,
+        promotions,
+        control,
+        roster,
+        clusters,
+        instances,
+        holder_keeper,
+        announce,
+        log,
     ):
         self._store = store
         self._promotions = promotions
@@ -83,6 +98,7 @@
         self._roster = roster
         self._clusters = clusters
         self._instances = instances
+        self._holder_keeper = holder_keeper
         self._announce = announce
         self._peer_reports = PeerReports(roster, clusters)
         self._log = log
@@ -113,12 +129,17 @@
         if old is not None and old.spec.draining:
             await self._wait_caught_up(cluster, old)
         candidate, term = await self._find_candidate(cluster, intent)
-        await self._call_promote(cluster, candidate, intent)
-        term = await self._wait_until_primary(cluster, candidate, term)
+        name = candidate.name
+        if candidate.leads:
+            # The platform changes nothing for an instance that leads.
+            await cluster.instances[name].prober.demote(term + 1)
+        await self._call_promote(cluster, name, intent)
+        term = await self._wait_until_primary(cluster, name, term)
         old = cluster.instances.get(cluster.leadership.primary)
-        await self._settle(cluster, candidate, term, intent)
-        await self._demote(old, term)
-        return candidate
+        await self._settle(cluster, name, term, intent)
+        if old is not None and old.spec.name != name:
+            await self._demote(old, term)
+        return name
 
     async def _write_intent(self, cluster, reason):
         """Commit the replacement to the store, then stop using the old primary.
@@ -251,18 +272,22 @@
                 )
 
     async def _find_candidate(self, cluster, intent):
-        """Return the name of the instance to promote, and the highest term seen."""
-        needed = self._answers_needed(cluster)
+        """Return the Candidate to promote, and the highest term seen."""
+        succession = self._make_succession(cluster)
         deadline_at = boot_clock() + PLATFORM_CALL_TIMEOUT
         while True:
-            candidates = await self._ask_candidates(cluster)
-            chosen = choose_candidate(candidates, needed)
+            late = boot_clock() >= deadline_at
+            candidates = await self._ask_others(cluster)
+            if not is_complete(succession, candidates):
+                candidates += await self._ask_former(cluster)
+            chosen = choose_candidate(succession, candidates, late)
             if chosen is not None:
                 self._log.info(
                     "candidate chosen",
                     group=cluster.group.name,
                     generation=intent.generation,
-                    candidate=chosen,
+                    candidate=chosen.name,
+                    leads=chosen.leads,
                     received=" ".join(
                         f"{candidate.name}={candidate.received}"
                         for candidate in candidates
@@ -272,37 +297,58 @@
                     cluster.leadership.term,
                     *(candidate.term for candidate in candidates),
                 )
-            if boot_clock() >= deadline_at:
-                raise ReplacementFailed("too few replicas answer")
+            if late:
+                raise ReplacementFailed(self._explain(succession, candidates))
             await asyncio.sleep(POLL_INTERVAL)
 
-    @staticmethod
-    def _other_instances(cluster):
-        """Return the names and runtimes of the instances besides the old primary."""
-        others = [
-            (name, runtime)
-            for name, runtime in cluster.instances.items()
-            if name != cluster.leadership.primary
-        ]
-        if not others:
-            raise ReplacementFailed("the group has no other instance")
-        return others
+    def _make_succession(self, cluster):
+        leadership = cluster.leadership
+        return Succession(
+            leadership.primary,
+            leadership.term,
+            cluster.group.synchronous,
+            self._holder_keeper.holders(cluster),
+        )
 
-    def _answers_needed(self, cluster):
-        others = self._other_instances(cluster)
-        return answers_needed(len(others), cluster.group.synchronous)
+    @staticmethod
+    def _explain(succession, candidates):
+        """Return why there is no candidate, for operators."""
+        if is_complete(succession, candidates):
+            return "only the old primary has the last commits, and it is draining"
+        if not succession.synchronous:
+            return "no replica answers"
+        names = [holder.name for holder in missing_holders(succession, candidates)]
+        return (
+            f"acknowledged commits may be missing: {len(names)} logs are not known, "
+            f"{succession.synchronous} may be ({', '.join(names)})"
+        )
 
-    async def _ask_candidates(self, cluster):
-        """Return the Candidates among the instances that answer."""
+    async def _ask_others(self, cluster):
+        """Return the Candidates among the instances besides the old primary."""
         answers = await asyncio.gather(
             *(
-                self._ask_candidate(name, runtime)
-                for name, runtime in self._other_instances(cluster)
+                self._ask_candidate(cluster, name, runtime)
+                for name, runtime in cluster.instances.items()
+                if name != cluster.leadership.primary
             )
         )
-        return [answer for answer in answers if answer is not None]
+        return [
+            # Another primary is one that does not know yet that it was replaced.
+            answer
+            for answer in answers
+            if answer is not None and not answer.leads
+        ]
+
+    async def _ask_former(self, cluster):
+        """Return a list of the old primary as a Candidate; empty if it is away."""
+        name = cluster.leadership.primary
+        runtime = cluster.instances.get(name)
+        if runtime is None:
+            return []
+        answer = await self._ask_candidate(cluster, name, runtime)
+        return [] if answer is None else [answer]
 
-    async def _ask_candidate(self, name, runtime):
+    async def _ask_candidate(self, cluster, name, runtime):
         try:
             status = await runtime.prober.status()
         except (UpstreamError, TimeoutError) as error:
@@ -312,11 +358,19 @@
                 error=f"{type(error).__name__} {error}",
             )
             return None
-        if status.primary:
-            # An earlier primary that does not know yet that it was replaced.
-            return None
-        draining = runtime.spec.draining
-        return Candidate(name, status.received, draining, status.term)
+        observed = cluster.view.instances.get(name)
+        holder = make_holder(runtime.spec)
+        if observed is not None and status.received < observed.position:
+            # It has restarted without its log since the list was read.
+            holder = None
+        return Candidate(
+            name,
+            status.received,
+            runtime.spec.draining,
+            status.term,
+            status.primary,
+            holder,
+        )
 
     async def _wait_released(self, cluster, intent):
         """Wait until no daemon uses the old primary any more."""
@@ -373,9 +427,9 @@
         try:
             async with asyncio.timeout(CATCH_UP_TIMEOUT):
                 last = await old.prober.ping(read_only=True)
-                needed = self._answers_needed(cluster)
+                succession = self._make_succession(cluster)
                 while last is not None and not can_take_over(
-                    await self._ask_candidates(cluster), needed, last
+                    succession, await self._ask_others(cluster), last
                 ):
                     await asyncio.sleep(POLL_INTERVAL)
                 return
--- a/cardamomdrift/failover/records.py
+++ b/cardamomdrift/failover/records.py
@@ -3,7 +3,8 @@
 ===============
 
 Rows of the daemons' own table in the platform's store: the registered daemons, the
-voters among them, the holder of the duty to promote, and the primary of each group.
+voters among them, the holder of the duty to promote, the primary of each group, and the
+processes of instances whose logs may hold acknowledged commits.
 """
 
 import msgspec
@@ -18,6 +19,7 @@
 VOTERS_KEY = "epoch"
 MEMBER_PREFIX = "member/"
 LEADERSHIP_PREFIX = "lead/"
+HOLDERS_PREFIX = "holders/"
 
 
 class MemberRecord(msgspec.Struct, frozen=True):
@@ -92,6 +94,24 @@
     attempt: str
 
 
+class HolderRecord(msgspec.Struct, frozen=True):
+    """Process of an instance; see `succession.Holder`."""
+
+    name: str
+    started_at_ms: int
+    address: str
+    draining: bool
+
+
+class HoldersRecord(msgspec.Struct, frozen=True):
+    """Row of the processes whose logs may hold acknowledged commits of a group.
+
+    There is one for each group with synchronous replicas.
+    """
+
+    holders: tuple[HolderRecord, ...]
+
+
 def member_key(name):
     """Return the key of a daemon's row."""
     return MEMBER_PREFIX + name
@@ -102,6 +122,11 @@
     return LEADERSHIP_PREFIX + group
 
 
+def holders_key(group):
+    """Return the key of the row of a group's holders."""
+    return HOLDERS_PREFIX + group
+
+
 def encode_record(record):
     """Return a record as JSON."""
     return msgspec.json.encode(record)
--- a/cardamomdrift/failover/replacement.py
+++ b/cardamomdrift/failover/replacement.py
@@ -2,9 +2,9 @@
 Replacement
 ===========
 
-Decides when a group's primary is replaced, which instance takes over, and when the
-platform may be called, for the groups whose primary the platform promotes.  All
-functions here are pure.
+Decides when a group's primary is replaced, and when the platform may be called, for the
+groups whose primary the platform promotes.  `failover.succession` decides which
+instance takes over.  All functions here are pure.
 """
 
 from dataclasses import dataclass
@@ -139,83 +139,6 @@
     return reported_ago <= LIVENESS_TIMEOUT
 
 
-@dataclass(frozen=True, slots=True)
-class Candidate:
-    """Replica that may be promoted.
-
-    Attributes
-    ----------
-    name : str
-    received : Position
-        Last log entry that it has received.
-    draining : bool
-    term : int
-        Term of the primary that it follows.
-    """
-
-    name: str
-    received: object
-    draining: bool
-    term: int = 0
-
-
-def answers_needed(replicas, synchronous):
-    """Return how many replicas must answer so that no acknowledged commit is lost.
-
-    Parameters
-    ----------
-    replicas : int
-        Number of instances of the group besides the old primary.
-    synchronous : int
-        Number of replicas that have received a commit before it is acknowledged.
-    """
-    return max(1, replicas - synchronous + 1) if synchronous else 1
-
-
-def choose_candidate(candidates, needed):
-    """Return the name of the instance to promote, or None if too few answered.
-
-    The newest log decides, since the commits that only it has would be lost otherwise.
-    Among equal logs an instance that is not draining is preferred, then the name
-    decides.
-
-    Parameters
-    ----------
-    candidates : list of Candidate
-        Replicas that answered.
-    needed : int
-        Number of replicas that must answer; see `answers_needed`.
-    """
-    if len(candidates) < needed:
-        return None
-    return max(
-        candidates,
-        key=lambda candidate: (
-            candidate.received,
-            not candidate.draining,
-            candidate.name,
-        ),
-    ).name
-
-
-def can_take_over(candidates, needed, last):
-    """Whether a planned replacement loses no commit and needs no second one.
-
-    Parameters
-    ----------
-    candidates : list of Candidate
-        Replicas that answered.
-    needed : int
-        Number of replicas that must answer; see `answers_needed`.
-    last : Position
-        End of the old primary's log.
-    """
-    if len(candidates) < needed:
-        return False
-    not_draining = [candidate for candidate in candidates if not candidate.draining]
-    return any(candidate.received >= last for candidate in not_draining or candidates)
-
-
 @dataclass(frozen=True, slots=True)
 class Intent:
     """Replacement that is committed to the store.
--- a/cardamomdrift/platform/daemon.py
+++ b/cardamomdrift/platform/daemon.py
@@ -29,6 +29,7 @@
 from cardamomdrift.loops import repeat
 from cardamomdrift.membership.control import ControlPlane
 from cardamomdrift.membership.feed import TableFeed
+from cardamomdrift.membership.holder_keeper import HolderKeeper
 from cardamomdrift.membership.informed import is_informed
 from cardamomdrift.membership.instance_list import InstanceList
 from cardamomdrift.peers.announcer import Announcer
@@ -161,6 +162,7 @@
         )
         self.control = self._make_control()
         self.announcer = self._make_announcer()
+        self.holder_keeper = self._make_holder_keeper()
         self.replacer = self._make_replacer()
         self.lender = self._make_lender(clock)
         self.callers = CallerServer(
@@ -224,6 +226,16 @@
             self.restarts,
         )
 
+    def _make_holder_keeper(self):
+        return HolderKeeper(
+            self.store,
+            self.control,
+            self.roster,
+            self.clusters,
+            self.instances,
+            self.log,
+        )
+
     def _make_replacer(self):
         executor = ReplacementExecutor(
             self.store,
@@ -232,6 +244,7 @@
             self.roster,
             self.clusters,
             self.instances,
+            self.holder_keeper,
             self.announcer.announce,
             self.log,
         )
@@ -358,6 +371,7 @@
         await enter(self._instance_feed)
         await enter(self.control)
         await enter(self.announcer)
+        await enter(self.holder_keeper)
         await enter(self.replacer)
         await enter(self.lender)
         self._stack.enter_context(self.borrower)
--- a/cardamomdrift/standins/lines.py
+++ b/cardamomdrift/standins/lines.py
@@ -364,13 +364,14 @@
         instance = self.instances.get(name)
         if instance is None or not instance.running:
             return False
-        if instance is not self.primary:
+        leading = [other for other in self.instances.values() if other.primary]
+        if not leading or instance is not self.primary:
             keep_task(self._tasks, self._finish_promotion(instance))
         return True
 
     async def _finish_promotion(self, instance):
         await asyncio.sleep(PROMOTION_TIME)
-        instance.term = self.primary.term + 1
+        instance.term = 1 + max(other.term for other in self.instances.values())
         instance.primary = True
 
     def entries(self):
