Replacement: consider what an unfinished replacement has done

A group had no primary again, with all its instances up, after all daemons had been killed right after the answer to a promotion call: each replacement failed with too few replicas.

Cause: whoever superseded the unfinished replacement left out the instance that it had promoted, as an outdated primary, and, by its name, the former primary, which was a replica by then. One candidate was left, two were needed. Ruled out: the platform (the instance led), permission and voters (replacements were begun), the list of instances (complete).

All instances are asked, and all count. The newest log is promoted; an instance that leads steps down before the call, because the platform changes nothing for one that leads. With synchronous replicas the group's row names whom the platform is called for, before the call: if these and the former primary are known, no other log is needed. The candidate is asked again before each call, since it may have restarted without its log. So a replacement fails only while logs are missing that may matter.

--- a/cardamomdrift/failover/execution.py
+++ b/cardamomdrift/failover/execution.py
@@ -10,6 +10,8 @@
 import asyncio
 import secrets
 
+import msgspec
+
 from cardamomdrift.clock import boot_clock
 from cardamomdrift.errors import (
     CardamomdriftError,
@@ -127,13 +129,14 @@
         # from the logs that are compared.
         old = cluster.instances.get(cluster.leadership.primary)
         if old is not None and old.spec.draining:
-            await self._wait_caught_up(cluster, old)
+            await self._wait_caught_up(cluster, old, intent)
         candidate, term = await self._find_candidate(cluster, intent)
         name = candidate.name
         if candidate.leads:
             # The platform changes nothing for an instance that leads.
             await cluster.instances[name].prober.demote(term + 1)
-        await self._call_promote(cluster, name, intent)
+        await self._record_call(cluster, name, intent)
+        await self._call_promote(cluster, candidate, intent)
         term = await self._wait_until_primary(cluster, name, term)
         old = cluster.instances.get(cluster.leadership.primary)
         await self._settle(cluster, name, term, intent)
@@ -167,6 +170,7 @@
             leadership.primary,
             duty.token,
             secrets.token_hex(8),
+            self._find_called(cluster, rows.get(key)),
         )
         expected = {
             row_key: rows[row_key].version if row_key in rows else 0
@@ -190,7 +194,45 @@
         )
         self._begun_generations[cluster.group.name] = record.generation
         self._announce()
-        return Intent(record.generation, duty.token, begun_at, committed_at)
+        return Intent(
+            record.generation, duty.token, begun_at, committed_at, record.called
+        )
+
+    @staticmethod
+    def _find_called(cluster, row):
+        """Return which instances unfinished replacements may have had promoted.
+
+        Calls are recorded only for groups with synchronous replicas.
+
+        Returns
+        -------
+        tuple of str or None
+            None if it is not known.
+        """
+        if not cluster.group.synchronous:
+            return None
+        if row is None or cluster.leadership.settled:
+            return ()
+        return decode_record(row, LeadershipRecord).called
+
+    async def _record_call(self, cluster, candidate, intent):
+        """Record in the store that the platform is about to be called.
+
+        Whoever supersedes this replacement then knows which instance may lead.
+        """
+        if intent.called is None:
+            return
+        key = leadership_key(cluster.group.name)
+        row = self._control.rows.get(key)
+        record = None if row is None else decode_record(row, LeadershipRecord)
+        if record is None or record.generation != intent.generation:
+            raise ReplacementFailed("another replacement came after this one")
+        called = tuple(dict.fromkeys((*intent.called, candidate)))
+        value = encode_record(msgspec.structs.replace(record, called=called))
+        result = await self._store.commit(TABLE, {key: row.version}, {key: value})
+        if not isinstance(result, Committed):
+            raise ReplacementFailed("another daemon changed the row of this group")
+        await self._control.refresh()
 
     def _check_quorum_reachable(self):
         """Check that enough voters can acknowledge a replacement.
@@ -273,7 +315,7 @@
 
     async def _find_candidate(self, cluster, intent):
         """Return the Candidate to promote, and the highest term seen."""
-        succession = self._make_succession(cluster)
+        succession = self._make_succession(cluster, intent)
         deadline_at = boot_clock() + PLATFORM_CALL_TIMEOUT
         while True:
             late = boot_clock() >= deadline_at
@@ -301,13 +343,14 @@
                 raise ReplacementFailed(self._explain(succession, candidates))
             await asyncio.sleep(POLL_INTERVAL)
 
-    def _make_succession(self, cluster):
+    def _make_succession(self, cluster, intent):
         leadership = cluster.leadership
         return Succession(
             leadership.primary,
             leadership.term,
             cluster.group.synchronous,
             self._holder_keeper.holders(cluster),
+            intent.called,
         )
 
     @staticmethod
@@ -332,12 +375,7 @@
                 if name != cluster.leadership.primary
             )
         )
-        return [
-            # Another primary is one that does not know yet that it was replaced.
-            answer
-            for answer in answers
-            if answer is not None and not answer.leads
-        ]
+        return [answer for answer in answers if answer is not None]
 
     async def _ask_former(self, cluster):
         """Return a list of the old primary as a Candidate; empty if it is away."""
@@ -417,7 +455,7 @@
             missing=",".join(missing) or None,
         )
 
-    async def _wait_caught_up(self, cluster, old):
+    async def _wait_caught_up(self, cluster, old, intent):
         """Wait until a replica has the last commits of a draining primary.
 
         After CATCH_UP_TIMEOUT the replacement goes on without them, unless the group
@@ -427,7 +465,7 @@
         try:
             async with asyncio.timeout(CATCH_UP_TIMEOUT):
                 last = await old.prober.ping(read_only=True)
-                succession = self._make_succession(cluster)
+                succession = self._make_succession(cluster, intent)
                 while last is not None and not can_take_over(
                     succession, await self._ask_others(cluster), last
                 ):
@@ -449,12 +487,14 @@
         Calls are repeated until the platform answers, but only while no other daemon
         may take over this replacement.
         """
-        group = cluster.group.name
+        group, name = cluster.group.name, candidate.name
         while may_call_platform(intent, boot_clock(), PLATFORM_CALL_TIMEOUT):
+            if cluster.group.synchronous:
+                await self._check_log_kept(cluster, candidate)
             try:
                 accepted = await self._promotions.promote(
                     group,
-                    candidate,
+                    name,
                     self._roster.vm,
                     intent.token,
                     PLATFORM_CALL_TIMEOUT,
@@ -468,17 +508,27 @@
             self._log.warning(
                 "promotion called",
                 group=group,
-                candidate=candidate,
+                candidate=name,
                 token=intent.token,
                 taken=accepted,
             )
             if not accepted:
                 raise ReplacementFailed(
-                    f"the platform reports that {candidate} is not running"
+                    f"the platform reports that {name} is not running"
                 )
             return
         raise ReplacementFailed("no time left for a call of the platform")
 
+    async def _check_log_kept(self, cluster, candidate):
+        """Check that the candidate has not restarted without its log meanwhile."""
+        name = candidate.name
+        answer = None
+        if name in cluster.instances:
+            runtime = cluster.instances[name]
+            answer = await self._ask_candidate(cluster, name, runtime)
+        if answer is None or answer.received < candidate.received:
+            raise ReplacementFailed(f"{name} does not answer with its log any more")
+
     async def _wait_until_primary(self, cluster, candidate, old_term):
         """Wait until the candidate is primary in a higher term; return that term."""
         runtime = cluster.instances[candidate]
--- a/cardamomdrift/failover/records.py
+++ b/cardamomdrift/failover/records.py
@@ -84,6 +84,9 @@
         Fencing token of the daemon that carries out the replacement.
     attempt : str
         Unique id of the attempt; empty once settled.
+    called : tuple of str or None
+        Instances that this replacement and unfinished ones before it may have had
+        promoted; None if they are not recorded.
     """
 
     generation: int
@@ -92,6 +95,7 @@
     primary: str
     token: int
     attempt: str
+    called: tuple[str, ...] | None = None
 
 
 class HolderRecord(msgspec.Struct, frozen=True):
--- a/cardamomdrift/failover/replacement.py
+++ b/cardamomdrift/failover/replacement.py
@@ -152,12 +152,16 @@
         When the commit was sent, in seconds of this VM's boot clock.
     committed_at : float
         When the commit was answered, by the same clock.
+    called : tuple of str or None
+        Instances that unfinished replacements before it may have had promoted; None if
+        it is not known.
     """
 
     generation: int
     token: int
     begun_at: float
     committed_at: float
+    called: tuple | None = None
 
 
 def may_call_platform(intent, now, call_timeout):
--- a/cardamomdrift/failover/succession.py
+++ b/cardamomdrift/failover/succession.py
@@ -90,12 +90,16 @@
         Number of replicas that have received a commit before it is acknowledged.
     holders : frozenset of Holder
         Processes that may hold acknowledged commits.
+    called : tuple of str or None
+        Instances that unfinished replacements may have had promoted; None if it is not
+        known.
     """
 
     former: str
     term: int
     synchronous: int
     holders: frozenset = frozenset()
+    called: tuple | None = None
 
 
 def has_log_of(candidate, holder, candidates):
@@ -134,6 +138,9 @@
 def is_complete(succession, candidates):
     """Whether the newest log of the candidates has all acknowledged commits.
 
+    It has them if at most as many logs are missing as there are synchronous replicas,
+    or if none is missing of the instances that may have acknowledged commits as
+    primaries.
     Without synchronous replicas nothing can show this, and any candidate is enough.
 
     Parameters
@@ -144,22 +151,40 @@
     if not succession.synchronous or not candidates:
         return bool(candidates)
     missing = missing_holders(succession, candidates)
-    return len(missing) <= succession.synchronous
+    if len(missing) <= succession.synchronous:
+        return True
+    if succession.called is None:
+        return False
+    primaries = {succession.former, *succession.called}
+    known = {one.name for one in candidates} - {holder.name for holder in missing}
+    return primaries <= known
 
 
 def leads_as_before(succession, candidate):
-    """Whether a candidate is the former primary and still leads."""
-    return candidate.leads and candidate.name == succession.former
+    """Whether a candidate is the former primary and leads in the same term."""
+    if not candidate.leads or candidate.name != succession.former:
+        return False
+    return not succession.term or candidate.term <= succession.term
+
+
+def is_outdated(succession, candidate, candidates):
+    """Whether a candidate leads, but others follow a primary of a higher term."""
+    newest_term = max(succession.term, *(one.term for one in candidates))
+    return candidate.leads and candidate.term < newest_term
 
 
 def choose_candidate(succession, candidates, late=False):
     """Return the Candidate to promote, or None while there is none.
 
     The newest log decides, since the commits that only it has would be lost otherwise.
-    Among equal logs an instance that is not draining is preferred, then the name
-    decides.  The former primary, if it still leads, is chosen only if no replica has
-    caught up with it in time, and not while it is draining, since it would have to be
-    replaced again.
+    Among equal logs the one of a primary that an unfinished replacement has promoted is
+    preferred, then that of an instance that is not draining, then the name decides.
+    Without synchronous replicas, a primary that does not know yet that it was replaced
+    is the last choice, since its log may have commits that were rolled back.
+
+    The former primary, if it still leads, is chosen only if no replica has caught up
+    with it in time, and not while it is draining, since it would have to be replaced
+    again.
 
     Parameters
     ----------
@@ -170,17 +195,29 @@
     """
     if not is_complete(succession, candidates):
         return None
-    replicas = [one for one in candidates if not leads_as_before(succession, one)]
-    best = max(replicas, key=_preference, default=None)
-    newest = max(candidates, key=_preference)
+    newest = max(one.received for one in candidates)
+    former, others = [], []
+    for one in candidates:
+        (former if leads_as_before(succession, one) else others).append(one)
+    if not succession.synchronous:
+        current = [one for one in others if not is_outdated(succession, one, others)]
+        others = current or others
+    best = max(others, key=_preference, default=None)
     if best is not None:
-        if not succession.synchronous or best.received >= newest.received:
+        if not succession.synchronous or best.received >= newest:
             return best
-    return newest if late and not newest.draining else None
+    if late and former and not former[0].draining:
+        return former[0]
+    return None
 
 
 def _preference(candidate):
-    return candidate.received, not candidate.draining, candidate.name
+    return (
+        candidate.received,
+        candidate.leads,
+        not candidate.draining,
+        candidate.name,
+    )
 
 
 def can_take_over(succession, candidates, last):
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -8,7 +8,9 @@
 import asyncio
 import unittest
 from dataclasses import replace
+from unittest import mock
 
+from cardamomdrift.failover.execution import ReplacementExecutor
 from cardamomdrift.failover.records import HolderRecord, HoldersRecord, encode_record
 from cardamomdrift.failover.succession import (
     Candidate,
@@ -107,6 +109,43 @@
         self.assertIsNone(self.choose(succession(0), former))
         self.assertEqual(self.choose(succession(0), former, late=True), "a")
 
+    def test_a_primary_of_an_unfinished_replacement_goes_on(self):
+        """RECOVER: it was taken for one that does not know that it was replaced."""
+        for synchronous in (0, 1):
+            group = succession(synchronous)
+            promoted = candidate("b", 9, leads=True, term=2)
+            self.assertEqual(self.choose(group, promoted, candidate("c", 9)), "b")
+
+    def test_a_primary_of_an_earlier_term_is_the_last_choice(self):
+        """Its log may have commits that a promotion rolled back."""
+        group = replace(succession(0), term=2)
+        outdated = candidate("b", 12, leads=True)
+        self.assertEqual(self.choose(group, outdated, candidate("c", 9)), "c")
+        self.assertEqual(self.choose(group, outdated), "b")
+        # With synchronous replicas its log may hold the only copy of a commit.
+        group = replace(succession(1), term=2)
+        self.assertEqual(self.choose(group, outdated, candidate("c", 9)), "b")
+
+    def test_a_former_primary_that_follows_another_one_is_a_replica(self):
+        """RECOVER: it was left out after the one promoted in its place was lost."""
+        for synchronous in (0, 1):
+            group = succession(synchronous)
+            former, other = candidate("a", 9, term=2), candidate("c", 7, term=2)
+            self.assertEqual(self.choose(group, former, other), "a")
+
+    def test_all_who_may_have_led_are_enough(self):
+        """RECOVER: the primary was back with all commits, but both replicas lost."""
+        former = candidate("a", 9, leads=True)
+        group = succession()
+        self.assertFalse(is_complete(group, [former]))
+        self.assertTrue(is_complete(replace(group, called=()), [former]))
+        called = replace(group, called=("b",))
+        self.assertFalse(is_complete(called, [former]))
+        wide = replace(called, holders=succession(1, "abcd").holders)
+        answers = [former, candidate("b", 9, leads=True, term=2)]
+        self.assertTrue(is_complete(wide, answers))
+        self.assertFalse(is_complete(wide, [former, candidate("c", 9)]))
+
 
 class HolderTest(unittest.TestCase):
     """Which logs are known, with one synchronous replica."""
@@ -238,12 +277,15 @@
 class SynchronousSiteTest(unittest.IsolatedAsyncioTestCase):
     """A group with one synchronous replica, and daemons."""
 
-    async def start(self, daemons=2):
-        self.site = Site(daemons=daemons, synchronous=1)
+    async def start(self, daemons=2, synchronous=1):
+        self.site = Site(daemons=daemons, synchronous=synchronous)
         await self.site.__aenter__()
         self.addAsyncCleanup(self.site.__aexit__, None, None, None)
         self.group = self.site.group
-        await self.site.until(lambda: self.site.store.get("cardamomdrift", "holders/g"))
+        if synchronous:
+            await self.site.until(
+                lambda: self.site.store.get("cardamomdrift", "holders/g")
+            )
 
     async def lose(self, instance):
         """End an instance for good; its entry leaves the list."""
@@ -304,6 +346,71 @@
         """LOST: after a restart nothing told of the replica that had left."""
         await self.lose_the_only_holder(restarted=True)
 
+    async def kill_after_the_call(self, book, returns):
+        """Crash the primary; kill all daemons once a replica has been promoted.
+
+        Parameters
+        ----------
+        book : LineClient
+        returns : bool
+            Whether the former primary is back afterwards, as a replica.
+        """
+        former = self.group.primary
+        never = mock.AsyncMock(side_effect=asyncio.Event().wait)
+        with mock.patch.object(ReplacementExecutor, "_wait_until_primary", never):
+            await former.crash()
+            while not self.site.store.promotions:
+                await book.ask("WRITE b 2")
+            await self.site.until(lambda: self.group.primary is not former)
+            await self.restart_daemons()
+        former.primary, former.term = False, self.group.primary.term
+        if returns:
+            await former.start()
+
+    async def recover_from_a_kill(self, returns):
+        await self.start()
+        book = await self.site.caller("vm-1", "book")
+        await book.ask("WRITE a 1")
+        await self.kill_after_the_call(book, returns)
+        await self.write_until_served(await self.site.caller("vm-1", "book"))
+        self.assertIn((1, "a", "1"), self.group.primary.log)
+
+    async def test_a_replica_that_an_unfinished_replacement_promoted_leads(self):
+        """RECOVER: it was left out, so that too few replicas answered for good."""
+        await self.recover_from_a_kill(returns=False)
+
+    async def test_a_former_primary_that_is_a_replica_now_counts(self):
+        """RECOVER: it was left out, so that too few replicas answered for good."""
+        await self.recover_from_a_kill(returns=True)
+
+    async def test_the_last_replica_leads_after_an_unfinished_replacement(self):
+        """RECOVER, no synchronous replicas: nothing was left to promote."""
+        for returns in (False, True):
+            with self.subTest(returns=returns):
+                await self.start(synchronous=0)
+                book = await self.site.caller("vm-1", "book")
+                await self.lose(self.group.instances["g-2"])
+                await self.kill_after_the_call(book, returns)
+                await self.write_until_served(await self.site.caller("vm-1", "book"))
+
+    async def test_a_former_primary_leads_if_all_replicas_are_lost(self):
+        """RECOVER: the group had no instance to promote, though one had all commits."""
+        for synchronous in (0, 1):
+            with self.subTest(synchronous=synchronous):
+                await self.start(synchronous=synchronous)
+                first, *replicas = self.group.instances.values()
+                book = await self.site.caller("vm-1", "book")
+                await book.ask("WRITE a 1")
+                await first.crash()
+                await self.write_for(book, 0.3)
+                for replica in replicas:
+                    replica.faults.silent = True
+                await self.write_for(book, 1.0)
+                await asyncio.gather(*map(self.lose, replicas))
+                await first.start()
+                await self.write_until_served(book)
+                self.assertEqual(self.group.primary.log[0], (1, "a", "1"))
+
     async def test_a_replica_that_left_is_forgotten_when_another_has_its_log(self):
         """RECOVER: the group would wait for it at the next replacement."""
         await self.start()
