Planned replacement: the primary that answers counts as a known log

With synchronous replicas a planned replacement failed as long as more logs were missing than there are such replicas, although the leaving primary answered and had all commits. It now asks the primary like any other replacement does, and waits only for a replica that has its last commit.

test_a_planned_replacement_needs_no_other_log_than_the_primary_s failed before. The table of can_take_over has the former primary among the answers now, with the same cases and one more for each bound.

--- a/cardamomdrift/failover/execution.py
+++ b/cardamomdrift/failover/execution.py
@@ -319,9 +319,7 @@
         deadline_at = boot_clock() + PLATFORM_CALL_TIMEOUT
         while True:
             late = boot_clock() >= deadline_at
-            candidates = await self._ask_others(cluster)
-            if not is_complete(succession, candidates):
-                candidates += await self._ask_former(cluster)
+            candidates = await self._ask_instances(cluster, succession)
             chosen = choose_candidate(succession, candidates, late)
             if chosen is not None:
                 self._log.info(
@@ -366,25 +364,25 @@
             f"{succession.synchronous} may be ({', '.join(names)})"
         )
 
-    async def _ask_others(self, cluster):
-        """Return the Candidates among the instances besides the old primary."""
+    async def _ask_instances(self, cluster, succession):
+        """Return the Candidates among the instances.
+
+        The former primary, which may not answer, is asked only if the others are not
+        enough.
+        """
         answers = await asyncio.gather(
             *(
                 self._ask_candidate(cluster, name, runtime)
                 for name, runtime in cluster.instances.items()
-                if name != cluster.leadership.primary
+                if name != succession.former
             )
         )
-        return [answer for answer in answers if answer is not None]
-
-    async def _ask_former(self, cluster):
-        """Return a list of the old primary as a Candidate; empty if it is away."""
-        name = cluster.leadership.primary
-        runtime = cluster.instances.get(name)
-        if runtime is None:
-            return []
-        answer = await self._ask_candidate(cluster, name, runtime)
-        return [] if answer is None else [answer]
+        candidates = [answer for answer in answers if answer is not None]
+        former = cluster.instances.get(succession.former)
+        if former is not None and not is_complete(succession, candidates):
+            answer = await self._ask_candidate(cluster, succession.former, former)
+            candidates += [] if answer is None else [answer]
+        return candidates
 
     async def _ask_candidate(self, cluster, name, runtime):
         try:
@@ -467,7 +465,7 @@
                 last = await old.prober.ping(read_only=True)
                 succession = self._make_succession(cluster, intent)
                 while last is not None and not can_take_over(
-                    succession, await self._ask_others(cluster), last
+                    succession, await self._ask_instances(cluster, succession), last
                 ):
                     await asyncio.sleep(POLL_INTERVAL)
                 return
--- a/cardamomdrift/failover/succession.py
+++ b/cardamomdrift/failover/succession.py
@@ -227,17 +227,14 @@
     ----------
     succession : Succession
     candidates : list of Candidate
-        Instances that answered, without the former primary.
     last : Position
         End of the former primary's log, which answers.
     """
-    missing = missing_holders(succession, candidates)
-    others = [holder for holder in missing if holder.name != succession.former]
-    is_synchronous = succession.synchronous > 0
-    if not candidates or (is_synchronous and len(others) > succession.synchronous):
+    if not is_complete(succession, candidates):
         return False
-    staying = [one for one in candidates if not one.draining]
-    return any(one.received >= last for one in staying or candidates)
+    replicas = [one for one in candidates if not leads_as_before(succession, one)]
+    staying = [one for one in replicas if not one.draining]
+    return any(one.received >= last for one in staying or replicas)
 
 
 def droppable_holders(absent, sample, received, synchronous):
