Replacement: read the time after the last question to the candidate

The time left for a call of the platform was read before the candidate was asked whether it still has its log, which takes up to 0.25 s. The call could so end after another daemon may take the replacement over (rule ONE).

The row records the call before an instance that leads is told to step down, so that a failed commit leaves it as it is.

test_a_call_ends_before_another_daemon_may_take_over failed before.

--- a/cardamomdrift/failover/execution.py
+++ b/cardamomdrift/failover/execution.py
@@ -132,10 +132,10 @@
             await self._wait_caught_up(cluster, old, intent)
         candidate, term = await self._find_candidate(cluster, intent)
         name = candidate.name
+        await self._record_call(cluster, name, intent)
         if candidate.leads:
             # The platform changes nothing for an instance that leads.
             await cluster.instances[name].prober.demote(term + 1)
-        await self._record_call(cluster, name, intent)
         await self._call_promote(cluster, candidate, intent)
         term = await self._wait_until_primary(cluster, name, term)
         old = cluster.instances.get(cluster.leadership.primary)
@@ -486,9 +486,11 @@
         may take over this replacement.
         """
         group, name = cluster.group.name, candidate.name
-        while may_call_platform(intent, boot_clock(), PLATFORM_CALL_TIMEOUT):
+        while True:
             if cluster.group.synchronous:
                 await self._check_log_kept(cluster, candidate)
+            if not may_call_platform(intent, boot_clock(), PLATFORM_CALL_TIMEOUT):
+                raise ReplacementFailed("no time left for a call of the platform")
             try:
                 accepted = await self._promotions.promote(
                     group,
@@ -515,7 +517,6 @@
                     f"the platform reports that {name} is not running"
                 )
             return
-        raise ReplacementFailed("no time left for a call of the platform")
 
     async def _check_log_kept(self, cluster, candidate):
         """Check that the candidate has not restarted without its log meanwhile."""
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -7,11 +7,14 @@
 
 import asyncio
 import unittest
+from contextlib import suppress
 from dataclasses import replace
 from unittest import mock
 
-from cardamomdrift.failover.execution import ReplacementExecutor
+from cardamomdrift.failover import execution
+from cardamomdrift.failover.execution import ReplacementExecutor, ReplacementFailed
 from cardamomdrift.failover.records import HolderRecord, HoldersRecord, encode_record
+from cardamomdrift.failover.replacement import Intent
 from cardamomdrift.failover.succession import (
     Candidate,
     Holder,
@@ -284,6 +287,44 @@
         self.assertTrue(state.all["b", 1].draining)
 
 
+class CallTest(unittest.IsolatedAsyncioTestCase):
+    """The call of the platform, with parts that the test makes."""
+
+    async def call(self, check_time, kept=True):
+        """Call the platform for an intent that began at 10.0; return the calls."""
+        now = 12.2
+        promotions = mock.AsyncMock()
+        promotions.promote.return_value = True
+        executor = ReplacementExecutor(
+            *(None, promotions, None, mock.Mock(), (), None, None, None, mock.Mock())
+        )
+
+        async def ask(_cluster, name, _runtime):
+            nonlocal now
+            now += check_time
+            return candidate(name, 9 if kept else 0)
+
+        cluster = mock.Mock(instances={"b": None})
+        cluster.group.synchronous = 1
+        with (
+            mock.patch.object(executor, "_ask_candidate", ask),
+            mock.patch.object(execution, "boot_clock", lambda: now),
+        ):
+            intent = Intent(3, 1, 10.0, 10.1)
+            with suppress(ReplacementFailed):
+                await executor._call_promote(cluster, candidate("b", 9), intent)
+        return promotions.promote.await_count
+
+    async def test_a_call_ends_before_another_daemon_may_take_over(self):
+        """ONE: the time was read before the candidate was asked again."""
+        self.assertEqual(await self.call(check_time=0.01), 1)
+        self.assertEqual(await self.call(check_time=0.25), 0)
+
+    async def test_a_candidate_that_lost_its_log_is_not_promoted(self):
+        """LOST: it had restarted between its answer and the call."""
+        self.assertEqual(await self.call(check_time=0.01, kept=False), 0)
+
+
 class SynchronousSiteTest(unittest.IsolatedAsyncioTestCase):
     """A group with one synchronous replica, and daemons."""
 
