--- a/cardamomdrift/failover/succession.py
+++ b/cardamomdrift/failover/succession.py
@@ -140,8 +140,8 @@
 
     It has them if at most as many logs are missing as there are synchronous replicas,
     or if none is missing of the instances that may have acknowledged commits as
-    primaries.
-    Without synchronous replicas nothing can show this, and any candidate is enough.
+    primaries.  Without synchronous replicas nothing can show this, and any candidate is
+    enough.
 
     Parameters
     ----------
--- a/cardamomdrift/membership/holder_keeper.py
+++ b/cardamomdrift/membership/holder_keeper.py
@@ -190,7 +190,9 @@
     async def _check_group(self, cluster):
         now = boot_clock()
         state = self._update(cluster, now)
-        if not self._roster.is_voter or not self._control.reachable:
+        # Voters with different lists would overwrite each other's rows.
+        is_current = self._control.reachable and self._instances.is_current
+        if not self._roster.is_voter or not is_current:
             return
         if state.is_stored:
             state.due_since = None
