Split the search for a candidate from the replacement executor

The executor had grown past one job: it commits the intent, waits for the release and calls the platform; failover/candidates.py asks the instances. No change of behaviour.

--- a/cardamomdrift/errors.py
+++ b/cardamomdrift/errors.py
@@ -48,6 +48,10 @@
     """A received packet or line exceeds the size limit."""
 
 
+class ReplacementFailed(CardamomdriftError):
+    """A replacement ended before a new primary was in force."""
+
+
 class PlatformUnavailable(CardamomdriftError):
     """A call of the platform failed or timed out; the effect of a write is unknown."""
 
--- a/cardamomdrift/failover/execution.py
+++ b/cardamomdrift/failover/execution.py
@@ -14,10 +14,11 @@
 
 from cardamomdrift.clock import boot_clock
 from cardamomdrift.errors import (
-    CardamomdriftError,
     PlatformUnavailable,
+    ReplacementFailed,
     UpstreamError,
 )
+from cardamomdrift.failover.candidates import CandidateFinder
 from cardamomdrift.failover.numbers import first_number, next_number
 from cardamomdrift.failover.peer_reports import PeerReports
 from cardamomdrift.failover.permission import dropped_permission_until
@@ -34,37 +35,23 @@
     member_key,
 )
 from cardamomdrift.failover.replacement import (
-    CATCH_UP_TIMEOUT,
     INTENT_LIFETIME,
     Intent,
     is_released,
     may_call_platform,
     takeover_at,
 )
-from cardamomdrift.failover.succession import (
-    Candidate,
-    Succession,
-    can_take_over,
-    choose_candidate,
-    is_complete,
-    make_holder,
-    missing_holders,
-)
 from cardamomdrift.failover.voters import has_quorum
 from cardamomdrift.peers.contacts import LIVENESS_TIMEOUT
 from cardamomdrift.ports import Committed
 
-PLATFORM_CALL_TIMEOUT = 0.6  # seconds; a call takes 20 ms
 POLL_INTERVAL = 0.02  # seconds
+PLATFORM_CALL_TIMEOUT = 0.6  # seconds; a call takes 20 ms
 # Seconds from the platform's answer until the new primary accepts writes.
 NEW_PRIMARY_TIMEOUT = 2.0
 PLATFORM_RETRY_DELAY = 0.05  # seconds between two calls of the platform
 
 
-class ReplacementFailed(CardamomdriftError):
-    """A replacement ended before a new primary was in force."""
-
-
 class ReplacementExecutor:
     """Runs replacements of primaries, one call of `run` for each.
 
@@ -100,7 +87,7 @@
         self._roster = roster
         self._clusters = clusters
         self._instances = instances
-        self._holder_keeper = holder_keeper
+        self._finder = CandidateFinder(holder_keeper, log)
         self._announce = announce
         self._peer_reports = PeerReports(roster, clusters)
         self._log = log
@@ -129,8 +116,8 @@
         # from the logs that are compared.
         old = cluster.instances.get(cluster.leadership.primary)
         if old is not None and old.spec.draining:
-            await self._wait_caught_up(cluster, old, intent)
-        candidate, term = await self._find_candidate(cluster, intent)
+            await self._finder.wait_caught_up(cluster, old, intent)
+        candidate, term = await self._finder.find(cluster, intent)
         name = candidate.name
         await self._record_call(cluster, name, intent)
         if candidate.leads:
@@ -313,101 +300,6 @@
                     "a replacement under another fencing token is in progress"
                 )
 
-    async def _find_candidate(self, cluster, intent):
-        """Return the Candidate to promote, and the highest term seen."""
-        succession = self._make_succession(cluster, intent)
-        deadline_at = boot_clock() + PLATFORM_CALL_TIMEOUT
-        while True:
-            late = boot_clock() >= deadline_at
-            candidates = await self._ask_instances(cluster, succession)
-            chosen = choose_candidate(succession, candidates, late)
-            if chosen is not None:
-                self._log.info(
-                    "candidate chosen",
-                    group=cluster.group.name,
-                    generation=intent.generation,
-                    candidate=chosen.name,
-                    leads=chosen.leads,
-                    received=" ".join(
-                        f"{candidate.name}={candidate.received}"
-                        for candidate in candidates
-                    ),
-                )
-                return chosen, max(
-                    cluster.leadership.term,
-                    *(candidate.term for candidate in candidates),
-                )
-            if late:
-                raise ReplacementFailed(self._explain(succession, candidates))
-            await asyncio.sleep(POLL_INTERVAL)
-
-    def _make_succession(self, cluster, intent):
-        leadership = cluster.leadership
-        return Succession(
-            leadership.primary,
-            leadership.term,
-            cluster.group.synchronous,
-            self._holder_keeper.holders(cluster),
-            intent.called,
-        )
-
-    @staticmethod
-    def _explain(succession, candidates):
-        """Return why there is no candidate, for operators."""
-        if is_complete(succession, candidates):
-            return "only the old primary has the last commits, and it is draining"
-        if not succession.synchronous:
-            return "no replica answers"
-        names = [holder.name for holder in missing_holders(succession, candidates)]
-        return (
-            f"acknowledged commits may be missing: {len(names)} logs are not known, "
-            f"{succession.synchronous} may be ({', '.join(names)})"
-        )
-
-    async def _ask_instances(self, cluster, succession):
-        """Return the Candidates among the instances.
-
-        The former primary, which may not answer, is asked only if the others are not
-        enough.
-        """
-        answers = await asyncio.gather(
-            *(
-                self._ask_candidate(cluster, name, runtime)
-                for name, runtime in cluster.instances.items()
-                if name != succession.former
-            )
-        )
-        candidates = [answer for answer in answers if answer is not None]
-        former = cluster.instances.get(succession.former)
-        if former is not None and not is_complete(succession, candidates):
-            answer = await self._ask_candidate(cluster, succession.former, former)
-            candidates += [] if answer is None else [answer]
-        return candidates
-
-    async def _ask_candidate(self, cluster, name, runtime):
-        try:
-            status = await runtime.prober.status()
-        except (UpstreamError, TimeoutError) as error:
-            self._log.info(
-                "candidate not reached",
-                instance=name,
-                error=f"{type(error).__name__} {error}",
-            )
-            return None
-        observed = cluster.view.instances.get(name)
-        holder = make_holder(runtime.spec)
-        if observed is not None and status.received < observed.position:
-            # It has restarted without its log since the list was read.
-            holder = None
-        return Candidate(
-            name,
-            status.received,
-            runtime.spec.draining,
-            status.term,
-            status.primary,
-            holder,
-        )
-
     async def _wait_released(self, cluster, intent):
         """Wait until no daemon uses the old primary any more."""
         names = (self._control.registered_names | set(self._roster.peers)) - {
@@ -453,32 +345,6 @@
             missing=",".join(missing) or None,
         )
 
-    async def _wait_caught_up(self, cluster, old, intent):
-        """Wait until a replica has the last commits of a draining primary.
-
-        After CATCH_UP_TIMEOUT the replacement goes on without them, unless the group
-        has synchronous replicas and the primary still answers.
-        """
-        last = None
-        try:
-            async with asyncio.timeout(CATCH_UP_TIMEOUT):
-                last = await old.prober.ping(read_only=True)
-                succession = self._make_succession(cluster, intent)
-                while last is not None and not can_take_over(
-                    succession, await self._ask_instances(cluster, succession), last
-                ):
-                    await asyncio.sleep(POLL_INTERVAL)
-                return
-        except (UpstreamError, TimeoutError) as error:
-            self._log.warning(
-                "no replica has caught up",
-                group=cluster.group.name,
-                last=str(last),
-                error=f"{type(error).__name__} {error}",
-            )
-        if last is not None and cluster.group.synchronous:
-            raise ReplacementFailed("only the old primary has the last commits")
-
     async def _call_promote(self, cluster, candidate, intent):
         """Call the platform to promote the candidate.
 
@@ -488,7 +354,7 @@
         group, name = cluster.group.name, candidate.name
         while True:
             if cluster.group.synchronous:
-                await self._check_log_kept(cluster, candidate)
+                await self._finder.check_log_kept(cluster, candidate)
             if not may_call_platform(intent, boot_clock(), PLATFORM_CALL_TIMEOUT):
                 raise ReplacementFailed("no time left for a call of the platform")
             try:
@@ -518,16 +384,6 @@
                 )
             return
 
-    async def _check_log_kept(self, cluster, candidate):
-        """Check that the candidate has not restarted without its log meanwhile."""
-        name = candidate.name
-        answer = None
-        if name in cluster.instances:
-            runtime = cluster.instances[name]
-            answer = await self._ask_candidate(cluster, name, runtime)
-        if answer is None or answer.received < candidate.received:
-            raise ReplacementFailed(f"{name} does not answer with its log any more")
-
     async def _wait_until_primary(self, cluster, candidate, old_term):
         """Wait until the candidate is primary in a higher term; return that term."""
         runtime = cluster.instances[candidate]
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -307,7 +307,7 @@
         cluster = mock.Mock(instances={"b": None})
         cluster.group.synchronous = 1
         with (
-            mock.patch.object(executor, "_ask_candidate", ask),
+            mock.patch.object(executor._finder, "_ask_candidate", ask),
             mock.patch.object(execution, "boot_clock", lambda: now),
         ):
             intent = Intent(3, 1, 10.0, 10.1)
