Tests of statements: the made request has the time of its sample, too

25 tests ended with an AttributeError in the whole suite since sessions keep a position for each group: find_read_floor reads a field that their stand-in of a request lacked. No test changes what it checks.

--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import unittest
 from types import SimpleNamespace
 
@@ -88,6 +89,7 @@
         caller="caller",
         arrived_boot=0.0,
         last_write=None,
+        sample_since=-math.inf,
         extensible=True,
         deadline_at=asyncio.get_running_loop().time() + 1.0,
         trace=SimpleNamespace(events=[], sent=False, floor=None),
